--- /dev/null
+++ b/components/consensus/src/election.rs
@@ -0,0 +1,221 @@
+//! Founding the cell and electing a leader.
+
+use clock::Millis;
+use model::{Incarnation, InstanceId};
+
+use crate::progress::Progress;
+use crate::{Body, HardState, Membership, Node, Notice, Payload, Role, Snapshot};
+
+/// A last entry's term and index: the later log is the greater pair.
+type LogEnd = (u64, u64);
+
+impl Node {
+    /// Looks for the cell, and founds it once all founders are seen to be empty.
+    pub(crate) fn seek_cell(&mut self) {
+        if self.now < self.hello_at {
+            return;
+        }
+        self.hello_at = self.now + self.cfg.timing.heartbeat;
+        self.say_hello();
+        self.try_found();
+    }
+
+    fn say_hello(&mut self) {
+        let founders: Vec<InstanceId> = self.cfg.founders.iter().cloned().collect();
+        self.send_to_others(founders, &Body::Hello { formed: false });
+    }
+
+    pub(crate) fn on_hello(&mut self, from: InstanceId, incarnation: Incarnation, formed: bool) {
+        if self.role != Role::Unformed {
+            if !formed {
+                self.send(&from, Body::Hello { formed: true });
+            }
+            if self.role == Role::Leader {
+                self.heard_from(&from, incarnation);
+            }
+            return;
+        }
+        if formed {
+            self.empty_founders.remove(&from);
+        } else {
+            self.empty_founders.insert(from, incarnation);
+            self.try_found();
+        }
+    }
+
+    fn try_found(&mut self) {
+        let founders = &self.cfg.founders;
+        let others_empty =
+            founders.iter().all(|f| *f == self.cfg.id || self.empty_founders.contains_key(f));
+        if !founders.contains(&self.cfg.id) || !others_empty {
+            return;
+        }
+        // The others may not have heard enough yet: tell them once more before we stop.
+        self.say_hello();
+        let mut voters = self.empty_founders.clone();
+        voters.retain(|id, _| self.cfg.founders.contains(id));
+        voters.insert(self.cfg.id.clone(), self.cfg.incarnation);
+        let membership = Membership { voters, ..Membership::default() };
+        let base = Snapshot { membership, ..Snapshot::default() };
+        self.log.install(base.clone());
+        self.out.snapshot = Some(base);
+        self.out.notices.push(Notice::Founded);
+        self.role = Role::Follower;
+        self.reset_election_timer();
+    }
+
+    /// Tells whether a leader may hold a lease that rests on this member.
+    pub(crate) fn is_bound_to_leader(&self) -> bool {
+        match self.role {
+            Role::Leader => self.now < self.election_deadline(),
+            _ => self.now.since(self.quiet_since) < self.cfg.timing.election_min,
+        }
+    }
+
+    fn election_deadline(&self) -> Millis {
+        let acked = self.quorum_acked_at(self.now).unwrap_or(self.leads_since);
+        acked + self.cfg.timing.election_min
+    }
+
+    pub(crate) fn start_pre_vote(&mut self) {
+        self.role = Role::PreCandidate;
+        self.leader = None;
+        self.votes.clear();
+        self.votes.insert(self.cfg.id.clone());
+        self.reset_election_timer();
+        if self.has_quorum_of_votes() {
+            self.start_election(false);
+            return;
+        }
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        let term = self.hard.term + 1;
+        self.ask_voters(Body::PreVote { term, last_index, last_term });
+    }
+
+    fn start_election(&mut self, transfer: bool) {
+        self.role = Role::Candidate;
+        self.leader = None;
+        let term = self.hard.term + 1;
+        self.hard = HardState { term, voted_for: Some(self.cfg.id.clone()) };
+        self.save_hard_state();
+        self.votes.clear();
+        self.votes.insert(self.cfg.id.clone());
+        self.reset_election_timer();
+        if self.has_quorum_of_votes() {
+            self.become_leader();
+            return;
+        }
+        let (last_index, last_term) = (self.log.last_index(), self.log.last_term());
+        self.ask_voters(Body::Vote { term, last_index, last_term, transfer });
+    }
+
+    fn ask_voters(&mut self, body: Body) {
+        let voters: Vec<InstanceId> = self.membership().voters.keys().cloned().collect();
+        self.send_to_others(voters, &body);
+    }
+
+    fn has_quorum_of_votes(&self) -> bool {
+        let membership = self.membership();
+        let given = self.votes.iter().filter(|id| membership.voters.contains_key(*id)).count();
+        given >= membership.quorum()
+    }
+
+    fn is_voter(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
+        self.membership().is_voter(id, incarnation)
+    }
+
+    pub(crate) fn on_pre_vote(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        term: u64,
+        end: LogEnd,
+    ) {
+        let newer = end >= (self.log.last_term(), self.log.last_index());
+        let granted = self.may_vote()
+            && self.is_voter(from, incarnation)
+            && !self.is_bound_to_leader()
+            && term > self.hard.term
+            && newer;
+        self.send(from, Body::PreVoteReply { term, granted });
+    }
+
+    pub(crate) fn on_pre_vote_reply(
+        &mut self,
+        from: InstanceId,
+        incarnation: Incarnation,
+        term: u64,
+        granted: bool,
+    ) {
+        let current = self.role == Role::PreCandidate && term == self.hard.term + 1;
+        if current && granted && self.is_voter(&from, incarnation) {
+            self.votes.insert(from);
+            if self.has_quorum_of_votes() {
+                self.start_election(false);
+            }
+        }
+    }
+
+    pub(crate) fn on_vote(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        term: u64,
+        end: LogEnd,
+    ) {
+        let free = self.hard.voted_for.as_ref().is_none_or(|id| id == from);
+        let newer = end >= (self.log.last_term(), self.log.last_index());
+        let granted = self.may_vote()
+            && self.is_voter(from, incarnation)
+            && self.role == Role::Follower
+            && free
+            && newer;
+        if granted {
+            self.hard.voted_for = Some(from.clone());
+            self.save_hard_state();
+            self.reset_election_timer();
+        }
+        self.send(from, Body::VoteReply { term, granted });
+    }
+
+    pub(crate) fn on_vote_reply(
+        &mut self,
+        from: InstanceId,
+        incarnation: Incarnation,
+        granted: bool,
+    ) {
+        if self.role == Role::Candidate && granted && self.is_voter(&from, incarnation) {
+            self.votes.insert(from);
+            if self.has_quorum_of_votes() {
+                self.become_leader();
+            }
+        }
+    }
+
+    pub(crate) fn on_timeout_now(&mut self, from: &InstanceId) {
+        let from_leader = self.leader.as_ref() == Some(from);
+        if from_leader && self.role == Role::Follower && self.may_vote() {
+            self.start_election(true);
+        }
+    }
+
+    fn become_leader(&mut self) {
+        self.role = Role::Leader;
+        self.leader = Some(self.cfg.id.clone());
+        self.leads_since = self.now;
+        self.out.notices.push(Notice::Leads { term: self.hard.term });
+        let next = self.log.last_index() + 1;
+        self.progress.clear();
+        for id in self.followers() {
+            self.progress.insert(id, Progress::new(next));
+        }
+        self.first_own = next;
+        // The founders' membership travels in the log, so that a founder that missed the founding
+        // learns of it.
+        let payload = match next {
+            1 => Payload::Membership(self.membership().clone()),
+            _ => Payload::Noop,
+        };
+        self.append_own(payload);
+    }
+}
--- /dev/null
+++ b/components/consensus/src/node.rs
@@ -0,0 +1,507 @@
+//! The member itself: its state, its inputs and what follows from them.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use clock::Millis;
+use model::{Incarnation, InstanceId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::log::Log;
+use crate::progress::Progress;
+use crate::snapshot::Incoming;
+use crate::{
+    Body, Entry, Envelope, HardState, MemberRole, Membership, Payload, Record, Restored, Snapshot,
+};
+
+/// How long things may take.
+#[derive(Clone, Copy, Debug)]
+pub struct Timing {
+    /// How often a leader sends heartbeats.
+    pub heartbeat: Millis,
+    /// The shortest silence of a leader after which a voter may stand or vote.
+    pub election_min: Millis,
+    /// The longest silence of a leader before a voter stands.
+    pub election_max: Millis,
+    /// By how many percent two clocks may run apart.
+    pub drift_percent: u64,
+}
+
+impl Default for Timing {
+    fn default() -> Self {
+        Timing {
+            heartbeat: Millis(100),
+            election_min: Millis(1_000),
+            election_max: Millis(2_000),
+            drift_percent: 5,
+        }
+    }
+}
+
+/// Who this member is and whom it knows from its settings.
+#[derive(Clone, Debug)]
+pub struct NodeConfig {
+    /// This member.
+    pub id: InstanceId,
+    /// This member's disk.
+    pub incarnation: Incarnation,
+    /// The instances with disks, which found the cell together.
+    pub founders: BTreeSet<InstanceId>,
+    /// The instances without disks, which follow the log and are no members.
+    pub observers: BTreeSet<InstanceId>,
+    /// How long things may take.
+    pub timing: Timing,
+    /// Seeds the election timeouts.
+    pub seed: u64,
+}
+
+/// What a member is at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Role {
+    /// Has no state yet, and looks for the cell.
+    Unformed,
+    /// Follows a leader or waits for one.
+    Follower,
+    /// Asks whether it would be elected.
+    PreCandidate,
+    /// Stands for election.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// A change of a member's standing that others may want to log.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Notice {
+    /// The cell was founded with this member.
+    Founded,
+    /// This member leads from now on.
+    Leads {
+        /// The term it leads in.
+        term: u64,
+    },
+    /// This member stopped leading.
+    Resigned {
+        /// The term it led in.
+        term: u64,
+        /// Why.
+        reason: &'static str,
+    },
+    /// A membership entry was appended.
+    MembershipChanged(Membership),
+}
+
+/// What follows from an input. The records and the snapshot are made lasting first, the messages
+/// sent and the committed entries applied only then.
+#[derive(Debug, Default)]
+pub struct Output {
+    /// A snapshot that replaces the log on disk and the state machine's state.
+    pub snapshot: Option<Snapshot>,
+    /// Records to append to the disk.
+    pub records: Vec<Record>,
+    /// Messages to send.
+    pub messages: Vec<Envelope>,
+    /// Entries to apply, in order.
+    pub committed: Vec<Entry>,
+    /// What changed.
+    pub notices: Vec<Notice>,
+}
+
+/// The proposal reached a member that does not lead.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct NotLeader {
+    /// Who leads, if known.
+    pub leader: Option<InstanceId>,
+}
+
+/// Why a change of members was not taken up.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ChangeError {
+    /// This member does not lead.
+    NotLeader(NotLeader),
+    /// An earlier change is not committed yet.
+    Busy,
+    /// The instance has not been heard from, so its disk is unknown.
+    Unknown,
+    /// The change would leave no voter.
+    NoVoter,
+}
+
+/// The most entries a leader keeps uncommitted before it refuses proposals.
+pub(crate) const MAX_UNCOMMITTED: u64 = 20_000;
+
+/// One member of the replicated log.
+#[derive(Debug)]
+pub struct Node {
+    pub(crate) cfg: NodeConfig,
+    pub(crate) rng: StdRng,
+    pub(crate) role: Role,
+    pub(crate) hard: HardState,
+    pub(crate) log: Log,
+    pub(crate) commit: u64,
+    pub(crate) leader: Option<InstanceId>,
+    /// When a leader was last heard, or this process started: either may have promised a lease.
+    pub(crate) quiet_since: Millis,
+    pub(crate) election_at: Millis,
+    pub(crate) votes: BTreeSet<InstanceId>,
+    pub(crate) progress: BTreeMap<InstanceId, Progress>,
+    /// When this member became leader.
+    pub(crate) leads_since: Millis,
+    /// The first entry of this leader's own term.
+    pub(crate) first_own: u64,
+    pub(crate) incoming: Option<Incoming>,
+    /// Founders known to be as empty as this one.
+    pub(crate) empty_founders: BTreeMap<InstanceId, Incarnation>,
+    pub(crate) hello_at: Millis,
+    pub(crate) now: Millis,
+    pub(crate) out: Output,
+}
+
+impl Node {
+    /// Starts a member from what its disk remembers. It will not vote for a while, because the
+    /// process before it may have granted a leader's lease.
+    pub fn new(cfg: NodeConfig, restored: Restored, now: Millis) -> Node {
+        let log = Log::new(restored.snapshot, restored.entries);
+        let formed = log.last_index() > 0 || !log.base().membership.voters.is_empty();
+        let mut node = Node {
+            rng: StdRng::seed_from_u64(cfg.seed),
+            role: if formed { Role::Follower } else { Role::Unformed },
+            hard: restored.hard,
+            commit: log.base().last_index,
+            log,
+            leader: None,
+            quiet_since: now,
+            election_at: Millis::ZERO,
+            votes: BTreeSet::new(),
+            progress: BTreeMap::new(),
+            leads_since: Millis::ZERO,
+            first_own: 0,
+            incoming: None,
+            empty_founders: BTreeMap::new(),
+            hello_at: Millis::ZERO,
+            now,
+            out: Output::default(),
+            cfg,
+        };
+        node.reset_election_timer();
+        node
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, now: Millis) -> Output {
+        self.now = self.now.max(now);
+        match self.role {
+            Role::Unformed => self.seek_cell(),
+            Role::Leader => self.lead(),
+            _ if self.now >= self.election_at && self.may_vote() => self.start_pre_vote(),
+            _ => {}
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Takes in a message.
+    pub fn receive(&mut self, now: Millis, msg: Envelope) -> Output {
+        self.now = self.now.max(now);
+        if msg.to == self.cfg.id {
+            self.dispatch(msg);
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Adds a command to the log and gives its index and term.
+    ///
+    /// # Errors
+    /// [`NotLeader`] if this member does not lead, has not proved that it does, or holds as many
+    /// uncommitted entries as it may. The command is then surely not in the log.
+    pub fn propose(
+        &mut self,
+        now: Millis,
+        data: Arc<[u8]>,
+    ) -> Result<(u64, u64, Output), NotLeader> {
+        self.now = self.now.max(now);
+        let full = self.log.last_index() - self.commit >= MAX_UNCOMMITTED;
+        if self.role != Role::Leader || full {
+            return Err(NotLeader { leader: self.leader.clone() });
+        }
+        let index = self.append_own(Payload::Command(data));
+        Ok((index, self.hard.term, std::mem::take(&mut self.out)))
+    }
+
+    /// Changes one member's role.
+    ///
+    /// # Errors
+    /// [`ChangeError`] says why the change was not taken up; it then surely did not happen.
+    pub fn change_member(
+        &mut self,
+        now: Millis,
+        id: &InstanceId,
+        role: MemberRole,
+    ) -> Result<Output, ChangeError> {
+        self.now = self.now.max(now);
+        if self.role != Role::Leader {
+            return Err(ChangeError::NotLeader(NotLeader { leader: self.leader.clone() }));
+        }
+        let known = self.progress.get(id).and_then(|p| p.incarnation);
+        let own = (*id == self.cfg.id).then_some(self.cfg.incarnation);
+        let incarnation = match (known.or(own), role) {
+            (Some(incarnation), _) => incarnation,
+            (None, MemberRole::Removed) => Incarnation::default(),
+            (None, _) => return Err(ChangeError::Unknown),
+        };
+        let next = self.log.membership().1.with_role(id, incarnation, role);
+        if next.voters.is_empty() {
+            return Err(ChangeError::NoVoter);
+        }
+        if !self.may_change_members() {
+            return Err(ChangeError::Busy);
+        }
+        self.change_membership(next);
+        Ok(std::mem::take(&mut self.out))
+    }
+
+    /// Hands leadership to the voter that is furthest along, for a planned stop. This member gives
+    /// up its lease before the other one stands.
+    pub fn hand_over(&mut self, now: Millis) -> Output {
+        self.now = self.now.max(now);
+        if self.role == Role::Leader {
+            let heir = self.furthest_voter();
+            let term = self.hard.term;
+            self.resign("planned stop");
+            if let Some(heir) = heir {
+                self.send(&heir, Body::TimeoutNow { term });
+            }
+        }
+        std::mem::take(&mut self.out)
+    }
+
+    /// Replaces the log up to `index` by a snapshot of the state after it.
+    pub fn compact(&mut self, index: u64, data: Arc<[u8]>) -> Option<Snapshot> {
+        if index > self.commit || index <= self.log.base().last_index {
+            return None;
+        }
+        self.log.compact(index, data).cloned()
+    }
+
+    /// Gives the last snapshot.
+    pub fn base(&self) -> &Snapshot {
+        self.log.base()
+    }
+
+    /// Gives what the disk must hold besides the snapshot.
+    pub fn tail_records(&self) -> Vec<Record> {
+        let mut records = vec![Record::HardState(self.hard.clone())];
+        let first = self.log.base().last_index + 1;
+        records.extend(self.log.entries_from(first, usize::MAX).into_iter().map(Record::Entry));
+        records
+    }
+
+    /// Gives this member's role.
+    pub fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Gives the leader that this member knows.
+    pub fn leader(&self) -> Option<&InstanceId> {
+        self.leader.as_ref()
+    }
+
+    /// Gives the highest term this member knows.
+    pub fn term(&self) -> u64 {
+        self.hard.term
+    }
+
+    /// Gives the last entry known to be committed.
+    pub fn commit(&self) -> u64 {
+        self.commit
+    }
+
+    /// Gives the last entry in the log, committed or not.
+    pub fn last_index(&self) -> u64 {
+        self.log.last_index()
+    }
+
+    /// Gives how many entries lie behind the last snapshot.
+    pub fn log_len(&self) -> usize {
+        self.log.len()
+    }
+
+    /// Gives the newest members, committed or not.
+    pub fn membership(&self) -> &Membership {
+        self.log.membership().1
+    }
+
+    /// Gives when this member became leader, by its own clock.
+    pub fn leads_since(&self) -> Millis {
+        self.leads_since
+    }
+
+    /// Tells whether this member surely is the only leader at `now` and has committed an entry of
+    /// its own, so that its state holds every accepted change.
+    pub fn lease_holds(&self, now: Millis) -> bool {
+        let Some(acked) = self.quorum_acked_at(now) else { return false };
+        let lease = self.cfg.timing.election_min.0 * (100 - self.cfg.timing.drift_percent) / 100;
+        self.role == Role::Leader && self.commit >= self.first_own && now < acked + Millis(lease)
+    }
+
+    pub(crate) fn may_vote(&self) -> bool {
+        self.log.membership().1.is_voter(&self.cfg.id, self.cfg.incarnation)
+    }
+
+    pub(crate) fn send(&mut self, to: &InstanceId, body: Body) {
+        let (from, incarnation) = (self.cfg.id.clone(), self.cfg.incarnation);
+        self.out.messages.push(Envelope { from, incarnation, to: to.clone(), body });
+    }
+
+    pub(crate) fn send_to_others(&mut self, ids: Vec<InstanceId>, body: &Body) {
+        for id in ids {
+            if id != self.cfg.id {
+                self.send(&id, body.clone());
+            }
+        }
+    }
+
+    pub(crate) fn save_hard_state(&mut self) {
+        self.out.records.push(Record::HardState(self.hard.clone()));
+    }
+
+    pub(crate) fn reset_election_timer(&mut self) {
+        let (min, max) = (self.cfg.timing.election_min.0, self.cfg.timing.election_max.0);
+        self.election_at = self.now + Millis(self.rng.random_range(min..=max.max(min)));
+    }
+
+    /// Takes entry `payload` into the leader's own log and starts copying it.
+    pub(crate) fn append_own(&mut self, payload: Payload) -> u64 {
+        let index = self.log.last_index() + 1;
+        let entry = Entry { index, term: self.hard.term, payload };
+        self.out.records.push(Record::Entry(entry.clone()));
+        self.log.push(entry);
+        self.advance_commit();
+        self.copy_to_all();
+        index
+    }
+
+    pub(crate) fn commit_to(&mut self, index: u64) {
+        let target = index.min(self.log.last_index());
+        while self.commit < target {
+            self.commit += 1;
+            if let Some(entry) = self.log.entry(self.commit) {
+                self.out.committed.push(entry.clone());
+            }
+        }
+    }
+
+    fn dispatch(&mut self, msg: Envelope) {
+        let Envelope { from, incarnation, body, .. } = msg;
+        if let Body::Vote { transfer, .. } = body
+            && !transfer
+            && self.is_bound_to_leader()
+        {
+            // Neither the vote nor its higher term may disturb a leader that is heard.
+            return;
+        }
+        if let Some(term) = body.term()
+            && !self.accept_term(&from, term, &body)
+        {
+            return;
+        }
+        match body {
+            Body::Hello { formed } => self.on_hello(from, incarnation, formed),
+            Body::PreVote { term, last_index, last_term } => {
+                self.on_pre_vote(&from, incarnation, term, (last_term, last_index));
+            }
+            Body::PreVoteReply { term, granted } => {
+                self.on_pre_vote_reply(from, incarnation, term, granted);
+            }
+            Body::Vote { term, last_index, last_term, .. } => {
+                self.on_vote(&from, incarnation, term, (last_term, last_index));
+            }
+            Body::VoteReply { granted, .. } => self.on_vote_reply(from, incarnation, granted),
+            Body::Append { prev_index, prev_term, entries, commit, sent_at, .. } => {
+                self.on_append(&from, (prev_index, prev_term), entries, commit, sent_at);
+            }
+            Body::AppendReply { matched, index, sent_at, .. } => {
+                self.on_append_reply(&from, incarnation, matched, index, sent_at);
+            }
+            Body::SnapshotChunk {
+                last_index,
+                last_term,
+                membership,
+                offset,
+                total,
+                data,
+                sent_at,
+                ..
+            } => {
+                let head = Snapshot { last_index, last_term, membership, data: Arc::new([]) };
+                self.on_chunk(&from, head, offset, total, &data, sent_at);
+            }
+            Body::SnapshotReply { last_index, next_offset, sent_at, .. } => {
+                self.on_snapshot_reply(&from, incarnation, last_index, next_offset, sent_at);
+            }
+            Body::TimeoutNow { .. } => self.on_timeout_now(&from),
+        }
+    }
+
+    /// Compares the sender's term with ours. Gives false if the message is from a past term and
+    /// has been answered or dropped.
+    fn accept_term(&mut self, from: &InstanceId, term: u64, body: &Body) -> bool {
+        if term > self.hard.term {
+            // A member that cannot vote yet must not forget that it was never asked.
+            let leads = matches!(body, Body::Append { .. } | Body::SnapshotChunk { .. });
+            self.become_follower(term, leads.then(|| from.clone()));
+            return true;
+        }
+        if term == self.hard.term {
+            return true;
+        }
+        let ours = self.hard.term;
+        match body {
+            // The old leader learns of the new term from the answer.
+            Body::Append { sent_at, .. } | Body::SnapshotChunk { sent_at, .. } => {
+                let sent_at = *sent_at;
+                let reply = Body::AppendReply { term: ours, matched: false, index: 0, sent_at };
+                self.send(from, reply);
+            }
+            Body::Vote { .. } => self.send(from, Body::VoteReply { term: ours, granted: false }),
+            _ => {}
+        }
+        false
+    }
+
+    pub(crate) fn become_follower(&mut self, term: u64, leader: Option<InstanceId>) {
+        if self.role == Role::Leader {
+            self.resign("a newer term");
+        }
+        if term > self.hard.term {
+            self.hard = HardState { term, voted_for: None };
+            self.save_hard_state();
+        }
+        if self.role != Role::Unformed {
+            self.role = Role::Follower;
+        }
+        self.leader = leader;
+        self.votes.clear();
+        self.reset_election_timer();
+    }
+
+    pub(crate) fn resign(&mut self, reason: &'static str) {
+        self.out.notices.push(Notice::Resigned { term: self.hard.term, reason });
+        self.role = Role::Follower;
+        self.leader = None;
+        self.progress.clear();
+        self.quiet_since = self.now;
+        self.reset_election_timer();
+    }
+
+    /// Notes that `leader` is the leader of the current term.
+    pub(crate) fn follow(&mut self, leader: &InstanceId) {
+        if matches!(self.role, Role::PreCandidate | Role::Candidate) {
+            self.role = Role::Follower;
+            self.votes.clear();
+        }
+        self.leader = Some(leader.clone());
+        self.quiet_since = self.now;
+        self.reset_election_timer();
+    }
+}
--- /dev/null
+++ b/components/consensus/src/replication.rs
@@ -0,0 +1,280 @@
+//! The leader's work: copying the log, committing, and keeping its members whole.
+
+use std::collections::BTreeSet;
+
+use clock::Millis;
+use model::{Incarnation, InstanceId};
+
+use crate::progress::Progress;
+use crate::{Body, Entry, Membership, Node, Notice, Payload, Record, Role};
+
+/// The most bytes of entries in one append.
+const MAX_APPEND: usize = 1 << 20;
+/// A learner this close to the leader's commit counts as caught up.
+const CAUGHT_UP: u64 = 16;
+/// How many heartbeats a lost append may take before it is sent again.
+const RESEND_HEARTBEATS: u64 = 3;
+
+impl Node {
+    /// Everyone the leader copies the log to.
+    pub(crate) fn followers(&self) -> BTreeSet<InstanceId> {
+        let membership = self.membership();
+        let members = membership.voters.keys().chain(membership.learners.keys());
+        let mut all: BTreeSet<InstanceId> = members.cloned().collect();
+        all.extend(self.cfg.observers.iter().cloned());
+        all.remove(&self.cfg.id);
+        all
+    }
+
+    /// A leader's tick: heartbeats, resends, check-quorum and the care of its members.
+    pub(crate) fn lead(&mut self) {
+        let acked = self.quorum_acked_at(self.now).unwrap_or(self.leads_since);
+        if self.now.since(acked) > self.cfg.timing.election_max {
+            self.resign("no quorum answers");
+            return;
+        }
+        if !self.membership().voters.contains_key(&self.cfg.id) && self.commit >= self.members_at()
+        {
+            self.resign("no longer a voter");
+            return;
+        }
+        self.copy_to_all();
+        self.care_for_members();
+    }
+
+    fn members_at(&self) -> u64 {
+        self.log.membership().0
+    }
+
+    /// Gives the newest time at which a quorum is known to have followed this leader.
+    pub(crate) fn quorum_acked_at(&self, now: Millis) -> Option<Millis> {
+        let membership = self.membership();
+        let mut times: Vec<Millis> = Vec::new();
+        for (id, incarnation) in &membership.voters {
+            if *id == self.cfg.id {
+                times.push(now);
+            } else if let Some(p) = self.progress.get(id)
+                && p.incarnation == Some(*incarnation)
+            {
+                times.extend(p.acked_at);
+            }
+        }
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(membership.quorum() - 1).copied()
+    }
+
+    pub(crate) fn copy_to_all(&mut self) {
+        for id in self.followers() {
+            self.copy_to(&id);
+        }
+    }
+
+    /// Sends `id` what it lacks, unless an earlier send is still under way, or a heartbeat if due.
+    fn copy_to(&mut self, id: &InstanceId) {
+        let heartbeat = self.cfg.timing.heartbeat;
+        let fresh = Progress::new(self.log.last_index() + 1);
+        let (now, last) = (self.now, self.log.last_index());
+        let p = self.progress.entry(id.clone()).or_insert(fresh);
+        let due = p.beat_at.is_none_or(|t| now.since(t) >= heartbeat);
+        let overdue = Millis(heartbeat.0 * RESEND_HEARTBEATS);
+        let busy = p.pending_since.is_some_and(|t| now.since(t) < overdue);
+        let lacks = p.next <= last || p.snapshot.is_some();
+        if lacks && !busy {
+            p.pending_since = Some(now);
+            p.beat_at = Some(now);
+            self.send_next(id);
+        } else if due {
+            p.beat_at = Some(now);
+            self.send_heartbeat(id);
+        }
+    }
+
+    fn send_next(&mut self, id: &InstanceId) {
+        let Some(p) = self.progress.get(id) else { return };
+        if p.next <= self.log.base().last_index || p.snapshot.is_some() {
+            self.send_chunk(id);
+            return;
+        }
+        let entries = self.log.entries_from(p.next, MAX_APPEND);
+        self.send_append(id, p.next - 1, entries);
+    }
+
+    fn send_heartbeat(&mut self, id: &InstanceId) {
+        let Some(p) = self.progress.get(id) else { return };
+        // A heartbeat rests on an entry that the leader still has.
+        let prev = (p.next - 1).max(self.log.base().last_index);
+        self.send_append(id, prev, Vec::new());
+    }
+
+    fn send_append(&mut self, id: &InstanceId, prev_index: u64, entries: Vec<Entry>) {
+        let Some(prev_term) = self.log.term_at(prev_index) else { return };
+        let (term, commit, sent_at) = (self.hard.term, self.commit, self.now);
+        let body = Body::Append { term, prev_index, prev_term, entries, commit, sent_at };
+        self.send(id, body);
+    }
+
+    pub(crate) fn on_append(
+        &mut self,
+        from: &InstanceId,
+        (prev_index, prev_term): (u64, u64),
+        entries: Vec<Entry>,
+        commit: u64,
+        sent_at: Millis,
+    ) {
+        if self.role == Role::Leader {
+            return;
+        }
+        self.follow(from);
+        let term = self.hard.term;
+        if !self.extends_log(prev_index, prev_term) {
+            let index = self.log.last_index().min(prev_index.saturating_sub(1));
+            self.send(from, Body::AppendReply { term, matched: false, index, sent_at });
+            return;
+        }
+        if !is_gapless(prev_index, &entries) {
+            return;
+        }
+        let last = prev_index + entries.len() as u64;
+        for entry in entries {
+            self.take_entry(entry);
+        }
+        if self.role == Role::Unformed && self.log.last_index() > 0 {
+            self.role = Role::Follower;
+        }
+        self.commit_to(commit.min(last));
+        self.send(from, Body::AppendReply { term, matched: true, index: last, sent_at });
+    }
+
+    /// An entry at or below the commit matches by definition, wherever the log begins.
+    fn extends_log(&self, prev_index: u64, prev_term: u64) -> bool {
+        prev_index < self.log.base().last_index || self.log.term_at(prev_index) == Some(prev_term)
+    }
+
+    fn take_entry(&mut self, entry: Entry) {
+        let known = entry.index <= self.log.base().last_index
+            || self.log.term_at(entry.index) == Some(entry.term);
+        if known {
+            return;
+        }
+        debug_assert!(entry.index > self.commit, "a committed entry never changes");
+        if let Payload::Membership(m) = &entry.payload {
+            self.out.notices.push(Notice::MembershipChanged(m.clone()));
+        }
+        self.out.records.push(Record::Entry(entry.clone()));
+        self.log.push(entry);
+    }
+
+    /// Notes a sign of life from a follower; gives false if this member does not follow us.
+    pub(crate) fn heard_from(&mut self, from: &InstanceId, incarnation: Incarnation) -> bool {
+        let now = self.now;
+        match self.progress.get_mut(from) {
+            Some(p) => {
+                p.heard(now, incarnation);
+                true
+            }
+            None => false,
+        }
+    }
+
+    pub(crate) fn on_append_reply(
+        &mut self,
+        from: &InstanceId,
+        incarnation: Incarnation,
+        matched: bool,
+        index: u64,
+        sent_at: Millis,
+    ) {
+        if self.role != Role::Leader || !self.heard_from(from, incarnation) {
+            return;
+        }
+        let last = self.log.last_index();
+        let Some(p) = self.progress.get_mut(from) else { return };
+        p.acked_at = p.acked_at.max(Some(sent_at));
+        p.pending_since = None;
+        if matched && index <= last {
+            p.matched = p.matched.max(index);
+            p.next = p.next.max(p.matched + 1);
+            if p.snapshot.is_some_and(|(snap, _)| p.matched >= snap) {
+                p.snapshot = None;
+            }
+        } else if index < p.next {
+            // A late refusal must not send the leader back behind what is known to match.
+            p.next = (index + 1).max(p.matched + 1);
+        }
+        self.advance_commit();
+        self.copy_to(from);
+    }
+
+    /// Commits what a quorum of voters has on disk, by an entry of the leader's own term.
+    pub(crate) fn advance_commit(&mut self) {
+        let membership = self.membership();
+        let mut matched: Vec<u64> = Vec::new();
+        for (id, incarnation) in &membership.voters {
+            if *id == self.cfg.id {
+                matched.push(self.log.last_index());
+            } else if let Some(p) = self.progress.get(id) {
+                let same_disk = p.incarnation == Some(*incarnation);
+                matched.push(if same_disk { p.matched } else { 0 });
+            }
+        }
+        matched.sort_unstable_by(|a, b| b.cmp(a));
+        let Some(&index) = matched.get(membership.quorum() - 1) else { return };
+        if index > self.commit && self.log.term_at(index) == Some(self.hard.term) {
+            self.commit_to(index);
+        }
+    }
+
+    pub(crate) fn may_change_members(&self) -> bool {
+        self.commit >= self.first_own && self.commit >= self.members_at()
+    }
+
+    pub(crate) fn change_membership(&mut self, next: Membership) {
+        self.out.notices.push(Notice::MembershipChanged(next.clone()));
+        self.append_own(Payload::Membership(next));
+    }
+
+    /// Readmits a replaced disk as a learner and promotes a learner that has caught up, one change
+    /// at a time.
+    fn care_for_members(&mut self) {
+        if !self.may_change_members() {
+            return;
+        }
+        let replaced = self
+            .progress
+            .iter()
+            .find_map(|(id, p)| self.membership().with_replaced_disk(id, p.incarnation?));
+        if let Some(next) = replaced {
+            self.change_membership(next);
+            return;
+        }
+        let ready = self.progress.iter().find_map(|(id, p)| {
+            self.is_caught_up(id, p).then(|| self.membership().with_promoted(id)).flatten()
+        });
+        if let Some(next) = ready {
+            self.change_membership(next);
+        }
+    }
+
+    fn is_caught_up(&self, id: &InstanceId, p: &Progress) -> bool {
+        let learner = self.membership().learners.get(id);
+        let same_disk = learner.is_some_and(|l| p.incarnation == Some(l.incarnation));
+        let recent = p.heard_at.is_some_and(|t| self.now.since(t) < self.cfg.timing.election_min);
+        same_disk && recent && p.matched + CAUGHT_UP >= self.commit && p.matched > 0
+    }
+
+    pub(crate) fn furthest_voter(&self) -> Option<InstanceId> {
+        let voters = &self.membership().voters;
+        let mut best: Option<(u64, &InstanceId)> = None;
+        for (id, p) in &self.progress {
+            let counts = p.incarnation.is_some() && voters.get(id) == p.incarnation.as_ref();
+            if counts && best.is_none_or(|(matched, _)| p.matched > matched) {
+                best = Some((p.matched, id));
+            }
+        }
+        best.map(|(_, id)| id.clone())
+    }
+}
+
+fn is_gapless(prev_index: u64, entries: &[Entry]) -> bool {
+    entries.iter().zip(prev_index + 1..).all(|(entry, index)| entry.index == index)
+}
--- /dev/null
+++ b/components/consensus/tests/schedules.rs
@@ -0,0 +1,116 @@
+//! Random schedules of faults: what was acknowledged stays, once and in order, on every member.
+
+mod common;
+
+use common::Cluster;
+use rand::Rng;
+
+/// Which faults a family of schedules may cause.
+#[derive(Clone, Copy)]
+struct Faults {
+    kills: bool,
+    cuts: bool,
+    wipes: bool,
+    compacts: bool,
+}
+
+const STEPS: usize = 400;
+
+fn run(seed: u64, faults: Faults) -> usize {
+    let mut c = Cluster::new(seed, 3, 1);
+    c.settle();
+    for _ in 0..STEPS {
+        step(&mut c, faults);
+    }
+    c.settle();
+    c.check_end();
+    c.acknowledged.len()
+}
+
+fn step(c: &mut Cluster, faults: Faults) {
+    let n = c.members.len();
+    let i = c.rng.random_range(0..n);
+    let roll = c.rng.random_range(0..1000);
+    match roll {
+        0..400 => deliver(c, false),
+        400..430 => deliver(c, true),
+        430..450 => drop_one(c),
+        450..800 => {
+            c.now += c.rng.random_range(1..60);
+            (0..n).for_each(|m| c.tick(m));
+        }
+        800..930 => c.propose(c.leader().unwrap_or(i)),
+        930..945 if faults.kills => c.kill(i),
+        945..965 => c.start(i),
+        965..978 if faults.cuts => {
+            let j = c.rng.random_range(0..n);
+            c.cut.insert((i, j));
+        }
+        978..988 => c.cut.clear(),
+        988..991 if faults.wipes => wipe_one(c, i),
+        991..1000 if faults.compacts => c.compact(i),
+        _ => {}
+    }
+}
+
+fn deliver(c: &mut Cluster, repeat: bool) {
+    if c.wire.is_empty() {
+        return;
+    }
+    let place = c.rng.random_range(0..c.wire.len());
+    if repeat {
+        let copy = c.wire[place].clone();
+        c.wire.push(copy);
+    }
+    c.deliver(place);
+}
+
+fn drop_one(c: &mut Cluster) {
+    if !c.wire.is_empty() {
+        let place = c.rng.random_range(0..c.wire.len());
+        c.wire.swap_remove(place);
+    }
+}
+
+/// A disk may be lost only while the other disks are whole and the cell has recovered from the
+/// loss before; two lost disks of three are beyond what any quorum survives.
+fn wipe_one(c: &mut Cluster, i: usize) {
+    if i < 3 {
+        c.settle();
+        c.wipe(i);
+    }
+}
+
+macro_rules! family {
+    ($name:ident, $seeds:expr, $faults:expr) => {
+        #[test]
+        fn $name() {
+            let mut acknowledged = 0;
+            for seed in $seeds {
+                acknowledged += run(seed, $faults);
+            }
+            assert!(acknowledged > 500, "only {acknowledged} acknowledged: nothing was tried");
+        }
+    };
+}
+
+family!(
+    messages_lost_repeated_and_reordered,
+    0..500,
+    Faults { kills: false, cuts: false, wipes: false, compacts: true }
+);
+family!(
+    members_killed_and_restarted,
+    10_000..10_500,
+    Faults { kills: true, cuts: false, wipes: false, compacts: true }
+);
+family!(
+    links_cut_one_way_and_both,
+    20_000..20_500,
+    Faults { kills: false, cuts: true, wipes: false, compacts: true }
+);
+family!(
+    disks_lost_among_all_other_faults,
+    30_000..31_000,
+    Faults { kills: true, cuts: true, wipes: true, compacts: true }
+);
--- /dev/null
+++ b/components/errors/src/lib.rs
@@ -0,0 +1,10 @@
+//! The error types shared by every crate of heathvale.
+//!
+//! Faults in what a person wrote (settings, job files, configuration) are collected as
+//! [`Finding`]s with their place and reported together, so that one run shows all of them.
+
+mod finding;
+mod kinds;
+
+pub use finding::{Finding, Findings, Place};
+pub use kinds::{Error, Result, io};
--- /dev/null
+++ b/components/model/src/ids.rs
@@ -0,0 +1,98 @@
+//! Names and numbers that identify things. Names are shared and never change.
+
+use std::fmt;
+use std::sync::Arc;
+
+use serde::{Deserialize, Serialize};
+
+/// A shared immutable name.
+pub type Name = Arc<str>;
+
+macro_rules! name_type {
+    ($(#[$doc:meta])* $type:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+        pub struct $type(pub Name);
+
+        impl $type {
+            /// Gives the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl From<&str> for $type {
+            fn from(s: &str) -> Self {
+                $type(s.into())
+            }
+        }
+
+        impl fmt::Display for $type {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    };
+}
+
+name_type!(
+    /// The name of one entry instance.
+    InstanceId
+);
+name_type!(
+    /// The name of an availability zone.
+    ZoneId
+);
+name_type!(
+    /// The name of a service, batch job or gang job, unique in the cell.
+    JobName
+);
+
+/// One task of a job.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct TaskId {
+    /// The job that the task belongs to.
+    pub job: JobName,
+    /// The task's number within its job, counted from zero.
+    pub index: u32,
+}
+
+impl fmt::Display for TaskId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.job, self.index)
+    }
+}
+
+/// The number of a grant of one zone's allocator. Workers refuse a lower one than they have seen.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Epoch(pub u64);
+
+impl fmt::Display for Epoch {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// A number drawn when a data folder is made, so that a replaced disk is told from the first one.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct Incarnation(pub u64);
+
+/// The caller's own id of a call. A resend carries the same key and gets the first answer.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestKey(pub Name);
+
+impl From<&str> for RequestKey {
+    fn from(s: &str) -> Self {
+        RequestKey(s.into())
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
--- /dev/null
+++ b/components/model/src/spec.rs
@@ -0,0 +1,143 @@
+//! What operators declare: services, batch jobs and gang jobs.
+
+use clock::Millis;
+use serde::{Deserialize, Serialize};
+
+use crate::{JobName, Name, Size};
+
+/// How a job's tasks belong together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum JobKind {
+    /// Tasks that stay up until the service is cancelled.
+    Service,
+    /// Tasks that each run to their end, in any order.
+    Batch,
+    /// Tasks that start all together or not at all.
+    Gang,
+}
+
+/// How urgent work is, most urgent first.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Class {
+    /// Somebody waits for it.
+    Urgent,
+    /// The ordinary case.
+    #[default]
+    Normal,
+    /// May wait and is shed first.
+    Bulk,
+}
+
+impl Class {
+    /// Every class, most urgent first.
+    pub const ALL: [Class; 3] = [Class::Urgent, Class::Normal, Class::Bulk];
+
+    /// Gives the class's name as callers write it.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Class::Urgent => "urgent",
+            Class::Normal => "normal",
+            Class::Bulk => "bulk",
+        }
+    }
+
+    /// Reads a class from the name that callers write.
+    pub fn parse(s: &str) -> Option<Class> {
+        Class::ALL.into_iter().find(|c| c.as_str() == s)
+    }
+}
+
+/// Over what a job's tasks are spread.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Spread {
+    /// Wherever they pack best.
+    #[default]
+    None,
+    /// Over the racks of one zone.
+    Rack,
+    /// Over the availability zones, and within each over its racks.
+    Zone,
+}
+
+/// A service, batch job or gang job as its operator declares it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct JobSpec {
+    /// The job's name, unique in the cell.
+    pub name: JobName,
+    /// The team whose quota it counts against.
+    pub team: Name,
+    /// Service, batch or gang.
+    pub kind: JobKind,
+    /// How many tasks it has.
+    pub tasks: u32,
+    /// What each task takes.
+    pub size: Size,
+    /// The declared run time of a task; zero for a service.
+    pub run_time: Millis,
+    /// How urgent it is.
+    pub class: Class,
+    /// When its tasks should have started, counted from its creation; zero for no deadline.
+    pub deadline: Millis,
+    /// Over what its tasks are spread.
+    pub spread: Spread,
+    /// Whether a task may be started elsewhere once its lease has surely run out. A task that may
+    /// not move goes on in a cut-off zone.
+    pub may_move: bool,
+    /// Whether a task that may have run can be run again.
+    pub repeatable: bool,
+}
+
+impl JobSpec {
+    /// The most tasks one job may have, so that a call's cost stays bounded.
+    pub const MAX_TASKS: u32 = 20_000;
+    /// The longest name of a job or team, in bytes.
+    pub const MAX_NAME: usize = 100;
+
+    /// Gives every fault of the spec as field and message.
+    pub fn faults(&self) -> Vec<(&'static str, String)> {
+        let mut faults = Vec::new();
+        for (field, name) in [("name", &self.name.0), ("team", &self.team)] {
+            if let Some(fault) = name_fault(name) {
+                faults.push((field, fault));
+            }
+        }
+        if self.tasks == 0 || self.tasks > Self::MAX_TASKS {
+            faults.push(("tasks", format!("must lie between 1 and {}", Self::MAX_TASKS)));
+        }
+        if self.size.cpu_milli == 0 {
+            faults.push(("cpu_milli", "must be at least 1".into()));
+        }
+        if self.size.memory_mb == 0 {
+            faults.push(("memory_mb", "must be at least 1".into()));
+        }
+        match (self.kind, self.run_time) {
+            (JobKind::Service, t) if t > Millis::ZERO => {
+                faults.push(("run_time_ms", "a service has no run time; leave it out".into()));
+            }
+            (JobKind::Batch | JobKind::Gang, Millis::ZERO) => {
+                faults.push(("run_time_ms", "must be at least 1 for a batch or gang job".into()));
+            }
+            _ => {}
+        }
+        if self.kind == JobKind::Gang && self.spread == Spread::Zone {
+            faults.push(("spread", "a gang stays in one zone; use \"rack\" or \"none\"".into()));
+        }
+        faults
+    }
+}
+
+fn name_fault(name: &str) -> Option<String> {
+    let allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
+    if name.is_empty() || name.len() > JobSpec::MAX_NAME {
+        return Some(format!("must be 1 to {} bytes long", JobSpec::MAX_NAME));
+    }
+    if !name.chars().all(allowed) {
+        return Some("may hold letters, digits, '-', '_' and '.' only".into());
+    }
+    None
+}
--- /dev/null
+++ b/components/storage/src/log.rs
@@ -0,0 +1,94 @@
+//! A log file of frames, synced at each append.
+
+use std::fs::{File, OpenOptions};
+use std::io::{Read, Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+use errors::{Error, Result, io};
+
+use crate::frame::{Tail, encode, scan};
+use crate::snapshot::{replace_file, sync_folder};
+
+/// An open log file. Only one process may hold it, see [`crate::DataFolder`].
+#[derive(Debug)]
+pub struct FrameLog {
+    path: PathBuf,
+    file: File,
+    len: u64,
+}
+
+/// What opening a log found.
+#[derive(Debug)]
+pub struct Opened {
+    /// The log, ready for appends.
+    pub log: FrameLog,
+    /// The payloads of its frames, in order.
+    pub payloads: Vec<Vec<u8>>,
+    /// How many torn bytes were cut from its end.
+    pub cut: u64,
+}
+
+impl FrameLog {
+    /// Opens the log at `path`, making it if needed and cutting a torn last frame.
+    ///
+    /// # Errors
+    /// [`Error::Damaged`] if a frame before the last no longer matches its checksum; the file is
+    /// then left as it is. [`Error::Io`] if the file cannot be used.
+    pub fn open(path: &Path) -> Result<Opened> {
+        let mut options = OpenOptions::new();
+        options.read(true).write(true).create(true).truncate(false);
+        let mut file = options.open(path).map_err(io("open", path))?;
+        let mut bytes = Vec::new();
+        file.read_to_end(&mut bytes).map_err(io("read", path))?;
+        let found = scan(&bytes);
+        if let Tail::Damaged { reason } = found.tail {
+            return Err(Error::Damaged { path: path.into(), offset: found.whole as u64, reason });
+        }
+        let len = found.whole as u64;
+        let cut = bytes.len() as u64 - len;
+        if cut > 0 {
+            file.set_len(len).map_err(io("cut", path))?;
+        }
+        file.seek(SeekFrom::Start(len)).map_err(io("seek in", path))?;
+        file.sync_all().map_err(io("sync", path))?;
+        sync_folder(path)?;
+        let log = FrameLog { path: path.into(), file, len };
+        Ok(Opened { log, payloads: found.payloads, cut })
+    }
+
+    /// Writes `payload` as one frame and returns once it is synced.
+    ///
+    /// # Errors
+    /// [`Error::Io`]; what is in the file is then unknown, so the process must stop.
+    pub fn append(&mut self, payload: &[u8]) -> Result<()> {
+        let frame = encode(payload);
+        self.file.write_all(&frame).map_err(io("write", &self.path))?;
+        self.file.sync_data().map_err(io("sync", &self.path))?;
+        self.len += frame.len() as u64;
+        Ok(())
+    }
+
+    /// Puts one frame with `payload` in place of everything in the log, atomically.
+    ///
+    /// # Errors
+    /// [`Error::Io`]; the process must stop, as after a failed append.
+    pub fn replace(&mut self, payload: &[u8]) -> Result<()> {
+        let frame = encode(payload);
+        replace_file(&self.path, &frame)?;
+        let mut options = OpenOptions::new();
+        options.read(true).append(true);
+        self.file = options.open(&self.path).map_err(io("open", &self.path))?;
+        self.len = frame.len() as u64;
+        Ok(())
+    }
+
+    /// Gives the log's length in bytes.
+    pub fn len(&self) -> u64 {
+        self.len
+    }
+
+    /// Tells whether the log holds no frame.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+}
--- /dev/null
+++ b/components/storage/src/snapshot.rs
@@ -0,0 +1,54 @@
+//! Files that are replaced as a whole: either the old bytes are there or the new ones.
+
+use std::fs::{self, File};
+use std::io::Write;
+use std::path::Path;
+
+use errors::{Error, Result, io};
+
+use crate::frame::{Tail, encode, scan};
+
+/// Saves `payload` at `path` atomically and returns once it is synced.
+///
+/// # Errors
+/// [`Error::Io`]; the old file is then still whole.
+pub fn save(path: &Path, payload: &[u8]) -> Result<()> {
+    replace_file(path, &encode(payload))
+}
+
+/// Loads what [`save`] put at `path`, or `None` if there is no such file.
+///
+/// # Errors
+/// [`Error::Damaged`] if the bytes no longer match their checksum, [`Error::Io`] otherwise.
+pub fn load(path: &Path) -> Result<Option<Vec<u8>>> {
+    let bytes = match fs::read(path) {
+        Ok(bytes) => bytes,
+        Err(e) if e.kind() == std::io::ErrorKind::NotFound => return Ok(None),
+        Err(e) => return Err(io("read", path)(e)),
+    };
+    let mut found = scan(&bytes);
+    // The file was renamed into place after its sync, so it is never torn, only damaged.
+    match (found.tail, found.payloads.pop()) {
+        (Tail::Clean, Some(payload)) => Ok(Some(payload)),
+        (_, _) => Err(Error::Damaged {
+            path: path.into(),
+            offset: found.whole as u64,
+            reason: "the file is not one whole frame".into(),
+        }),
+    }
+}
+
+pub(crate) fn replace_file(path: &Path, bytes: &[u8]) -> Result<()> {
+    let fresh = path.with_extension("new");
+    let mut file = File::create(&fresh).map_err(io("create", &fresh))?;
+    file.write_all(bytes).map_err(io("write", &fresh))?;
+    file.sync_all().map_err(io("sync", &fresh))?;
+    fs::rename(&fresh, path).map_err(io("rename into place", path))?;
+    sync_folder(path)
+}
+
+pub(crate) fn sync_folder(path: &Path) -> Result<()> {
+    let folder = path.parent().unwrap_or(Path::new("."));
+    let dir = File::open(folder).map_err(io("open", folder))?;
+    dir.sync_all().map_err(io("sync", folder))
+}
