Add cell state, placement, zone allocator, upstream protocol, routing and metrics

Change: the pure decisions of the three planes: cell commands with compare-and-set and resend keys, an indexed ledger with gangs, backfill and eviction, leases bound to the worker's own clock, and a router with shares, loans, shedding and a retry budget. Not yet joined to a process.

--- /dev/null
+++ b/components/cell/src/assign.rs
@@ -0,0 +1,92 @@
+//! Which zone gets which tasks of a new job.
+
+use model::{JobKind, JobSpec, Size, Spread, ZoneId};
+
+use crate::Share;
+
+/// What a zone last told of itself. It is only a hint: the zone's own ledger decides.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ZoneRoom {
+    /// The zone.
+    pub zone: ZoneId,
+    /// What is free over all its workers, less what waits.
+    pub free: Size,
+    /// The largest worker, empty.
+    pub largest: Size,
+}
+
+/// Cuts a job over the zones. Gives `None` if no zone is known.
+pub fn assign(spec: &JobSpec, rooms: &[ZoneRoom]) -> Option<Vec<Share>> {
+    if rooms.is_empty() {
+        return None;
+    }
+    let mut ranked: Vec<&ZoneRoom> = rooms.iter().collect();
+    // Zones with a worker large enough first, the roomiest of them first.
+    ranked.sort_by_key(|r| {
+        let fits = spec.size.fits(&r.largest);
+        (!fits, std::cmp::Reverse(copies(&spec.size, &r.free)), r.zone.clone())
+    });
+    let one_zone = spec.kind == JobKind::Gang || spec.spread != Spread::Zone;
+    if one_zone && spec.kind != JobKind::Batch {
+        return Some(vec![share(ranked[0], 0, spec.tasks)]);
+    }
+    if spec.spread == Spread::Zone {
+        let usable: Vec<&&ZoneRoom> =
+            ranked.iter().filter(|r| spec.size.fits(&r.largest)).collect();
+        let zones = if usable.is_empty() { ranked.iter().collect() } else { usable };
+        return Some(cut_evenly(spec.tasks, &zones));
+    }
+    Some(cut_by_room(spec, &ranked))
+}
+
+/// Gives the roomiest zone other than `from` for tasks that must move.
+pub fn next_home(spec: &JobSpec, from: &ZoneId, rooms: &[ZoneRoom]) -> Option<ZoneId> {
+    let others = rooms.iter().filter(|r| r.zone != *from && spec.size.fits(&r.largest));
+    let best = others.max_by_key(|r| (copies(&spec.size, &r.free), r.zone.clone()))?;
+    Some(best.zone.clone())
+}
+
+fn share(room: &ZoneRoom, first: u32, count: u32) -> Share {
+    Share { zone: room.zone.clone(), first, count }
+}
+
+fn cut_evenly(tasks: u32, zones: &[&&ZoneRoom]) -> Vec<Share> {
+    let n = zones.len() as u32;
+    let mut shares = Vec::new();
+    let mut first = 0;
+    for (i, room) in zones.iter().enumerate() {
+        let count = tasks / n + u32::from((i as u32) < tasks % n);
+        if count > 0 {
+            shares.push(share(room, first, count));
+        }
+        first += count;
+    }
+    shares
+}
+
+/// Fills the roomiest zone first; what fits nowhere now waits in the roomiest one.
+fn cut_by_room(spec: &JobSpec, ranked: &[&ZoneRoom]) -> Vec<Share> {
+    let mut shares: Vec<Share> = Vec::new();
+    let mut first = 0;
+    for room in ranked.iter().filter(|r| spec.size.fits(&r.largest)) {
+        let count = copies(&spec.size, &room.free).min(u64::from(spec.tasks - first)) as u32;
+        if count > 0 {
+            shares.push(share(room, first, count));
+            first += count;
+        }
+    }
+    let rest = spec.tasks - first;
+    match shares.last_mut() {
+        Some(last) => last.count += rest,
+        None => shares.push(share(ranked[0], 0, rest)),
+    }
+    shares
+}
+
+/// How many copies of `size` fit into `room` if it were one worker.
+fn copies(size: &Size, room: &Size) -> u64 {
+    let per = |need: u64, free: u64| free.checked_div(need).unwrap_or(u64::MAX);
+    per(size.cpu_milli, room.cpu_milli)
+        .min(per(size.memory_mb, room.memory_mb))
+        .min(per(size.accelerators, room.accelerators))
+}
--- /dev/null
+++ b/components/cell/src/lib.rs
@@ -0,0 +1,19 @@
+//! The cell state: what all zones agree on, changed only by committed commands.
+//!
+//! [`Cell::apply`] is pure and the same on every instance. docs/design/cell.md says what belongs
+//! here and what is left to the zones.
+
+mod answers;
+mod assign;
+mod claims;
+mod command;
+mod jobs;
+mod state;
+mod zones;
+
+pub use assign::{ZoneRoom, assign, next_home};
+pub use claims::{CLAIM_SKEW, CLAIM_WINDOW, Claims};
+pub use command::{Claim, ClaimReply, Command, Proposal, Reply, TaskEnd, TaskOutcome};
+pub use jobs::{Job, JobState, Share};
+pub use state::{Cell, ConfigVersion};
+pub use zones::{Grant, Zones};
--- /dev/null
+++ b/components/cell/src/state.rs
@@ -0,0 +1,270 @@
+//! The cell state and how each command changes it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use clock::Millis;
+use errors::Error;
+use model::{CellConfig, Epoch, InstanceId, JobName, JobSpec, Name, ZoneId};
+use serde::{Deserialize, Serialize};
+
+use crate::answers::{Answers, Known};
+use crate::{Claims, Command, Job, JobState, Proposal, Reply, Share, TaskEnd, Zones};
+
+/// How many ended jobs are kept for operators to look at.
+const KEPT_ENDED: usize = 2_000;
+
+/// The configuration in force and the version that put it there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ConfigVersion {
+    /// The log's index of the change; zero for the defaults.
+    pub version: u64,
+    /// As its author wrote it.
+    pub text: Arc<str>,
+    /// Read and checked.
+    pub config: Arc<CellConfig>,
+}
+
+/// Everything the zones agree on.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    /// The last applied command's index.
+    pub applied: u64,
+    /// The highest wall clock any leader proposed with.
+    pub time: Millis,
+    /// The configuration in force.
+    pub config: ConfigVersion,
+    /// All jobs that are active, and the last ended ones.
+    pub jobs: BTreeMap<JobName, Job>,
+    /// Who allocates where.
+    pub zones: Zones,
+    /// The claimed not repeatable requests.
+    pub claims: Claims,
+    /// Instances and upstreams out of use.
+    pub drained: BTreeSet<Name>,
+    /// Counts changes to jobs, so that a zone can tell whether to look again.
+    pub jobs_version: u64,
+    ended: VecDeque<JobName>,
+    answers: Answers,
+}
+
+impl Cell {
+    /// Applies one committed command.
+    pub fn apply(&mut self, index: u64, proposal: &Proposal) -> Reply {
+        self.applied = index;
+        self.time = self.time.max(proposal.at);
+        let Some(key) = &proposal.key else {
+            return self.change(index, &proposal.command);
+        };
+        let print = fingerprint(&proposal.command);
+        match self.answers.find(key, print) {
+            Known::Answered(reply) => reply,
+            Known::OtherCommand => conflict(0, "the request key was used for another call"),
+            Known::New => {
+                let reply = self.change(index, &proposal.command);
+                self.answers.keep(key.clone(), print, reply.clone());
+                reply
+            }
+        }
+    }
+
+    /// Notes an entry that carries no command.
+    pub fn skip(&mut self, index: u64) {
+        self.applied = index;
+    }
+
+    /// Encodes the whole state.
+    pub fn encode(&self) -> Vec<u8> {
+        postcard::to_allocvec(self).unwrap_or_default()
+    }
+
+    /// Reads a state back. Nothing at all stands for the first, empty state.
+    ///
+    /// # Errors
+    /// [`Error::Decode`] if the bytes are not a state.
+    pub fn decode(bytes: &[u8]) -> Result<Cell, Error> {
+        if bytes.is_empty() {
+            return Ok(Cell::default());
+        }
+        let decoded = postcard::from_bytes(bytes);
+        decoded.map_err(|e| Error::Decode { what: "the cell state", reason: e.to_string() })
+    }
+
+    fn change(&mut self, index: u64, command: &Command) -> Reply {
+        match command {
+            Command::ApplyConfig { base, text, config } => {
+                self.apply_config(index, *base, text, config)
+            }
+            Command::CreateJob { spec, shares } => self.create_job(index, spec, shares),
+            Command::CancelJob { name } => self.cancel_job(index, name),
+            Command::Drain { target, on } => self.drain(index, target, *on),
+            Command::GrantEpoch { zone, holder, after } => {
+                self.grant_epoch(index, zone, holder, *after)
+            }
+            Command::ReleaseEpoch { zone, epoch } => self.release_epoch(index, zone, *epoch),
+            Command::MoveShare { job, share, from, to } => {
+                self.move_share(index, job, *share, from, to)
+            }
+            Command::EndTasks { zone, epoch, ended } => self.end_tasks(index, zone, *epoch, ended),
+            Command::ClaimTasks { zone, epoch, tasks } => {
+                self.claim_tasks(index, zone, *epoch, tasks)
+            }
+            Command::ClaimRequests { claims } => {
+                let now = self.time;
+                Reply::Claims(claims.iter().map(|c| self.claims.claim(now, c)).collect())
+            }
+        }
+    }
+
+    fn apply_config(
+        &mut self,
+        index: u64,
+        base: u64,
+        text: &Arc<str>,
+        config: &CellConfig,
+    ) -> Reply {
+        if base != self.config.version {
+            return conflict(self.config.version, "another configuration came first");
+        }
+        self.config =
+            ConfigVersion { version: index, text: text.clone(), config: Arc::new(config.clone()) };
+        Reply::Accepted { version: index }
+    }
+
+    fn create_job(&mut self, index: u64, spec: &JobSpec, shares: &[Share]) -> Reply {
+        if let Some(job) = self.jobs.get(&spec.name) {
+            return conflict(job.version, "a job of this name is there already");
+        }
+        let job = Job::new(spec.clone(), shares.to_vec(), index, self.time);
+        self.jobs.insert(spec.name.clone(), job);
+        self.jobs_version = index;
+        Reply::Accepted { version: index }
+    }
+
+    fn cancel_job(&mut self, index: u64, name: &JobName) -> Reply {
+        let Some(job) = self.jobs.get_mut(name) else {
+            return conflict(0, "there is no job of this name");
+        };
+        if job.is_active() {
+            job.state = JobState::Cancelled;
+            self.jobs_version = index;
+            self.note_ended(name.clone());
+        }
+        Reply::Accepted { version: index }
+    }
+
+    fn drain(&mut self, index: u64, target: &Name, on: bool) -> Reply {
+        if on {
+            self.drained.insert(target.clone());
+        } else {
+            self.drained.remove(target);
+        }
+        Reply::Accepted { version: index }
+    }
+
+    fn grant_epoch(
+        &mut self,
+        index: u64,
+        zone: &ZoneId,
+        holder: &InstanceId,
+        after: Epoch,
+    ) -> Reply {
+        let current = self.zones.epoch(zone);
+        if current != after {
+            return conflict(current.0, "the zone's epoch has been granted since");
+        }
+        self.zones.put(zone.clone(), Epoch(index), holder.clone());
+        Reply::Accepted { version: index }
+    }
+
+    fn release_epoch(&mut self, index: u64, zone: &ZoneId, epoch: Epoch) -> Reply {
+        if !self.zones.is_current(zone, epoch) {
+            return conflict(self.zones.epoch(zone).0, "the epoch is not the zone's newest");
+        }
+        self.zones.release(zone);
+        Reply::Accepted { version: index }
+    }
+
+    fn move_share(
+        &mut self,
+        index: u64,
+        name: &JobName,
+        share: u32,
+        from: &ZoneId,
+        to: &ZoneId,
+    ) -> Reply {
+        let job = self.jobs.get_mut(name).filter(|j| j.is_active() && j.spec.may_move);
+        let Some(job) = job else { return conflict(0, "no active job of this name may move") };
+        match job.shares.get_mut(share as usize) {
+            Some(s) if s.zone == *from => {
+                s.zone = to.clone();
+                self.jobs_version = index;
+                Reply::Accepted { version: index }
+            }
+            _ => conflict(0, "the share is not in that zone"),
+        }
+    }
+
+    fn end_tasks(&mut self, index: u64, zone: &ZoneId, epoch: Epoch, ended: &[TaskEnd]) -> Reply {
+        if !self.zones.is_current(zone, epoch) {
+            return conflict(self.zones.epoch(zone).0, "the epoch is not the zone's newest");
+        }
+        for end in ended {
+            let Some(job) = self.jobs.get_mut(&end.task.job) else { continue };
+            if job.zone_of(end.task.index) != Some(zone) {
+                continue;
+            }
+            let was_active = job.is_active();
+            job.end_task(end.task.index, &end.outcome);
+            if was_active && !job.is_active() {
+                self.note_ended(end.task.job.clone());
+            }
+        }
+        self.jobs_version = index;
+        Reply::Accepted { version: index }
+    }
+
+    fn claim_tasks(
+        &mut self,
+        index: u64,
+        zone: &ZoneId,
+        epoch: Epoch,
+        tasks: &[model::TaskId],
+    ) -> Reply {
+        if !self.zones.is_current(zone, epoch) {
+            return conflict(self.zones.epoch(zone).0, "the epoch is not the zone's newest");
+        }
+        for task in tasks {
+            let Some(job) = self.jobs.get_mut(&task.job) else { continue };
+            if job.is_active() && job.zone_of(task.index) == Some(zone) {
+                job.claimed.insert(task.index);
+            }
+        }
+        Reply::Accepted { version: index }
+    }
+
+    fn note_ended(&mut self, name: JobName) {
+        self.ended.push_back(name);
+        while self.ended.len() > KEPT_ENDED {
+            if let Some(oldest) = self.ended.pop_front() {
+                self.jobs.remove(&oldest);
+            }
+        }
+    }
+}
+
+fn conflict(version: u64, reason: &str) -> Reply {
+    Reply::Conflict { version, reason: reason.into() }
+}
+
+/// Tells a resend from another call under the same key.
+fn fingerprint(command: &Command) -> u32 {
+    // The shares are chosen by whoever leads, so they are no part of what the caller asked for.
+    let asked = match command {
+        Command::CreateJob { spec, .. } => {
+            Command::CreateJob { spec: spec.clone(), shares: Vec::new() }
+        }
+        other => other.clone(),
+    };
+    crc32fast::hash(&postcard::to_allocvec(&asked).unwrap_or_default())
+}
--- /dev/null
+++ b/components/placement/src/ledger.rs
@@ -0,0 +1,217 @@
+//! What each worker has and what of it is taken. The ledger has one writer: the zone's allocator.
+
+use std::collections::BTreeMap;
+
+use model::{Name, Size};
+
+use crate::index::FreeIndex;
+
+/// A worker's place in the ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct WorkerIndex(pub u32);
+
+/// What the platform tells of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WorkerInfo {
+    /// Its name.
+    pub name: Name,
+    /// Its rack.
+    pub rack: Name,
+    /// What it has.
+    pub total: Size,
+}
+
+#[derive(Clone, Debug)]
+struct Slot {
+    info: WorkerInfo,
+    free: Size,
+    /// Whether it takes new tasks.
+    open: bool,
+    present: bool,
+}
+
+/// What each worker has free. A worker that is not open keeps its reservations.
+#[derive(Clone, Debug, Default)]
+pub struct Ledger {
+    slots: Vec<Slot>,
+    by_name: BTreeMap<Name, WorkerIndex>,
+    index: FreeIndex,
+    total: Size,
+    free: Size,
+    /// Counts whatever may let a waiting task in.
+    freed: u64,
+}
+
+impl Ledger {
+    /// Adds a worker, closed, or gives its place if it is there.
+    pub fn add(&mut self, info: WorkerInfo) -> WorkerIndex {
+        if let Some(&ix) = self.by_name.get(&info.name) {
+            return ix;
+        }
+        let ix = WorkerIndex(self.slots.len() as u32);
+        self.by_name.insert(info.name.clone(), ix);
+        let free = info.total;
+        self.slots.push(Slot { info, free, open: false, present: true });
+        ix
+    }
+
+    /// Takes a worker out for good. Its number is not used again.
+    pub fn remove(&mut self, ix: WorkerIndex) {
+        self.set_open(ix, false);
+        let slot = &mut self.slots[ix.0 as usize];
+        slot.present = false;
+        self.by_name.remove(&slot.info.name);
+    }
+
+    /// Finds a worker by name.
+    pub fn find(&self, name: &str) -> Option<WorkerIndex> {
+        self.by_name.get(name).copied()
+    }
+
+    /// Gives what the platform told of a worker.
+    pub fn info(&self, ix: WorkerIndex) -> &WorkerInfo {
+        &self.slots[ix.0 as usize].info
+    }
+
+    /// Gives what is free on a worker.
+    pub fn free(&self, ix: WorkerIndex) -> Size {
+        self.slots[ix.0 as usize].free
+    }
+
+    /// Gives what is taken on a worker.
+    pub fn taken(&self, ix: WorkerIndex) -> Size {
+        let slot = &self.slots[ix.0 as usize];
+        slot.info.total.minus(&slot.free)
+    }
+
+    /// Tells whether a worker takes new tasks.
+    pub fn is_open(&self, ix: WorkerIndex) -> bool {
+        self.slots[ix.0 as usize].open
+    }
+
+    /// Opens a worker for new tasks or closes it.
+    pub fn set_open(&mut self, ix: WorkerIndex, open: bool) {
+        let slot = &mut self.slots[ix.0 as usize];
+        if slot.open == open || !slot.present {
+            return;
+        }
+        slot.open = open;
+        let (free, total) = (slot.free, slot.info.total);
+        if open {
+            self.index.insert(ix, &free);
+            self.free = self.free.plus(&free);
+            self.total = self.total.plus(&total);
+            self.freed += 1;
+        } else {
+            self.index.remove(ix, &free);
+            self.free = self.free.minus(&free);
+            self.total = self.total.minus(&total);
+        }
+    }
+
+    /// Takes `size` on a worker; gives false and takes nothing if that is more than is free.
+    #[must_use]
+    pub fn reserve(&mut self, ix: WorkerIndex, size: &Size) -> bool {
+        if !size.fits(&self.free(ix)) {
+            return false;
+        }
+        let left = self.free(ix).minus(size);
+        self.put_free(ix, left);
+        true
+    }
+
+    /// Takes what a task that already runs needs. If that is more than the worker has, whoever
+    /// placed it was wrong, and the worker counts as full.
+    pub fn reserve_running(&mut self, ix: WorkerIndex, size: &Size) {
+        let left = self.free(ix).minus(size);
+        self.put_free(ix, left);
+    }
+
+    /// Gives `size` back on a worker.
+    pub fn release(&mut self, ix: WorkerIndex, size: &Size) {
+        let total = self.info(ix).total;
+        let mut free = self.free(ix).plus(size);
+        if !free.fits(&total) {
+            // A running task that was adopted beyond the worker's size gives back too much.
+            free = Size {
+                cpu_milli: free.cpu_milli.min(total.cpu_milli),
+                memory_mb: free.memory_mb.min(total.memory_mb),
+                accelerators: free.accelerators.min(total.accelerators),
+            };
+        }
+        self.put_free(ix, free);
+        self.freed += 1;
+    }
+
+    fn put_free(&mut self, ix: WorkerIndex, free: Size) {
+        let slot = &mut self.slots[ix.0 as usize];
+        let before = std::mem::replace(&mut slot.free, free);
+        if slot.open {
+            self.index.remove(ix, &before);
+            self.index.insert(ix, &free);
+            self.free = self.free.minus(&before).plus(&free);
+        }
+    }
+
+    /// Gives every worker that is present.
+    pub fn workers(&self) -> impl Iterator<Item = WorkerIndex> {
+        let present = self.slots.iter().enumerate().filter(|(_, s)| s.present);
+        present.map(|(i, _)| WorkerIndex(i as u32))
+    }
+
+    /// Gives what the open workers have in all.
+    pub fn total(&self) -> Size {
+        self.total
+    }
+
+    /// Gives what the open workers have free in all.
+    pub fn total_free(&self) -> Size {
+        self.free
+    }
+
+    /// Tells whether the ledger has any worker.
+    pub fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Gives the most that a present worker has in each dimension on its own.
+    pub fn largest(&self) -> Size {
+        let mut largest = Size::ZERO;
+        for slot in self.slots.iter().filter(|s| s.present) {
+            let total = &slot.info.total;
+            largest.cpu_milli = largest.cpu_milli.max(total.cpu_milli);
+            largest.memory_mb = largest.memory_mb.max(total.memory_mb);
+            largest.accelerators = largest.accelerators.max(total.accelerators);
+        }
+        largest
+    }
+
+    /// Gives how many tasks of `size` the present workers could hold if all were empty, counting
+    /// no further than `enough`.
+    pub fn copies_when_empty_at_most(&self, size: &Size, enough: u64) -> u64 {
+        let mut found = 0;
+        for slot in self.slots.iter().filter(|s| s.present) {
+            found += copies(size, &slot.info.total);
+            if found >= enough {
+                return enough;
+            }
+        }
+        found
+    }
+
+    pub(crate) fn index(&self) -> &FreeIndex {
+        &self.index
+    }
+
+    pub(crate) fn freed(&self) -> u64 {
+        self.freed
+    }
+}
+
+/// Gives how many times `size` fits into `total`.
+pub(crate) fn copies(size: &Size, total: &Size) -> u64 {
+    let per = |need: u64, has: u64| has.checked_div(need).unwrap_or(u64::MAX);
+    per(size.cpu_milli, total.cpu_milli)
+        .min(per(size.memory_mb, total.memory_mb))
+        .min(per(size.accelerators, total.accelerators))
+}
--- /dev/null
+++ b/components/placement/src/queue.rs
@@ -0,0 +1,134 @@
+//! The tasks that wait, by class and team.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use clock::Millis;
+use model::{Class, JobName, JobSpec, Name};
+
+/// The waiting tasks of one job.
+#[derive(Clone, Debug)]
+pub struct Bundle {
+    /// The job.
+    pub spec: Arc<JobSpec>,
+    /// The version that created the job; told to the workers with each task.
+    pub generation: u64,
+    /// The numbers of the tasks that wait.
+    pub waiting: BTreeSet<u32>,
+    /// Since when the job waits.
+    pub since: Millis,
+    /// The order in which bundles came.
+    pub(crate) order: u64,
+    /// The ledger's count of freed room when the job last found none.
+    pub(crate) stuck_at: Option<u64>,
+}
+
+/// All bundles: by class, then team, then age.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    bundles: BTreeMap<JobName, Bundle>,
+    lines: BTreeMap<Class, BTreeMap<Name, BTreeMap<u64, JobName>>>,
+    next_order: u64,
+    waiting: usize,
+}
+
+impl Queue {
+    /// Adds tasks of a job, behind what its team has waiting already.
+    pub fn add(
+        &mut self,
+        now: Millis,
+        spec: &Arc<JobSpec>,
+        generation: u64,
+        tasks: impl IntoIterator<Item = u32>,
+    ) {
+        let order = self.next_order;
+        let bundle = self.bundles.entry(spec.name.clone()).or_insert_with(|| Bundle {
+            spec: spec.clone(),
+            generation,
+            waiting: BTreeSet::new(),
+            since: now,
+            order,
+            stuck_at: None,
+        });
+        let before = bundle.waiting.len();
+        bundle.waiting.extend(tasks);
+        bundle.stuck_at = None;
+        self.waiting += bundle.waiting.len() - before;
+        if bundle.waiting.is_empty() {
+            self.bundles.remove(&spec.name);
+            return;
+        }
+        if bundle.order == order {
+            self.next_order += 1;
+            let teams = self.lines.entry(spec.class).or_default();
+            teams.entry(spec.team.clone()).or_default().insert(order, spec.name.clone());
+        }
+    }
+
+    /// Takes one task out because it starts.
+    pub fn take(&mut self, job: &JobName, index: u32) {
+        let Some(bundle) = self.bundles.get_mut(job) else { return };
+        if bundle.waiting.remove(&index) {
+            self.waiting -= 1;
+        }
+        if bundle.waiting.is_empty() {
+            self.remove(job);
+        }
+    }
+
+    /// Takes all of a job's waiting tasks out, in one step however many there are.
+    pub fn remove(&mut self, job: &JobName) -> Option<Bundle> {
+        let bundle = self.bundles.remove(job)?;
+        self.waiting -= bundle.waiting.len();
+        if let Some(teams) = self.lines.get_mut(&bundle.spec.class)
+            && let Some(line) = teams.get_mut(&bundle.spec.team)
+        {
+            line.remove(&bundle.order);
+            if line.is_empty() {
+                teams.remove(&bundle.spec.team);
+            }
+        }
+        Some(bundle)
+    }
+
+    /// Gives a job's bundle.
+    pub fn get(&self, job: &JobName) -> Option<&Bundle> {
+        self.bundles.get(job)
+    }
+
+    pub(crate) fn get_mut(&mut self, job: &JobName) -> Option<&mut Bundle> {
+        self.bundles.get_mut(job)
+    }
+
+    /// Gives all bundles by job name.
+    pub fn iter(&self) -> impl Iterator<Item = &Bundle> {
+        self.bundles.values()
+    }
+
+    /// Gives how many tasks wait.
+    pub fn len(&self) -> usize {
+        self.waiting
+    }
+
+    /// Tells whether no task waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting == 0
+    }
+
+    pub(crate) fn teams(&self, class: Class) -> impl Iterator<Item = &Name> {
+        self.lines.get(&class).into_iter().flat_map(|teams| teams.keys())
+    }
+
+    /// Gives the team's first job behind `after` in the line.
+    pub(crate) fn next_in_line(
+        &self,
+        class: Class,
+        team: &Name,
+        after: Option<u64>,
+    ) -> Option<&Bundle> {
+        let line = self.lines.get(&class)?.get(team)?;
+        let from = after.map_or(0, |o| o + 1);
+        let (_, job) = line.range(from..).next()?;
+        self.bundles.get(job)
+    }
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,20 @@
+//! Where a caller's request goes, whether it waits, and when it is refused.
+//!
+//! [`Router`] is pure: arrivals, ends and time go in, dispatches and refusals come out. Several
+//! instances send to one upstream without seeing each other; docs/design/requests.md says how their
+//! shares add up to no more than its limit.
+
+mod broker;
+mod budget;
+mod pick;
+mod queue;
+mod router;
+mod share;
+mod upstream;
+
+pub use broker::{Broker, Demand, Loan, LoanBook};
+pub use budget::RetryBudget;
+pub use pick::Pick;
+pub use router::{Admission, Dispatch, Ending, RequestInfo, Router, RouterConfig};
+pub use share::{ShareWay, base_share, pool};
+pub use upstream::{Target, TargetState};
--- /dev/null
+++ b/components/upstream/src/client.rs
@@ -0,0 +1,57 @@
+//! Calling a worker over HTTP.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use clock::Millis;
+use errors::{Error, Result};
+use ntex::client::Client;
+use ntex::time::Millis as Wait;
+
+use crate::{MAX_BODY, SyncReply, SyncRequest};
+
+/// What heathvale needs of a worker besides answering requests: one call that renews its lease,
+/// starts, checkpoints and stops tasks, and reports.
+pub trait Worker {
+    /// Makes the call, waiting at most `timeout`.
+    fn sync<'a>(
+        &'a self,
+        req: &'a SyncRequest,
+        timeout: Millis,
+    ) -> Pin<Box<dyn Future<Output = Result<SyncReply>> + 'a>>;
+}
+
+/// A worker that is reached over HTTP.
+pub struct HttpWorker {
+    client: Client,
+    addr: SocketAddr,
+}
+
+impl HttpWorker {
+    /// Makes a worker at `addr`.
+    pub fn new(client: Client, addr: SocketAddr) -> HttpWorker {
+        HttpWorker { client, addr }
+    }
+
+    async fn call(&self, req: &SyncRequest, timeout: Millis) -> Result<SyncReply> {
+        let url = format!("http://{}/sync", self.addr);
+        let unreachable = |e: String| Error::Unreachable { target: url.clone(), reason: e };
+        let call = self.client.post(&url).timeout(Wait(timeout.0 as u32)).send_json(req);
+        let response = call.await.map_err(|e| unreachable(e.to_string()))?;
+        let body = response.body().limit(MAX_BODY).await;
+        let body = body.map_err(|e| unreachable(e.to_string()))?;
+        serde_json::from_slice(&body)
+            .map_err(|e| Error::Decode { what: "a worker's report", reason: e.to_string() })
+    }
+}
+
+impl Worker for HttpWorker {
+    fn sync<'a>(
+        &'a self,
+        req: &'a SyncRequest,
+        timeout: Millis,
+    ) -> Pin<Box<dyn Future<Output = Result<SyncReply>> + 'a>> {
+        Box::pin(self.call(req, timeout))
+    }
+}
--- /dev/null
+++ b/components/upstream/src/lib.rs
@@ -0,0 +1,16 @@
+//! The worker's side of the system: what heathvale asks of a worker, and what it answers.
+//!
+//! The worker belongs to the platform. [`Worker`] is the whole of its interface; [`HttpWorker`]
+//! speaks it over HTTP. docs/design/leases.md says why a lease cannot be stretched by a late
+//! message.
+
+mod client;
+mod platform;
+mod protocol;
+
+pub use client::{HttpWorker, Worker};
+pub use platform::{ListedWorker, PlatformList, WorkerState, fetch_list};
+pub use protocol::{
+    Ended, Lease, MAX_BODY, Report, RunningTask, StartTask, StopTask, SyncReply, SyncRequest,
+    TaskEnding,
+};
--- /dev/null
+++ b/components/zone/src/lib.rs
@@ -0,0 +1,14 @@
+//! A zone's allocator: the one writer of its workers' ledger, by an epoch granted in the cell.
+//!
+//! The allocator is pure: replies, changes of jobs and time go in, calls to workers and proposals
+//! to the cell come out. docs/design/leases.md says why no task runs twice.
+
+mod allocator;
+mod health;
+mod jobs;
+mod lease;
+mod reports;
+mod sync;
+
+pub use allocator::{Action, Allocator, AllocatorConfig, Note, TaskPhase, WorkerPhase};
+pub use lease::{CLOCK_MARGIN, ZONE_LEASE, ZoneLease, lease_bound, move_wait, takeover_wait};
--- /dev/null
+++ b/components/zone/src/reports.rs
@@ -0,0 +1,231 @@
+//! Taking in what workers answer.
+
+use std::collections::BTreeSet;
+
+use cell::TaskOutcome;
+use clock::Millis;
+use errors::Result;
+use model::{JobKind, Name, TaskId};
+use placement::WorkerIndex;
+use upstream::{Ended, Report, RunningTask, SyncReply, TaskEnding};
+
+use crate::allocator::{Allocator, Note};
+use crate::health::Verdict;
+
+impl Allocator {
+    /// Takes in a worker's answer to call `seq`, or that there was none.
+    pub fn on_reply(&mut self, now: Millis, worker: &Name, seq: u64, reply: Result<SyncReply>) {
+        let Some(ix) = self.planner.ledger.find(worker) else { return };
+        let Some(link) = self.links.get_mut(&ix) else { return };
+        if !link.takes_reply(seq) {
+            return;
+        }
+        match reply {
+            Ok(SyncReply::Done(report)) => self.on_report(now, ix, report),
+            Ok(SyncReply::Refused { epoch, seq }) if epoch <= self.cfg.epoch => {
+                link.skip_to(seq);
+                link.call_soon(now);
+            }
+            Ok(SyncReply::Refused { epoch, .. }) => {
+                link.note_silence();
+                self.note(Note::EpochOutdated { newer: epoch });
+            }
+            Err(_) => link.note_silence(),
+        }
+        self.refresh_open(ix);
+    }
+
+    fn on_report(&mut self, now: Millis, ix: WorkerIndex, report: Report) {
+        let Some(link) = self.links.get_mut(&ix) else { return };
+        let first = !link.has_reported();
+        let restarted = !first && link.boot() != report.boot;
+        link.leaving_reported = report.leaving;
+        let running: BTreeSet<RunningTask> = report.running.iter().cloned().collect();
+        link.note_report(now, report.boot, report.now, running.iter().cloned());
+        let sent = std::mem::take(&mut link.sent_starts);
+        if first || restarted {
+            link.call_soon(now);
+            link.to_forget.clear();
+            link.to_stop.clear();
+        }
+        self.clear_done_commands(ix, &running, &report.ended);
+        for ended in report.ended {
+            self.on_ended(now, ix, ended);
+        }
+        let adopted = self.adopt(now, ix, &running);
+        self.find_missing(now, ix, &running, &sent, restarted);
+        if first {
+            let worker = self.planner.ledger.info(ix).name.clone();
+            self.note(Note::WorkerReported { worker, adopted });
+        }
+    }
+
+    /// Drops commands that the report shows to have been carried out.
+    fn clear_done_commands(
+        &mut self,
+        ix: WorkerIndex,
+        running: &BTreeSet<RunningTask>,
+        ended: &[Ended],
+    ) {
+        let Some(link) = self.links.get_mut(&ix) else { return };
+        link.to_stop.retain(|task, _| running.contains(task));
+        link.to_forget.retain(|task| ended.iter().any(|e| e.task == *task));
+        link.to_start.retain(|task, start| {
+            let started = RunningTask { task: task.clone(), generation: start.generation };
+            !running.contains(&started) && !ended.iter().any(|e| e.task == started)
+        });
+    }
+
+    /// Takes over tasks that run on the worker, and stops those that should not.
+    fn adopt(&mut self, now: Millis, ix: WorkerIndex, running: &BTreeSet<RunningTask>) -> usize {
+        let mut adopted = 0;
+        for r in running {
+            let held = self.jobs.get(&r.task.job);
+            let held = held.filter(|h| h.generation == r.generation && h.holds(r.task.index));
+            let Some(held) = held else {
+                self.stop_running(ix, r);
+                continue;
+            };
+            match self.planner.placed(&r.task).map(|p| p.worker) {
+                Some(here) if here == ix => continue,
+                Some(_) => {
+                    let worker = self.planner.ledger.info(ix).name.clone();
+                    self.note(Note::TaskTwice { task: r.task.clone(), worker });
+                    self.stop_running(ix, r);
+                    continue;
+                }
+                None => {}
+            }
+            if self.ending.contains_key(&r.task) {
+                self.stop_running(ix, r);
+                continue;
+            }
+            let (spec, generation) = (held.spec.clone(), held.generation);
+            self.planner.adopt(now, &spec, generation, r.task.index, ix);
+            self.unaccounted.remove(&r.task);
+            adopted += 1;
+        }
+        adopted
+    }
+
+    fn stop_running(&mut self, ix: WorkerIndex, running: &RunningTask) {
+        if let Some(link) = self.links.get_mut(&ix) {
+            link.to_stop.entry(running.clone()).or_insert(false);
+        }
+    }
+
+    /// Finds tasks that were placed here and that the worker neither runs nor will run.
+    fn find_missing(
+        &mut self,
+        now: Millis,
+        ix: WorkerIndex,
+        running: &BTreeSet<RunningTask>,
+        sent: &[TaskId],
+        restarted: bool,
+    ) {
+        let placed: Vec<TaskId> = self.planner.tasks_on(ix).cloned().collect();
+        for task in placed {
+            let Some(p) = self.planner.placed(&task) else { continue };
+            let run = RunningTask { task: task.clone(), generation: p.generation };
+            if running.contains(&run) || self.claiming.contains_key(&task) {
+                continue;
+            }
+            let link = self.links.get_mut(&ix);
+            let unsent = link.is_some_and(|l| {
+                let queued = l.to_start.contains_key(&task);
+                let refused = queued && sent.contains(&task) && !restarted;
+                if refused {
+                    l.to_start.remove(&task);
+                }
+                queued && !refused
+            });
+            if unsent {
+                continue;
+            }
+            self.planner.release(&task);
+            self.retry_or_end(now, &task, true, "its worker no longer has it");
+        }
+    }
+
+    fn on_ended(&mut self, now: Millis, ix: WorkerIndex, ended: Ended) {
+        let task = ended.task.task.clone();
+        let held = self.jobs.get(&task.job).filter(|h| h.generation == ended.task.generation);
+        let wanted = held.is_some_and(|h| h.holds(task.index));
+        let was_here = self.planner.placed(&task).is_some_and(|p| p.worker == ix);
+        let placed = if was_here { self.planner.release(&task) } else { None };
+        let elsewhere = self.planner.placed(&task).is_some();
+        if !wanted || elsewhere {
+            self.forget_on(ix, ended.task);
+            return;
+        }
+        if self.ending.contains_key(&task) {
+            return;
+        }
+        if let Some(p) = &placed
+            && ended.ending == TaskEnding::Done
+        {
+            self.planner.estimator.learn(&p.spec, ended.ran);
+        }
+        self.unaccounted.remove(&task);
+        self.judge_end(now, ix, ended);
+    }
+
+    fn judge_end(&mut self, now: Millis, ix: WorkerIndex, ended: Ended) {
+        let task = ended.task.task.clone();
+        let Some(held) = self.jobs.get(&task.job) else { return };
+        let is_service = held.spec.kind == JobKind::Service;
+        let worker = self.planner.ledger.info(ix).name.clone();
+        let how: Name = match &ended.ending {
+            TaskEnding::Done => "done".into(),
+            TaskEnding::Failed(reason) => format!("failed: {reason}").into(),
+            TaskEnding::Stopped => "stopped".into(),
+        };
+        self.note(Note::TaskEnded { task: task.clone(), worker, how });
+        match ended.ending {
+            TaskEnding::Done => {
+                self.health.succeeded(&task, ix);
+                if is_service {
+                    self.retry_or_end(now, &task, true, "it ended");
+                    self.forget_on(ix, ended.task);
+                } else {
+                    // The worker keeps the end until the cell has it; see `tasks_ended`.
+                    self.ending.insert(task, (TaskOutcome::Done, None));
+                }
+            }
+            TaskEnding::Failed(reason) => {
+                self.on_failed(now, ix, &task, &reason);
+                self.forget_on(ix, ended.task);
+            }
+            TaskEnding::Stopped => {
+                self.retry_or_end(now, &task, true, "it was stopped");
+                self.forget_on(ix, ended.task);
+            }
+        }
+    }
+
+    fn on_failed(&mut self, now: Millis, ix: WorkerIndex, task: &TaskId, reason: &Name) {
+        let verdict = self.health.failed(now, task, ix);
+        match verdict {
+            Verdict::JobAtFault => {
+                let reason = format!("failed on several workers, the last time: {reason}");
+                self.ending.insert(task.clone(), (TaskOutcome::Failed(reason.into()), None));
+                return;
+            }
+            Verdict::WorkerAside => {
+                let worker = self.planner.ledger.info(ix).name.clone();
+                self.note(Note::WorkerAside { worker });
+                self.refresh_open(ix);
+            }
+            Verdict::TryAgain => {
+                self.planner.avoid(&task.job, ix);
+            }
+        }
+        self.retry_or_end(now, task, true, "it failed");
+    }
+
+    fn forget_on(&mut self, ix: WorkerIndex, task: RunningTask) {
+        if let Some(link) = self.links.get_mut(&ix) {
+            link.to_forget.insert(task);
+        }
+    }
+}
--- /dev/null
+++ b/components/zone/src/sync.rs
@@ -0,0 +1,281 @@
+//! The link to one worker: what it is to be told, what it last said, until when it may run tasks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use clock::Millis;
+use model::{Name, TaskId};
+use placement::WorkerIndex;
+use upstream::{Lease, RunningTask, StartTask, StopTask, SyncRequest};
+
+use crate::allocator::{Action, Allocator, Note};
+use crate::lease::lease_bound;
+
+/// A lease is renewed three times in its length.
+const RENEWALS_PER_LEASE: u64 = 3;
+/// The most tasks told to start in one call, so that a call stays small.
+const MAX_STARTS: usize = 256;
+/// After so many unanswered calls a worker gets no new tasks.
+const SILENT_AFTER: u32 = 2;
+
+/// What a worker said last.
+#[derive(Clone, Copy, Debug)]
+struct LastReport {
+    /// The worker's process.
+    boot: u64,
+    /// The worker's clock in the report.
+    worker_now: Millis,
+    /// When the report came, by our clock: the worker read its clock before that.
+    at: Millis,
+}
+
+/// The link to one worker.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkerLink {
+    pub(crate) name: Name,
+    pub(crate) addr: SocketAddr,
+    pub(crate) leaving_listed: bool,
+    pub(crate) leaving_reported: bool,
+    last: Option<LastReport>,
+    seq: u64,
+    in_flight: Option<u64>,
+    next_call: Millis,
+    unanswered: u32,
+    /// When every lease given so far has surely run out at the worker.
+    lease_ends: Millis,
+    running: BTreeSet<RunningTask>,
+    pub(crate) to_start: BTreeMap<TaskId, StartTask>,
+    pub(crate) to_stop: BTreeMap<RunningTask, bool>,
+    pub(crate) to_forget: BTreeSet<RunningTask>,
+    /// What the call in flight told the worker to start.
+    pub(crate) sent_starts: Vec<TaskId>,
+}
+
+impl WorkerLink {
+    pub(crate) fn new(name: Name, addr: SocketAddr, now: Millis) -> WorkerLink {
+        WorkerLink {
+            name,
+            addr,
+            leaving_listed: false,
+            leaving_reported: false,
+            last: None,
+            seq: 0,
+            in_flight: None,
+            next_call: now,
+            unanswered: 0,
+            lease_ends: Millis::ZERO,
+            running: BTreeSet::new(),
+            to_start: BTreeMap::new(),
+            to_stop: BTreeMap::new(),
+            to_forget: BTreeSet::new(),
+            sent_starts: Vec::new(),
+        }
+    }
+
+    pub(crate) fn has_reported(&self) -> bool {
+        self.last.is_some()
+    }
+
+    pub(crate) fn is_answering(&self) -> bool {
+        self.last.is_some() && self.unanswered < SILENT_AFTER
+    }
+
+    pub(crate) fn leaving(&self) -> bool {
+        self.leaving_listed || self.leaving_reported
+    }
+
+    pub(crate) fn runs(&self, task: &TaskId) -> bool {
+        let from = RunningTask { task: task.clone(), generation: 0 };
+        self.running.range(from..).next().is_some_and(|r| r.task == *task)
+    }
+
+    /// Tells whether `seq` is the call that is out, and notes that it is answered.
+    pub(crate) fn takes_reply(&mut self, seq: u64) -> bool {
+        let current = self.in_flight == Some(seq);
+        if current {
+            self.in_flight = None;
+        }
+        current
+    }
+
+    pub(crate) fn note_report(
+        &mut self,
+        now: Millis,
+        boot: u64,
+        worker_now: Millis,
+        running: impl Iterator<Item = RunningTask>,
+    ) {
+        self.last = Some(LastReport { boot, worker_now, at: now });
+        self.unanswered = 0;
+        self.running = running.collect();
+    }
+
+    /// Gives the process that reported last, zero if none did.
+    pub(crate) fn boot(&self) -> u64 {
+        self.last.map_or(0, |l| l.boot)
+    }
+
+    pub(crate) fn note_silence(&mut self) {
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
+    /// Jumps ahead of calls that another process made under the same epoch.
+    pub(crate) fn skip_to(&mut self, seq: u64) {
+        self.seq = self.seq.max(seq);
+    }
+
+    pub(crate) fn call_soon(&mut self, now: Millis) {
+        self.next_call = self.next_call.min(now);
+    }
+
+    pub(crate) fn lost(&self, now: Millis) -> bool {
+        self.last.is_some() && self.unanswered > 0 && now >= self.lease_ends
+    }
+
+    /// Forgets what a worker ran whose lease has run out. It has to report before it gets tasks.
+    pub(crate) fn forget_tasks(&mut self) {
+        self.last = None;
+        self.running.clear();
+        self.to_start.clear();
+        self.to_stop.clear();
+    }
+
+    fn is_due(&self, now: Millis) -> bool {
+        let news =
+            !self.to_start.is_empty() || !self.to_stop.is_empty() || !self.to_forget.is_empty();
+        let answered = self.unanswered == 0 && self.last.is_some();
+        self.in_flight.is_none() && (now >= self.next_call || (news && answered))
+    }
+
+    /// Makes the next call. Without a report there is no clock to give a lease by, so that the
+    /// first call asks for a report only.
+    fn next_request(
+        &mut self,
+        now: Millis,
+        epoch: model::Epoch,
+        worker_lease: Millis,
+        movable: bool,
+    ) -> SyncRequest {
+        self.seq += 1;
+        self.in_flight = Some(self.seq);
+        self.next_call = now + Millis(worker_lease.0 / RENEWALS_PER_LEASE);
+        let mut req = SyncRequest {
+            epoch,
+            seq: self.seq,
+            boot: 0,
+            lease: None,
+            start: Vec::new(),
+            stop: Vec::new(),
+            forget: Vec::new(),
+        };
+        self.sent_starts.clear();
+        let Some(last) = self.last else { return req };
+        let until = last.worker_now + worker_lease;
+        req.boot = last.boot;
+        req.lease = Some(Lease {
+            fixed_until: until,
+            movable_until: if movable { until } else { Millis::ZERO },
+        });
+        self.lease_ends = self.lease_ends.max(lease_bound(last.at, worker_lease));
+        req.start = self.to_start.values().take(MAX_STARTS).cloned().collect();
+        self.sent_starts = req.start.iter().map(|s| s.task.clone()).collect();
+        req.stop = self.to_stop.iter().map(|(r, &checkpoint)| stop(r, checkpoint)).collect();
+        req.forget = self.to_forget.iter().cloned().collect();
+        req
+    }
+}
+
+fn stop(running: &RunningTask, checkpoint: bool) -> StopTask {
+    StopTask { task: running.task.clone(), generation: running.generation, checkpoint }
+}
+
+impl Allocator {
+    /// Calls the workers whose renewal is due or for whom there is news.
+    pub(crate) fn sync_workers(&mut self, now: Millis, movable: bool) {
+        let (epoch, worker_lease) = (self.cfg.epoch, self.cfg.worker_lease);
+        let timeout = Millis(worker_lease.0 / RENEWALS_PER_LEASE);
+        for link in self.links.values_mut().filter(|l| l.is_due(now)) {
+            let req = link.next_request(now, epoch, worker_lease, movable);
+            let (worker, addr) = (link.name.clone(), link.addr);
+            self.actions.push(Action::Sync { worker, addr, req, timeout });
+        }
+    }
+
+    pub(crate) fn queue_start(&mut self, task: &TaskId, ix: WorkerIndex) {
+        let Some(placed) = self.planner.placed(task) else { return };
+        let start = StartTask {
+            task: task.clone(),
+            generation: placed.generation,
+            size: placed.spec.size,
+            run_time: placed.spec.run_time,
+            may_move: placed.spec.may_move,
+        };
+        if let Some(link) = self.links.get_mut(&ix) {
+            link.to_start.insert(task.clone(), start);
+        }
+    }
+
+    pub(crate) fn queue_stop(&mut self, task: &TaskId, ix: WorkerIndex, checkpoint: bool) {
+        let Some(placed) = self.planner.placed(task) else { return };
+        let running = RunningTask { task: task.clone(), generation: placed.generation };
+        if let Some(link) = self.links.get_mut(&ix) {
+            link.to_stop.insert(running, checkpoint);
+        }
+    }
+
+    /// Restarts the tasks of workers whose leases have surely run out.
+    pub(crate) fn expire_leases(&mut self, now: Millis) {
+        let lost: Vec<WorkerIndex> =
+            self.links.iter().filter(|(_, l)| l.lost(now)).map(|(ix, _)| *ix).collect();
+        for ix in lost {
+            let Some(link) = self.links.get_mut(&ix) else { continue };
+            link.forget_tasks();
+            let worker = link.name.clone();
+            self.note(Note::WorkerLost { worker });
+            self.lose_tasks_on(now, ix);
+            self.refresh_open(ix);
+        }
+    }
+
+    /// Takes a worker out that the platform no longer lists.
+    pub(crate) fn drop_worker(&mut self, now: Millis, ix: WorkerIndex) {
+        if let Some(link) = self.links.remove(&ix) {
+            self.note(Note::WorkerLost { worker: link.name });
+            self.lose_tasks_on(now, ix);
+            self.planner.ledger.remove(ix);
+        }
+    }
+
+    fn lose_tasks_on(&mut self, now: Millis, ix: WorkerIndex) {
+        let tasks: Vec<TaskId> = self.planner.tasks_on(ix).cloned().collect();
+        for task in tasks {
+            let was_sent = self.was_sent(&task);
+            self.planner.release(&task);
+            self.retry_or_end(now, &task, was_sent, "its worker was lost");
+        }
+    }
+
+    /// Lets tasks of earlier epochs start again once it is certain that they run nowhere: at once
+    /// when every worker has reported; for movable tasks also when the leases that an earlier epoch
+    /// gave have surely run out.
+    pub(crate) fn settle_accounts(&mut self, now: Millis) {
+        if self.unaccounted.is_empty() {
+            return;
+        }
+        let all_reported = !self.links.is_empty() && self.links.values().all(|l| l.has_reported());
+        // The grant waited for the last zone lease already; what is left are the workers' leases.
+        let leases_over = now >= lease_bound(self.born, self.cfg.worker_lease);
+        if !all_reported && !leases_over {
+            return;
+        }
+        for task in std::mem::take(&mut self.unaccounted) {
+            let may_move = self.jobs.get(&task.job).is_some_and(|j| j.spec.may_move);
+            if !all_reported && !may_move {
+                self.unaccounted.insert(task);
+                continue;
+            }
+            let claimed = self.jobs.get(&task.job).is_some_and(|j| j.is_claimed(task.index));
+            self.retry_or_end(now, &task, claimed, "it was started by an earlier epoch");
+        }
+    }
+}
