--- a/components/consensus/src/disk.rs
+++ b/components/consensus/src/disk.rs
@@ -60,6 +60,7 @@
 pub struct FileDisk {
     folder: DataFolder,
     log: FrameLog,
+    cut: u64,
 }
 
 impl FileDisk {
@@ -79,7 +80,12 @@
             records.into_iter().for_each(|r| restored.take(r));
         }
         restored.keep_gapless();
-        Ok((FileDisk { folder, log: opened.log }, restored))
+        Ok((FileDisk { folder, log: opened.log, cut: opened.cut }, restored))
+    }
+
+    /// Gives how many torn bytes were cut from the log's end at opening.
+    pub fn cut(&self) -> u64 {
+        self.cut
     }
 }
 
--- /dev/null
+++ b/components/events/src/catalogue.rs
@@ -0,0 +1,88 @@
+//! The catalogue of event kinds.
+
+/// How much an event matters.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Level {
+    /// Part of ordinary work.
+    Info,
+    /// Somebody should look when there is time.
+    Warn,
+    /// Somebody should look now.
+    Error,
+}
+
+/// A kind of event.
+#[derive(Debug, PartialEq, Eq)]
+pub struct Kind {
+    /// Its number, which never changes.
+    pub number: u32,
+    /// Its name.
+    pub name: &'static str,
+    /// How much it matters.
+    pub level: Level,
+    /// What it means.
+    pub meaning: &'static str,
+}
+
+macro_rules! catalogue {
+    ($($ident:ident = $number:literal $level:ident $name:literal $meaning:literal;)*) => {
+        $(
+            #[doc = $meaning]
+            pub const $ident: Kind =
+                Kind { number: $number, name: $name, level: Level::$level, meaning: $meaning };
+        )*
+        /// Every kind, by number.
+        pub const CATALOGUE: &[&Kind] = &[$(&$ident),*];
+    };
+}
+
+/// The kinds of events.
+pub mod kinds {
+    use super::{Kind, Level};
+    catalogue! {
+        INSTANCE_STARTED = 101 Info "instance_started" "An instance has started and listens.";
+        INSTANCE_STOPPING = 102 Info "instance_stopping" "A planned stop began: nothing new is accepted.";
+        INSTANCE_STOPPED = 103 Info "instance_stopped" "Everything under way has ended and the instance stops.";
+        TAIL_CUT = 104 Warn "tail_cut" "A record that a crash had torn was cut from the log's end.";
+        DISK_FAILED = 105 Error "disk_failed" "A write or sync failed, so the process stops.";
+        CAUGHT_UP = 106 Info "caught_up" "The instance has caught up with the cell and acts on its state.";
+        CELL_FOUNDED = 201 Info "cell_founded" "All founders were seen to be empty and the cell was founded.";
+        LEADER_ELECTED = 202 Info "leader_elected" "This instance leads the cell.";
+        LEADER_RESIGNED = 203 Info "leader_resigned" "This instance no longer leads the cell.";
+        MEMBERS_CHANGED = 204 Info "members_changed" "The members of the replicated log changed.";
+        SNAPSHOT_INSTALLED = 205 Info "snapshot_installed" "The cell state was replaced by a snapshot from the leader.";
+        LOG_COMPACTED = 206 Info "log_compacted" "The log was replaced by a snapshot up to an entry.";
+        CONFIG_APPLIED = 301 Info "config_applied" "A configuration version is in force on this instance.";
+        JOB_CREATED = 302 Info "job_created" "A job was accepted.";
+        JOB_CANCELLED = 303 Info "job_cancelled" "A job was cancelled.";
+        JOB_ENDED = 304 Info "job_ended" "All tasks of a job have ended.";
+        DRAIN_CHANGED = 305 Info "drain_changed" "An instance or upstream was taken out of use or back in.";
+        SHARE_MOVED = 306 Warn "share_moved" "Tasks of a cut-off zone were given to another zone.";
+        EPOCH_GRANTED = 401 Info "epoch_granted" "An instance became the allocator of a zone.";
+        EPOCH_RELEASED = 402 Info "epoch_released" "An allocator gave its zone back.";
+        EPOCH_OUTDATED = 403 Warn "epoch_outdated" "A worker knows a newer epoch than this allocator.";
+        ZONE_LEASE_LOST = 404 Warn "zone_lease_lost" "The leader no longer confirms the allocator: movable tasks are not renewed.";
+        ZONE_LEASE_HELD = 405 Info "zone_lease_held" "The leader confirms the allocator.";
+        WORKER_REPORTED = 501 Info "worker_reported" "A worker's first report under an epoch came in.";
+        WORKER_LOST = 502 Warn "worker_lost" "A worker's lease has surely run out, or the platform took it away.";
+        WORKER_ASIDE = 503 Warn "worker_aside" "A worker fails tasks of several jobs and gets none for a while.";
+        TASK_STARTED = 601 Info "task_started" "A task was given to a worker.";
+        TASK_ENDED = 602 Info "task_ended" "A task ended on its worker.";
+        TASK_EVICTED = 603 Info "task_evicted" "A task is checkpointed and stopped for urgent work.";
+        JOB_HOPELESS = 604 Warn "job_hopeless" "A job can never run and is told why.";
+        TASK_TWICE = 605 Error "task_twice" "A worker reported a task that was placed on another one; it is stopped.";
+        REQUEST_REFUSED = 701 Info "request_refused" "A caller's request was refused; it did not run.";
+        REQUEST_UNKNOWN = 702 Warn "request_unknown" "A caller was told that its request may have run.";
+        ANSWER_CROSSED = 703 Error "answer_crossed" "An upstream's answer was not for the request it came to; it was dropped and the connections closed.";
+        UPSTREAM_LEAVING = 704 Info "upstream_leaving" "An upstream is leaving and gets nothing new.";
+        LINK_REFUSED = 801 Warn "link_refused" "A test setting refuses the links to some instances.";
+        MESSAGE_UNREADABLE = 802 Warn "message_unreadable" "A message from another process could not be read and was dropped.";
+    }
+}
+
+pub use kinds::CATALOGUE;
+
+/// Finds a kind by its number.
+pub fn find(number: u32) -> Option<&'static Kind> {
+    CATALOGUE.iter().copied().find(|k| k.number == number)
+}
--- /dev/null
+++ b/components/events/src/journal.rs
@@ -0,0 +1,152 @@
+//! The last events of one process.
+
+use std::collections::VecDeque;
+use std::sync::Mutex;
+
+use clock::{Millis, wall_now};
+use model::Name;
+use serde::{Deserialize, Serialize};
+
+use crate::catalogue::{Kind, Level};
+use crate::order::LogicalClock;
+
+/// How many events a process keeps.
+const KEPT: usize = 20_000;
+
+/// What an event is about. Fields that do not apply are empty.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Subject {
+    /// A job's name.
+    pub job: String,
+    /// A task's name.
+    pub task: String,
+    /// A caller's request id or key.
+    pub request: String,
+}
+
+impl Subject {
+    /// About a job.
+    pub fn job(job: &impl std::fmt::Display) -> Subject {
+        Subject { job: job.to_string(), ..Subject::default() }
+    }
+
+    /// About a task.
+    pub fn task(task: &model::TaskId) -> Subject {
+        let (job, task) = (task.job.to_string(), task.to_string());
+        Subject { job, task, ..Subject::default() }
+    }
+
+    /// About a request.
+    pub fn request(request: &str) -> Subject {
+        Subject { request: request.to_string(), ..Subject::default() }
+    }
+}
+
+/// One event.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Its place in the order of all processes' events.
+    pub order: u64,
+    /// The wall clock.
+    pub wall: Millis,
+    /// The process that noted it.
+    pub instance: Name,
+    /// What kind it is.
+    pub kind: &'static Kind,
+    /// What happened, in words.
+    pub text: String,
+    /// What it is about.
+    pub subject: Subject,
+}
+
+/// Which events are asked for. Empty fields ask for all.
+#[derive(Clone, Debug, Default)]
+pub struct Filter {
+    /// Only events behind this place in the order.
+    pub after: u64,
+    /// Only events about these.
+    pub subject: Subject,
+    /// Only events from this wall time on.
+    pub from: Millis,
+    /// Only events up to this wall time; zero for no end.
+    pub to: Millis,
+}
+
+impl Filter {
+    /// Tells whether an event is asked for.
+    pub fn accepts(&self, event: &Event) -> bool {
+        let same = |asked: &str, is: &str| asked.is_empty() || asked == is;
+        event.order > self.after
+            && event.wall >= self.from
+            && (self.to == Millis::ZERO || event.wall <= self.to)
+            && same(&self.subject.job, &event.subject.job)
+            && same(&self.subject.task, &event.subject.task)
+            && same(&self.subject.request, &event.subject.request)
+    }
+}
+
+/// The last events of this process.
+#[derive(Debug)]
+pub struct Journal {
+    instance: Name,
+    clock: LogicalClock,
+    events: Mutex<VecDeque<Event>>,
+}
+
+impl Journal {
+    /// Makes an empty journal for the process named `instance`.
+    pub fn new(instance: Name) -> Journal {
+        Journal { instance, clock: LogicalClock::default(), events: Mutex::new(VecDeque::new()) }
+    }
+
+    /// Gives the clock that orders this process's events and messages.
+    pub fn clock(&self) -> &LogicalClock {
+        &self.clock
+    }
+
+    /// Notes an event: into the journal, and as one line into the log.
+    pub fn note(&self, kind: &'static Kind, subject: Subject, text: impl Into<String>) {
+        let event = Event {
+            order: self.clock.next(),
+            wall: wall_now(),
+            instance: self.instance.clone(),
+            kind,
+            text: text.into(),
+            subject,
+        };
+        write_line(&event);
+        let mut events = self.lock();
+        events.push_back(event);
+        if events.len() > KEPT {
+            events.pop_front();
+        }
+    }
+
+    /// Gives the events that `filter` asks for, oldest first.
+    pub fn read(&self, filter: &Filter) -> Vec<Event> {
+        self.lock().iter().filter(|e| filter.accepts(e)).cloned().collect()
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Event>> {
+        // A panic while the lock was held cannot leave the queue half changed.
+        self.events.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
+
+fn write_line(event: &Event) {
+    let level = match event.kind.level {
+        Level::Info => log::Level::Info,
+        Level::Warn => log::Level::Warn,
+        Level::Error => log::Level::Error,
+    };
+    log::log!(
+        target: "event", level,
+        number = event.kind.number,
+        name = event.kind.name,
+        order = event.order,
+        job = event.subject.job.as_str(),
+        task = event.subject.task.as_str(),
+        request = event.subject.request.as_str();
+        "{}", event.text
+    );
+}
--- /dev/null
+++ b/components/events/src/lib.rs
@@ -0,0 +1,13 @@
+//! What happened, as numbered events: the log's lines and the time line over all processes.
+//!
+//! Every kind of event has a number that never changes; docs/events.md lists them all.
+
+mod catalogue;
+mod journal;
+mod logging;
+mod order;
+
+pub use catalogue::{CATALOGUE, Kind, Level, find, kinds};
+pub use journal::{Event, Filter, Journal, Subject};
+pub use logging::{LogFormat, start_logging};
+pub use order::LogicalClock;
--- /dev/null
+++ b/components/events/src/logging.rs
@@ -0,0 +1,98 @@
+//! Writing the log, as text for people or as JSON lines for machines.
+
+use std::fmt::Write;
+
+use clock::wall_now;
+use errors::{Error, Result};
+use log::LevelFilter;
+use log::kv::{Key, Value, VisitSource};
+
+/// How log lines are written.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// For people.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+/// Starts logging to the standard error stream.
+///
+/// # Errors
+/// [`Error::Refused`] if logging was started before.
+pub fn start_logging(instance: &str, format: LogFormat, level: LevelFilter) -> Result<()> {
+    let instance = instance.to_string();
+    fern::Dispatch::new()
+        .level(LevelFilter::Warn)
+        .level_for("event", level)
+        .level_for("heathvale", level)
+        .format(move |out, message, record| {
+            let line = match format {
+                LogFormat::Text => text_line(&instance, message, record),
+                LogFormat::Json => json_line(&instance, message, record),
+            };
+            out.finish(format_args!("{line}"));
+        })
+        .chain(std::io::stderr())
+        .apply()
+        .map_err(|e| Error::Refused(e.to_string()))
+}
+
+struct Pairs<F: FnMut(&str, String)>(F);
+
+impl<'kvs, F: FnMut(&str, String)> VisitSource<'kvs> for Pairs<F> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        (self.0)(key.as_str(), value.to_string());
+        Ok(())
+    }
+}
+
+fn visit(record: &log::Record<'_>, f: impl FnMut(&str, String)) {
+    // The visitor never fails.
+    let _ = record.key_values().visit(&mut Pairs(f));
+}
+
+fn text_line(
+    instance: &str,
+    message: &std::fmt::Arguments<'_>,
+    record: &log::Record<'_>,
+) -> String {
+    let mut line = format!("{} {} {instance}", wall_now().0, record.level());
+    let mut tail = String::new();
+    visit(record, |key, value| match key {
+        "number" => {
+            let _ = write!(line, " E{value}");
+        }
+        "name" => {
+            let _ = write!(line, " {value}:");
+        }
+        "order" => {}
+        _ if value.is_empty() => {}
+        _ => {
+            let _ = write!(tail, " {key}={value}");
+        }
+    });
+    let _ = write!(line, " {message}{tail}");
+    line
+}
+
+fn json_line(
+    instance: &str,
+    message: &std::fmt::Arguments<'_>,
+    record: &log::Record<'_>,
+) -> String {
+    let mut map = serde_json::Map::new();
+    map.insert("wall_ms".into(), wall_now().0.into());
+    map.insert("level".into(), record.level().as_str().into());
+    map.insert("instance".into(), instance.into());
+    map.insert("text".into(), message.to_string().into());
+    visit(record, |key, value| {
+        if value.is_empty() {
+            return;
+        }
+        let number = value.parse::<u64>().ok().filter(|_| key == "number" || key == "order");
+        map.insert(key.into(), number.map_or_else(|| value.clone().into(), Into::into));
+    });
+    serde_json::Value::Object(map).to_string()
+}
--- /dev/null
+++ b/components/instance/src/callers.rs
@@ -0,0 +1,441 @@
+//! Callers' requests: read, claimed if they may run once only, routed, answered.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::mpsc::Sender;
+use std::time::Instant;
+
+use cell::{Claim, ClaimReply, Command, Reply};
+use clock::Millis;
+use events::{Subject, kinds};
+use model::{Answer, Class, Name, Refusal, RequestKey};
+use ntex::http::StatusCode;
+use ntex::time::Millis as Wait;
+use ntex::util::Bytes;
+use ntex::web::{HttpRequest, HttpResponse, types::State};
+use routing::{Admission, Dispatch, Ending, RequestInfo};
+use tokio::sync::oneshot;
+use upstream::headers;
+
+use crate::core::Input;
+use crate::message::{Change, Outcome};
+use crate::plane::Arrival;
+use crate::shared::{Shared, lock};
+use crate::upstream_call::{CallEnd, Clients, Outgoing};
+
+const DEFAULT_DEADLINE: Millis = Millis(10_000);
+/// The longest id or key of a caller, in bytes.
+const MAX_ID: usize = 200;
+/// When callers come back to an instance that is not ready, stopping, or cut off from a key's home.
+const COME_BACK: Millis = Millis(1_000);
+/// How many instances of other zones a request is offered to.
+const PASS_ON_TRIES: usize = 2;
+
+/// What the handlers on one thread share.
+#[derive(Clone)]
+pub(crate) struct Front {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) core: Sender<Input>,
+    pub(crate) clients: Clients,
+}
+
+/// A request as its caller sent it.
+struct Incoming {
+    id: String,
+    class: Class,
+    deadline: Millis,
+    key: Option<Claim>,
+    repeatable: bool,
+    passed_on: bool,
+    work: Option<String>,
+    body: Bytes,
+}
+
+fn text<'a>(req: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    req.headers().get(name).and_then(|v| v.to_str().ok())
+}
+
+/// Reads a request. The error is the fault, in words for its caller.
+fn read(req: &HttpRequest, body: Bytes, now: Millis, longest: Millis) -> Result<Incoming, String> {
+    let id = text(req, headers::REQUEST).unwrap_or_default();
+    if id.is_empty() || id.len() > MAX_ID {
+        return Err(format!("{} must hold 1 to {MAX_ID} bytes", headers::REQUEST));
+    }
+    let class = match text(req, headers::CLASS) {
+        None => Class::Normal,
+        Some(s) => Class::parse(s)
+            .ok_or_else(|| format!("{} is none of urgent, normal, bulk", headers::CLASS))?,
+    };
+    let wait = match text(req, headers::DEADLINE) {
+        None => DEFAULT_DEADLINE,
+        Some(s) => {
+            Millis(s.parse().map_err(|_| format!("{} is no number of ms", headers::DEADLINE))?)
+        }
+    };
+    let repeatable = match text(req, headers::REPEATABLE) {
+        None | Some("yes") => true,
+        Some("no") => false,
+        Some(_) => return Err(format!("{} is neither yes nor no", headers::REPEATABLE)),
+    };
+    let key = if repeatable { None } else { Some(read_key(req)?) };
+    Ok(Incoming {
+        id: id.to_string(),
+        class,
+        deadline: now + wait.min(longest),
+        key,
+        repeatable,
+        passed_on: text(req, headers::PASSED_ON).is_some(),
+        work: text(req, headers::WORK).map(str::to_string),
+        body,
+    })
+}
+
+fn read_key(req: &HttpRequest) -> Result<Claim, String> {
+    let key = text(req, headers::KEY).unwrap_or_default();
+    if key.is_empty() || key.len() > MAX_ID {
+        return Err(format!(
+            "a not repeatable request needs {} of 1 to {MAX_ID} bytes",
+            headers::KEY
+        ));
+    }
+    let issued = text(req, headers::ISSUED).and_then(|s| s.parse().ok());
+    let issued = issued.ok_or_else(|| {
+        format!("a not repeatable request needs {}, when its key was made", headers::ISSUED)
+    })?;
+    Ok(Claim { key: RequestKey::from(key), issued: Millis(issued) })
+}
+
+/// Counts a request from its arrival to its answer, however it ends.
+struct Counted(Arc<Shared>);
+
+impl Counted {
+    fn new(shared: &Arc<Shared>) -> Counted {
+        lock(&shared.plane).count(1);
+        Counted(shared.clone())
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        lock(&self.0.plane).count(-1);
+    }
+}
+
+/// Gives a slot back, also when the caller has gone and the handler is dropped.
+struct Slot {
+    shared: Arc<Shared>,
+    upstream: Name,
+    ending: Ending,
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        lock(&self.shared.plane).ended(now, &self.upstream, self.ending);
+    }
+}
+
+/// Takes a request out of the queue when its caller has gone.
+struct InQueue {
+    shared: Arc<Shared>,
+    id: u64,
+}
+
+impl Drop for InQueue {
+    fn drop(&mut self) {
+        lock(&self.shared.plane).give_up(self.id);
+    }
+}
+
+/// Tells the balancer whether to send callers here.
+pub(crate) async fn health(front: State<Rc<Front>>) -> HttpResponse {
+    let shared = &front.shared;
+    let fit = shared.is_ready() && !shared.is_stopping() && !shared.is_drained();
+    match fit {
+        true => HttpResponse::Ok().body("ok"),
+        false => HttpResponse::ServiceUnavailable().body("not for new callers"),
+    }
+}
+
+/// Serves one request.
+pub(crate) async fn run(front: State<Rc<Front>>, req: HttpRequest, body: Bytes) -> HttpResponse {
+    let shared = &front.shared;
+    let _counted = Counted::new(shared);
+    let started = Instant::now();
+    let longest = shared.settings.longest_request;
+    let incoming = match read(&req, body, shared.now(), longest) {
+        Ok(incoming) => incoming,
+        Err(fault) => {
+            let id = text(&req, headers::REQUEST).unwrap_or_default();
+            return malformed(id, &fault);
+        }
+    };
+    let answer = front.serve(&incoming).await;
+    front.note(&incoming, &answer, started);
+    respond(&incoming.id, answer)
+}
+
+fn refused(reason: Refusal, retry_after: Millis) -> Answer {
+    Answer::Refused { reason, retry_after }
+}
+
+impl Front {
+    async fn serve(&self, incoming: &Incoming) -> Answer {
+        if self.shared.is_closed() {
+            return refused(Refusal::Stopping, COME_BACK);
+        }
+        if !self.shared.is_ready() {
+            return refused(Refusal::NotReady, COME_BACK);
+        }
+        // A request that was passed on was claimed where it came in.
+        if let Some(claim) = incoming.key.as_ref().filter(|_| !incoming.passed_on)
+            && let Err(answer) = self.claim(incoming, claim).await
+        {
+            return answer;
+        }
+        match self.route(incoming).await {
+            Answer::Refused { reason, retry_after } if may_pass_on(incoming, reason) => {
+                let other = self.pass_on(incoming).await;
+                other.unwrap_or(Answer::Refused { reason, retry_after })
+            }
+            answer => answer,
+        }
+    }
+
+    /// Claims the caller's key at its home, the cell, so that a resend to any instance is known.
+    async fn claim(&self, incoming: &Incoming, claim: &Claim) -> Result<(), Answer> {
+        let (tx, rx) = oneshot::channel();
+        let command = Command::ClaimRequests { claims: vec![claim.clone()] };
+        let change = Change::Command { key: None, command };
+        let unreachable = || refused(Refusal::NoHome, COME_BACK);
+        self.core.send(Input::Change { change, tx }).map_err(|_| unreachable())?;
+        let left = incoming.deadline.since(self.shared.now());
+        let waited = ntex::time::timeout(Wait(left.0.max(1) as u32), rx).await;
+        let Ok(Ok(Outcome::Applied(Reply::Claims(replies)))) = waited else {
+            // Whether or not the claim is there: the request was not sent and will not be.
+            return Err(unreachable());
+        };
+        match replies.first() {
+            Some(ClaimReply::Granted) => Ok(()),
+            Some(ClaimReply::TooNew) => Err(refused(Refusal::Malformed, COME_BACK)),
+            Some(ClaimReply::Taken) => Err(Answer::MayHaveRun("this key was used before".into())),
+            Some(ClaimReply::TooOld) => {
+                Err(Answer::MayHaveRun("this key is older than keys are kept".into()))
+            }
+            None => Err(unreachable()),
+        }
+    }
+
+    /// Sends the request to upstreams of this zone until one has answered or none may be tried.
+    async fn route(&self, incoming: &Incoming) -> Answer {
+        let mut tried = BTreeSet::new();
+        loop {
+            let info = lock(&self.shared.plane).new_request(
+                incoming.class,
+                incoming.deadline,
+                tried.clone(),
+            );
+            let upstream = match self.dispatch(info.clone()).await {
+                Ok(upstream) => upstream,
+                Err(answer) => return answer,
+            };
+            tried.insert(upstream.clone());
+            let info = RequestInfo { tried: tried.clone(), ..info };
+            let end = self.call_upstream(incoming, &upstream).await;
+            let (again, answer) = match end {
+                CallEnd::Done { body, .. } => return Answer::Done(body),
+                CallEnd::Failed(reason) => return Answer::Failed(reason),
+                CallEnd::NotRun { .. } => (true, refused(Refusal::Overloaded, COME_BACK)),
+                CallEnd::Broken(reason) => (incoming.repeatable, Answer::MayHaveRun(reason)),
+                CallEnd::Crossed => {
+                    let reason = "the upstream answered another request".into();
+                    (incoming.repeatable, Answer::MayHaveRun(reason))
+                }
+            };
+            let now = self.shared.now();
+            if !again || !lock(&self.shared.plane).may_retry(now, &info) {
+                return answer;
+            }
+        }
+    }
+
+    async fn dispatch(&self, info: RequestInfo) -> Result<Name, Answer> {
+        let (now, id, class) = (self.shared.now(), info.id, info.class);
+        let arrival = lock(&self.shared.plane).arrive(now, info);
+        match arrival {
+            Arrival::Decided(Admission::Send(upstream)) => {
+                self.note_wait(class, Millis::ZERO);
+                Ok(upstream)
+            }
+            Arrival::Decided(Admission::Refuse { reason, retry_after }) => {
+                Err(refused(reason, retry_after))
+            }
+            Arrival::Decided(Admission::Wait) => Err(refused(Refusal::Overloaded, COME_BACK)),
+            Arrival::Later(rx) => {
+                let _in_queue = InQueue { shared: self.shared.clone(), id };
+                match rx.await {
+                    Ok(Dispatch::Send { upstream, waited, .. }) => {
+                        self.note_wait(class, waited);
+                        Ok(upstream)
+                    }
+                    Ok(Dispatch::Refuse { reason, retry_after, .. }) => {
+                        Err(refused(reason, retry_after))
+                    }
+                    Err(_) => Err(refused(Refusal::Overloaded, COME_BACK)),
+                }
+            }
+        }
+    }
+
+    fn note_wait(&self, class: Class, waited: Millis) {
+        let name = match class {
+            Class::Urgent => "request_wait_urgent",
+            Class::Normal => "request_wait_normal",
+            Class::Bulk => "request_wait_bulk",
+        };
+        lock(&self.shared.timings).note(name, waited);
+    }
+
+    async fn call_upstream(&self, incoming: &Incoming, upstream: &Name) -> CallEnd {
+        let (shared, upstream) = (self.shared.clone(), upstream.clone());
+        let mut slot = Slot { shared, upstream, ending: Ending::GivenUp };
+        let Some(addr) = self.shared.addresses().get(&slot.upstream).copied() else {
+            return CallEnd::NotRun { leaving: true, connected: false };
+        };
+        let config = self.shared.config();
+        let connections = config.config.upstream_connections / config.config.instances_per_zone;
+        let req = self.outgoing(incoming);
+        let left = incoming.deadline.since(self.shared.now());
+        let begun = Instant::now();
+        let call = self.clients.call(&slot.upstream, addr, connections as usize, &req, left);
+        let end = call.await;
+        slot.ending = match &end {
+            CallEnd::Done { load, .. } => {
+                Ending::Answered { micros: begun.elapsed().as_micros() as u64, load: *load }
+            }
+            CallEnd::NotRun { connected: true, .. } => Ending::Busy,
+            _ => Ending::Failed,
+        };
+        if matches!(end, CallEnd::NotRun { leaving: true, connected: true }) {
+            // The core tells the zone's other instances.
+            let _ = self.core.send(Input::Leaving(slot.upstream.clone()));
+        }
+        if matches!(end, CallEnd::Crossed) {
+            self.clients.close(&slot.upstream);
+            let text = format!("{} answered another request", slot.upstream);
+            let subject = Subject::request(&incoming.id);
+            self.shared.journal.note(&kinds::ANSWER_CROSSED, subject, text);
+        }
+        end
+    }
+
+    fn outgoing(&self, incoming: &Incoming) -> Outgoing {
+        let order = self.shared.journal.clock().next();
+        let mut extra = Vec::new();
+        if let Some(work) = &incoming.work {
+            extra.push((headers::WORK, work.clone()));
+        }
+        Outgoing {
+            id: format!("{}-{order}", self.shared.id()),
+            key: incoming.key.as_ref().map(|c| c.key.0.to_string()),
+            extra,
+            body: incoming.body.clone(),
+        }
+    }
+
+    /// Offers a request that this zone refused to instances of other zones.
+    async fn pass_on(&self, incoming: &Incoming) -> Option<Answer> {
+        let zone = self.shared.zone();
+        let peers = &self.shared.settings.peers;
+        let mut others: Vec<(Name, SocketAddr)> = peers
+            .values()
+            .filter(|p| p.zone != *zone)
+            .map(|p| (p.id.0.clone(), p.callers))
+            .collect();
+        // Each request begins elsewhere, so that no instance gets all that is passed on.
+        let begin = self.shared.journal.clock().next() as usize % others.len().max(1);
+        others.rotate_left(begin);
+        for (name, addr) in others.into_iter().take(PASS_ON_TRIES) {
+            let left = incoming.deadline.since(self.shared.now());
+            let mut req = self.outgoing(incoming);
+            req.extra.extend(pass_on_headers(incoming, zone.as_str(), left));
+            match self.clients.call_peer(&name, addr, &req, left).await {
+                Answer::Refused { .. } => {}
+                answer => return Some(answer),
+            }
+        }
+        None
+    }
+
+    fn note(&self, incoming: &Incoming, answer: &Answer, started: Instant) {
+        let micros = started.elapsed().as_micros() as u64;
+        let (name, event) = match answer {
+            Answer::Done(_) => ("request_done", None),
+            Answer::Failed(_) => ("request_failed", None),
+            Answer::Refused { reason, .. } => {
+                ("request_refused", Some((&kinds::REQUEST_REFUSED, reason.as_str().to_string())))
+            }
+            Answer::MayHaveRun(reason) => {
+                ("request_unknown", Some((&kinds::REQUEST_UNKNOWN, reason.to_string())))
+            }
+        };
+        lock(&self.shared.timings).note_micros(name, micros);
+        if let Some((kind, text)) = event {
+            self.shared.journal.note(kind, Subject::request(&incoming.id), text);
+        }
+    }
+}
+
+/// Only a request that surely did not run and that another zone may have room for goes there, and
+/// only once.
+fn may_pass_on(incoming: &Incoming, reason: Refusal) -> bool {
+    !incoming.passed_on && matches!(reason, Refusal::Overloaded | Refusal::NoUpstream)
+}
+
+fn pass_on_headers(incoming: &Incoming, zone: &str, left: Millis) -> Vec<(&'static str, String)> {
+    let mut extra = vec![
+        (headers::PASSED_ON, zone.to_string()),
+        (headers::CLASS, incoming.class.as_str().to_string()),
+        (headers::DEADLINE, left.0.to_string()),
+    ];
+    if let Some(claim) = &incoming.key {
+        extra.push((headers::REPEATABLE, "no".to_string()));
+        extra.push((headers::ISSUED, claim.issued.0.to_string()));
+    }
+    extra
+}
+
+fn respond(id: &str, answer: Answer) -> HttpResponse {
+    let (status, outcome) = match &answer {
+        Answer::Done(_) => (StatusCode::OK, "done"),
+        Answer::Failed(_) => (StatusCode::BAD_GATEWAY, "failed"),
+        Answer::MayHaveRun(_) => (StatusCode::GATEWAY_TIMEOUT, "may-have-run"),
+        Answer::Refused { reason: Refusal::Malformed, .. } => (StatusCode::BAD_REQUEST, "refused"),
+        Answer::Refused { .. } => (StatusCode::SERVICE_UNAVAILABLE, "refused"),
+    };
+    let mut response = HttpResponse::build(status);
+    response.header(headers::OUTCOME, outcome).header(headers::REQUEST, id);
+    let body = match answer {
+        Answer::Done(body) => body,
+        Answer::Failed(reason) | Answer::MayHaveRun(reason) => reason.as_bytes().to_vec(),
+        Answer::Refused { reason, retry_after } => {
+            response.header(headers::REASON, reason.as_str());
+            response.header(headers::RETRY_AFTER_MS, retry_after.0.to_string());
+            response.header("retry-after", retry_after.0.div_ceil(1_000).to_string());
+            reason.as_str().as_bytes().to_vec()
+        }
+    };
+    response.header(headers::LENGTH, body.len().to_string()).body(body)
+}
+
+fn malformed(id: &str, fault: &str) -> HttpResponse {
+    let mut response = HttpResponse::build(StatusCode::BAD_REQUEST);
+    response.header(headers::OUTCOME, "refused");
+    response.header(headers::REASON, Refusal::Malformed.as_str());
+    if !id.is_empty() && id.len() <= MAX_ID {
+        response.header(headers::REQUEST, id);
+    }
+    response.header(headers::LENGTH, fault.len().to_string()).body(fault.to_string())
+}
--- /dev/null
+++ b/components/instance/src/calls.rs
@@ -0,0 +1,125 @@
+//! Changes that were asked for and wait for their outcome.
+
+use std::collections::BTreeMap;
+
+use clock::Millis;
+use model::InstanceId;
+use tokio::sync::oneshot;
+
+use crate::message::Outcome;
+
+/// How long an outcome is waited for before it is told as unknown.
+const PATIENCE: Millis = Millis(5_000);
+
+/// Who gets an outcome.
+pub(crate) enum Asker {
+    /// A call on this instance.
+    Here(oneshot::Sender<Outcome>),
+    /// Another instance, with its number for the change.
+    Peer(InstanceId, u64),
+    /// Nobody: the asker looks at the state.
+    Nobody,
+}
+
+/// Changes sent to the leader, by this instance's numbers.
+#[derive(Default)]
+pub(crate) struct Forwarded {
+    next: u64,
+    waiting: BTreeMap<u64, (oneshot::Sender<Outcome>, Millis)>,
+}
+
+impl Forwarded {
+    pub(crate) fn add(&mut self, now: Millis, tx: oneshot::Sender<Outcome>) -> u64 {
+        self.next += 1;
+        self.waiting.insert(self.next, (tx, now + PATIENCE));
+        self.next
+    }
+
+    /// Numbers a change whose outcome nobody waits for.
+    pub(crate) fn add_silent(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    pub(crate) fn answer(&mut self, token: u64, outcome: Outcome) {
+        if let Some((tx, _)) = self.waiting.remove(&token) {
+            // The caller may have gone.
+            let _ = tx.send(outcome);
+        }
+    }
+
+    pub(crate) fn expire(&mut self, now: Millis) {
+        let late: Vec<u64> =
+            self.waiting.iter().filter(|(_, w)| now >= w.1).map(|(t, _)| *t).collect();
+        late.into_iter().for_each(|t| self.answer(t, Outcome::Unknown));
+    }
+}
+
+/// Changes in this leader's log, by index.
+#[derive(Default)]
+pub(crate) struct InLog {
+    waiting: BTreeMap<u64, (u64, Asker)>,
+}
+
+impl InLog {
+    pub(crate) fn add(&mut self, index: u64, term: u64, asker: Asker) {
+        if !matches!(asker, Asker::Nobody) {
+            self.waiting.insert(index, (term, asker));
+        }
+    }
+
+    /// Gives who asked for the entry at `index`, if it is the one of that term.
+    pub(crate) fn take(&mut self, index: u64, term: u64) -> Option<Asker> {
+        let (asked_term, asker) = self.waiting.remove(&index)?;
+        (asked_term == term).then_some(asker)
+    }
+
+    /// Gives everyone who waits, because this instance no longer leads.
+    pub(crate) fn take_all(&mut self) -> Vec<Asker> {
+        std::mem::take(&mut self.waiting).into_values().map(|w| w.1).collect()
+    }
+}
+
+/// Reads that wait until this instance has applied up to an entry.
+#[derive(Default)]
+pub(crate) struct Reads {
+    next: u64,
+    asked: BTreeMap<u64, (oneshot::Sender<bool>, Millis)>,
+    applying: Vec<(u64, oneshot::Sender<bool>)>,
+}
+
+impl Reads {
+    pub(crate) fn ask(&mut self, now: Millis, tx: oneshot::Sender<bool>) -> u64 {
+        self.next += 1;
+        self.asked.insert(self.next, (tx, now + PATIENCE));
+        self.next
+    }
+
+    pub(crate) fn wait_for(&mut self, index: u64, tx: oneshot::Sender<bool>) {
+        self.applying.push((index, tx));
+    }
+
+    pub(crate) fn told(&mut self, token: u64, index: Option<u64>) {
+        let Some((tx, _)) = self.asked.remove(&token) else { return };
+        match index {
+            Some(index) => self.wait_for(index, tx),
+            None => {
+                let _ = tx.send(false);
+            }
+        }
+    }
+
+    /// Answers reads that the state holds enough for, and gives up on old ones.
+    pub(crate) fn settle(&mut self, now: Millis, applied: u64) {
+        for (index, tx) in std::mem::take(&mut self.applying) {
+            if applied >= index {
+                let _ = tx.send(true);
+            } else if !tx.is_closed() {
+                self.applying.push((index, tx));
+            }
+        }
+        let late: Vec<u64> =
+            self.asked.iter().filter(|(_, a)| now >= a.1).map(|(t, _)| *t).collect();
+        late.into_iter().for_each(|t| self.told(t, None));
+    }
+}
--- /dev/null
+++ b/components/instance/src/core.rs
@@ -0,0 +1,772 @@
+//! The core: the one thread that owns the cell state and the zone's part, and takes in inputs one
+//! after the other. Whatever a batch of inputs changed is synced once, and only then acted on.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::sync::{Arc, atomic::AtomicBool};
+use std::time::Duration;
+
+use cell::{Cell, Command, Proposal, Reply};
+use clock::{Millis, wall_now};
+use consensus::{ChangeError, Committed, Flushed, Notice, Payload, Replica, Role};
+use errors::Result;
+use events::{Subject, kinds};
+use model::{Epoch, InstanceId, Name};
+use routing::TargetState;
+use tokio::sync::{mpsc::UnboundedSender, oneshot};
+use transport::{Links, Packet};
+use upstream::{PlatformList, SyncReply, SyncRequest, WorkerState};
+use zone::{Action, Note};
+
+use crate::calls::{Asker, Forwarded, InLog, Reads};
+use crate::keeper::{AskReply, ZoneKeeper};
+use crate::message::{Change, Message, Outcome, ZoneAsk};
+use crate::saved::InForce;
+use crate::shared::{Shared, lock};
+use crate::zone_role::{LeaseChange, ZoneRole};
+
+/// How often time passes for the pure parts.
+const TICK: Millis = Millis(20);
+/// How often a zone's instance talks to the leader.
+const ASK_EVERY: Millis = Millis(500);
+/// How often an instance tells the broker what it needs.
+const DEMAND_EVERY: Millis = Millis(100);
+/// How often the leader looks for zones that are cut off.
+const MOVES_EVERY: Millis = Millis(1_000);
+/// How many inputs are taken in between two syncs at the most.
+const BATCH: usize = 4_096;
+/// How many entries the log may hold before it is replaced by a snapshot.
+const COMPACT_AFTER: usize = 5_000;
+
+/// A question about the core's state, answered on its thread.
+pub(crate) type Query = Box<dyn FnOnce(&Core) + Send>;
+
+/// What the core takes in.
+pub(crate) enum Input {
+    /// A message from another instance.
+    Packet(Packet<Message>),
+    /// A change that a call on this instance asks for.
+    Change { change: Change, tx: oneshot::Sender<Outcome> },
+    /// A read that must hold every change accepted before it.
+    Read { tx: oneshot::Sender<bool> },
+    /// A question about the state.
+    Query(Query),
+    /// A worker's answer.
+    WorkerReply { epoch: Epoch, worker: Name, seq: u64, reply: Result<SyncReply> },
+    /// The platform's list.
+    List(PlatformList),
+    /// An upstream told this instance that it is leaving.
+    Leaving(Name),
+    /// Give up the epoch and leadership, for a planned stop.
+    HandOver { tx: oneshot::Sender<()> },
+    /// End the thread.
+    Stop,
+}
+
+/// A call to a worker, for the thread that makes it.
+#[derive(Debug)]
+pub(crate) struct WorkerCall {
+    pub(crate) epoch: Epoch,
+    pub(crate) worker: Name,
+    pub(crate) addr: std::net::SocketAddr,
+    pub(crate) req: SyncRequest,
+    pub(crate) timeout: Millis,
+}
+
+/// When something regular is next due.
+#[derive(Default)]
+struct Timers {
+    ask: Millis,
+    demand: Millis,
+    moves: Millis,
+}
+
+fn is_due(now: Millis, next: &mut Millis, every: Millis) -> bool {
+    if now < *next {
+        return false;
+    }
+    *next = now + every;
+    true
+}
+
+/// The core's state.
+pub(crate) struct Core {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) replica: Replica,
+    pub(crate) cell: Cell,
+    pub(crate) role: ZoneRole,
+    pub(crate) keeper: ZoneKeeper,
+    links: Links,
+    workers: UnboundedSender<WorkerCall>,
+    saved: Option<PathBuf>,
+    in_force: InForce,
+    forwarded: Forwarded,
+    in_log: InLog,
+    reads: Reads,
+    timers: Timers,
+    to_self: Vec<Message>,
+    handing_over: Option<oneshot::Sender<()>>,
+    /// Counts what was synced, for figures.
+    pub(crate) synced: u64,
+}
+
+/// What the core is made of.
+pub(crate) struct Parts {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) replica: Replica,
+    pub(crate) cell: Cell,
+    pub(crate) links: Links,
+    pub(crate) workers: UnboundedSender<WorkerCall>,
+    pub(crate) saved: Option<PathBuf>,
+}
+
+impl Core {
+    /// Joins the parts and puts in force what was in force before a restart.
+    ///
+    /// # Errors
+    /// If what was saved does not read back.
+    pub(crate) fn new(parts: Parts) -> Result<Core> {
+        let Parts { shared, replica, cell, links, workers, saved } = parts;
+        let settings = &shared.settings;
+        let (zone, id) = (settings.own.zone.clone(), settings.own.id.clone());
+        let role = ZoneRole::new(zone, id, settings.longest_request);
+        let in_force = match &saved {
+            Some(path) => InForce::load(path)?,
+            None => None,
+        };
+        let mut core = Core {
+            shared,
+            replica,
+            cell,
+            role,
+            keeper: ZoneKeeper::default(),
+            links,
+            workers,
+            saved,
+            in_force: InForce::default(),
+            forwarded: Forwarded::default(),
+            in_log: InLog::default(),
+            reads: Reads::default(),
+            timers: Timers::default(),
+            to_self: Vec::new(),
+            handing_over: None,
+            synced: 0,
+        };
+        if let Some(in_force) = in_force {
+            core.shared.put_config(in_force.config.clone());
+            core.shared.put_drained(in_force.drained.clone());
+            core.in_force = in_force;
+            core.shared.set_ready();
+        }
+        Ok(core)
+    }
+
+    /// Runs until [`Input::Stop`].
+    pub(crate) fn run(mut self, inputs: &Receiver<Input>, failed: &AtomicBool) {
+        if let Err(e) = self.serve(inputs) {
+            self.shared.journal.note(&kinds::DISK_FAILED, Subject::default(), e.to_string());
+            failed.store(true, std::sync::atomic::Ordering::SeqCst);
+        }
+    }
+
+    fn serve(&mut self, inputs: &Receiver<Input>) -> Result<()> {
+        let mut next_tick = Millis::ZERO;
+        loop {
+            let wait = next_tick.since(self.now()).duration().max(Duration::from_millis(1));
+            match inputs.recv_timeout(wait) {
+                Ok(Input::Stop) | Err(RecvTimeoutError::Disconnected) => return Ok(()),
+                Ok(input) => self.take(input),
+                Err(RecvTimeoutError::Timeout) => {}
+            }
+            for input in inputs.try_iter().take(BATCH) {
+                match input {
+                    Input::Stop => return Ok(()),
+                    input => self.take(input),
+                }
+            }
+            let now = self.now();
+            if now >= next_tick {
+                next_tick = now + TICK;
+                self.tick(now);
+            }
+            self.settle()?;
+        }
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.shared.now()
+    }
+
+    fn take(&mut self, input: Input) {
+        let now = self.now();
+        match input {
+            Input::Packet(packet) => {
+                self.shared.journal.clock().observe(packet.order);
+                self.on_message(now, packet.from, packet.message);
+            }
+            Input::Change { change, tx } => self.on_change(now, change, tx),
+            Input::Read { tx } => self.on_read(now, tx),
+            Input::Query(query) => query(self),
+            Input::WorkerReply { epoch, worker, seq, reply } => {
+                self.role.on_reply(now, epoch, &worker, seq, reply);
+            }
+            Input::List(list) => self.on_list(now, list),
+            Input::Leaving(name) => self.on_leaving(&name, true),
+            Input::HandOver { tx } => self.on_hand_over(now, tx),
+            Input::Stop => {}
+        }
+    }
+
+    fn on_message(&mut self, now: Millis, from: InstanceId, message: Message) {
+        match message {
+            Message::Consensus(envelope) => self.replica.receive(now, envelope),
+            Message::Change { token, change } => {
+                self.propose_change(now, change, Asker::Peer(from, token));
+            }
+            Message::Changed { token, outcome } => self.forwarded.answer(token, outcome),
+            Message::ReadAsk { token } => {
+                let certain = self.replica.node().lease_holds(now);
+                let index = certain.then_some(self.cell.applied);
+                self.send(&from, Message::ReadAt { token, index });
+            }
+            Message::ReadAt { token, index } => self.reads.told(token, index),
+            Message::ZoneAsk(ask) => self.on_zone_ask(now, &from, &ask),
+            Message::ZoneConfirmed { epoch, asked_at, last_index } => {
+                self.role.confirm(epoch, asked_at, last_index);
+            }
+            Message::Demand(demand) => {
+                let config = self.shared.config();
+                let pool = crate::plane::pool_to_lend(&config.config);
+                if let Some(loan) = self.role.lend(now, &demand, pool) {
+                    self.send(&from, Message::Loan(loan));
+                }
+            }
+            Message::Loan(loan) => lock(&self.shared.plane).take_loan(now, &loan),
+            Message::Leaving(name) => self.on_leaving(&name, false),
+        }
+    }
+
+    pub(crate) fn send(&mut self, to: &InstanceId, message: Message) {
+        if to == self.shared.id() {
+            self.to_self.push(message);
+        } else {
+            self.links.send(to, self.shared.journal.clock().next(), message);
+        }
+    }
+
+    fn send_to_zone(&mut self, message: &Message) {
+        let zone = self.shared.zone().clone();
+        let peers = self.shared.settings.peers.values().filter(|p| p.zone == zone);
+        let ids: Vec<InstanceId> = peers.map(|p| p.id.clone()).collect();
+        for id in ids {
+            self.send(&id, message.clone());
+        }
+    }
+
+    fn leader(&self) -> Option<InstanceId> {
+        self.replica.node().leader().cloned()
+    }
+
+    fn on_change(&mut self, now: Millis, change: Change, tx: oneshot::Sender<Outcome>) {
+        match self.leader() {
+            Some(leader) if leader == *self.shared.id() => {
+                self.propose_change(now, change, Asker::Here(tx));
+            }
+            Some(leader) => {
+                let token = self.forwarded.add(now, tx);
+                self.send(&leader, Message::Change { token, change });
+            }
+            None => {
+                // The caller may have gone.
+                let _ = tx.send(Outcome::Refused { reason: "no leader is known".into() });
+            }
+        }
+    }
+
+    /// Asks the leader for a change whose outcome shows in the state.
+    fn ask_for(&mut self, now: Millis, command: Command) {
+        let change = Change::Command { key: None, command };
+        match self.leader() {
+            Some(leader) if leader == *self.shared.id() => {
+                self.propose_change(now, change, Asker::Nobody);
+            }
+            Some(leader) => {
+                let token = self.forwarded.add_silent();
+                self.send(&leader, Message::Change { token, change });
+            }
+            None => {}
+        }
+    }
+
+    fn answer(&mut self, asker: Asker, outcome: Outcome) {
+        match asker {
+            Asker::Here(tx) => {
+                // The caller may have gone.
+                let _ = tx.send(outcome);
+            }
+            Asker::Peer(id, token) => self.send(&id, Message::Changed { token, outcome }),
+            Asker::Nobody => {}
+        }
+    }
+
+    fn propose_change(&mut self, now: Millis, change: Change, asker: Asker) {
+        let (key, command) = match change {
+            Change::Command { key, command } => (key, command),
+            Change::CreateJob { key, spec } => match self.place_job(&spec) {
+                Ok(shares) => (Some(key), Command::CreateJob { spec, shares }),
+                Err(outcome) => return self.answer(asker, outcome),
+            },
+            Change::Member { id, role } => {
+                let outcome = match self.replica.change_member(now, &id, role) {
+                    Ok(()) => Outcome::Applied(Reply::Accepted {
+                        version: self.replica.node().last_index(),
+                    }),
+                    Err(e) => Outcome::Refused { reason: change_fault(&e) },
+                };
+                return self.answer(asker, outcome);
+            }
+        };
+        let proposal = Proposal { key, at: wall_now(), command };
+        let data = match postcard::to_allocvec(&proposal) {
+            Ok(data) => data,
+            Err(e) => {
+                let reason = format!("cannot be written: {e}").into();
+                return self.answer(asker, Outcome::Invalid { reason });
+            }
+        };
+        match self.replica.propose(now, data.into()) {
+            Ok((index, term)) => self.in_log.add(index, term, asker),
+            Err(_) => {
+                let reason = "this instance does not lead, or too much is under way".into();
+                self.answer(asker, Outcome::Refused { reason });
+            }
+        }
+    }
+
+    /// Chooses the zones of a new job, or says that it can never run.
+    fn place_job(&self, spec: &model::JobSpec) -> Result<Vec<cell::Share>, Outcome> {
+        let rooms = self.keeper.rooms();
+        let all_known = rooms.len() == self.cell.zones.iter().count();
+        let fits = rooms.iter().any(|r| spec.size.fits(&r.largest));
+        if !rooms.is_empty() && all_known && !fits {
+            let reason = format!("can never run: no worker of any zone holds {}", spec.size);
+            return Err(Outcome::Invalid { reason: reason.into() });
+        }
+        let none = Outcome::Refused { reason: "no zone has told its room yet".into() };
+        cell::assign(spec, &rooms).ok_or(none)
+    }
+
+    fn on_read(&mut self, now: Millis, tx: oneshot::Sender<bool>) {
+        match self.leader() {
+            Some(leader) if leader == *self.shared.id() => {
+                // The caller may have gone.
+                let _ = tx.send(self.replica.node().lease_holds(now));
+            }
+            Some(leader) => {
+                let token = self.reads.ask(now, tx);
+                self.send(&leader, Message::ReadAsk { token });
+            }
+            None => {
+                let _ = tx.send(false);
+            }
+        }
+    }
+
+    fn on_list(&mut self, now: Millis, list: PlatformList) {
+        self.role.set_list(now, list.clone());
+        let zone = self.shared.zone().clone();
+        let drained = self.shared.drained();
+        let here = list.workers.iter().filter(|w| w.zone == zone);
+        let mut targets = BTreeMap::new();
+        let mut addresses = BTreeMap::new();
+        for worker in here {
+            let out = worker.state == WorkerState::Leaving || drained.contains(&worker.name);
+            let state = if out { TargetState::Leaving } else { TargetState::Live };
+            targets.insert(worker.name.clone(), state);
+            addresses.insert(worker.name.clone(), worker.addr);
+        }
+        self.shared.put_addresses(addresses);
+        lock(&self.shared.plane).set_targets(targets);
+    }
+
+    fn on_leaving(&mut self, name: &Name, tell: bool) {
+        let news = lock(&self.shared.plane).note_leaving(name);
+        if !news {
+            return;
+        }
+        let text = format!("{name} is leaving");
+        self.shared.journal.note(&kinds::UPSTREAM_LEAVING, Subject::default(), text);
+        if tell {
+            self.send_to_zone(&Message::Leaving(name.clone()));
+        }
+    }
+
+    fn on_hand_over(&mut self, now: Millis, tx: oneshot::Sender<()>) {
+        if let Some(release) = self.role.release() {
+            self.ask_for(now, release);
+        }
+        self.handing_over = Some(tx);
+    }
+
+    fn on_zone_ask(&mut self, now: Millis, from: &InstanceId, ask: &ZoneAsk) {
+        if !self.replica.node().lease_holds(now) {
+            return;
+        }
+        match self.keeper.ask(now, &self.cell, from, ask) {
+            AskReply::Confirm => {
+                let (epoch, asked_at) = (ask.epoch, ask.asked_at);
+                let last_index = self.replica.node().last_index();
+                self.send(from, Message::ZoneConfirmed { epoch, asked_at, last_index });
+            }
+            AskReply::Grant(command) => self.propose_zone_change(now, command),
+            AskReply::Wait => {}
+        }
+    }
+
+    fn propose_zone_change(&mut self, now: Millis, command: Command) {
+        let zone = match &command {
+            Command::GrantEpoch { zone, .. } => zone.clone(),
+            Command::MoveShare { from, .. } => from.clone(),
+            _ => return,
+        };
+        self.propose_change(now, Change::Command { key: None, command }, Asker::Nobody);
+        self.keeper.changing(&zone, self.replica.node().last_index());
+    }
+
+    fn tick(&mut self, now: Millis) {
+        self.replica.tick(now);
+        self.forwarded.expire(now);
+        if self.replica.node().has_caught_up() && self.cell.applied >= self.replica.node().commit()
+        {
+            self.become_ready();
+        }
+        if is_due(now, &mut self.timers.ask, ASK_EVERY) {
+            self.ask_leader(now);
+        }
+        if is_due(now, &mut self.timers.demand, DEMAND_EVERY) {
+            let id = self.shared.id().clone();
+            let demand = lock(&self.shared.plane).demand(now, &id);
+            self.send_to_zone(&Message::Demand(demand));
+        }
+        let leads = self.replica.node().lease_holds(now);
+        if leads && is_due(now, &mut self.timers.moves, MOVES_EVERY) {
+            for command in self.keeper.moves(now, &self.cell) {
+                self.propose_zone_change(now, command);
+            }
+        }
+        let (actions, change) = self.role.tick(now, self.cell.applied);
+        self.note_lease(change);
+        for action in actions {
+            self.act(now, action);
+        }
+        self.reads.settle(now, self.cell.applied);
+    }
+
+    fn become_ready(&mut self) {
+        self.role.ready(self.cell.applied);
+        if !self.shared.is_ready() {
+            let text = format!("caught up at entry {}", self.cell.applied);
+            self.shared.journal.note(&kinds::CAUGHT_UP, Subject::default(), text);
+            self.shared.set_ready();
+        }
+    }
+
+    fn ask_leader(&mut self, now: Millis) {
+        let Some(leader) = self.leader() else { return };
+        let in_use = !self.shared.is_drained();
+        if let Some(ask) = self.role.ask(now, self.cell.applied).filter(|_| in_use) {
+            self.send(&leader, Message::ZoneAsk(ask));
+        }
+    }
+
+    fn note_lease(&self, change: Option<LeaseChange>) {
+        let text = format!("zone {}", self.shared.zone());
+        let journal = &self.shared.journal;
+        match change {
+            Some(LeaseChange::Held) => {
+                journal.note(&kinds::ZONE_LEASE_HELD, Subject::default(), text);
+            }
+            Some(LeaseChange::Lost) => {
+                journal.note(&kinds::ZONE_LEASE_LOST, Subject::default(), text);
+            }
+            None => {}
+        }
+    }
+
+    fn act(&mut self, now: Millis, action: Action) {
+        match action {
+            Action::Sync { worker, addr, req, timeout } => {
+                let call = WorkerCall { epoch: req.epoch, worker, addr, req, timeout };
+                // The thread that makes calls ends only with the process.
+                let _ = self.workers.send(call);
+            }
+            Action::Propose(command) => self.ask_for(now, command),
+            Action::Note(note) => self.note_zone(note),
+        }
+    }
+
+    fn note_zone(&self, note: Note) {
+        let journal = &self.shared.journal;
+        match note {
+            Note::WorkerReported { worker, adopted } => {
+                let text = format!("{worker} reported, {adopted} of its tasks were taken over");
+                journal.note(&kinds::WORKER_REPORTED, Subject::default(), text);
+            }
+            Note::WorkerLost { worker } => {
+                let text = format!("{worker} is lost");
+                journal.note(&kinds::WORKER_LOST, Subject::default(), text);
+            }
+            Note::WorkerAside { worker } => {
+                let text = format!("{worker} fails tasks of several jobs");
+                journal.note(&kinds::WORKER_ASIDE, Subject::default(), text);
+            }
+            Note::TaskStarted { task, worker, waited, class } => {
+                let name = match class {
+                    model::Class::Urgent => "task_wait_urgent",
+                    model::Class::Normal => "task_wait_normal",
+                    model::Class::Bulk => "task_wait_bulk",
+                };
+                lock(&self.shared.timings).note(name, waited);
+                let text = format!("given to {worker} after {waited}");
+                journal.note(&kinds::TASK_STARTED, Subject::task(&task), text);
+            }
+            Note::TaskEnded { task, worker, how } => {
+                let text = format!("on {worker}: {how}");
+                journal.note(&kinds::TASK_ENDED, Subject::task(&task), text);
+            }
+            Note::TaskEvicted { task } => {
+                journal.note(&kinds::TASK_EVICTED, Subject::task(&task), "makes room");
+            }
+            Note::JobHopeless { job, reason } => {
+                journal.note(&kinds::JOB_HOPELESS, Subject::job(&job), reason.to_string());
+            }
+            Note::TaskTwice { task, worker } => {
+                let text = format!("also on {worker}");
+                journal.note(&kinds::TASK_TWICE, Subject::task(&task), text);
+            }
+            Note::EpochOutdated { newer } => {
+                let text = format!("epoch {newer} is known");
+                journal.note(&kinds::EPOCH_OUTDATED, Subject::default(), text);
+            }
+        }
+    }
+
+    /// Syncs what changed and acts on it, until nothing follows any more.
+    fn settle(&mut self) -> Result<()> {
+        loop {
+            let flushed = self.replica.flush()?;
+            self.synced += flushed.synced as u64;
+            let again = !flushed.committed.is_empty();
+            self.act_on(flushed)?;
+            for message in std::mem::take(&mut self.to_self) {
+                let (now, id) = (self.now(), self.shared.id().clone());
+                self.on_message(now, id, message);
+            }
+            if !again && self.to_self.is_empty() {
+                break;
+            }
+        }
+        self.compact()?;
+        self.finish_hand_over();
+        Ok(())
+    }
+
+    fn act_on(&mut self, flushed: Flushed) -> Result<()> {
+        for notice in flushed.notices {
+            self.on_notice(notice);
+        }
+        for envelope in flushed.messages {
+            let to = envelope.to.clone();
+            self.send(&to, Message::Consensus(envelope));
+        }
+        for committed in flushed.committed {
+            match committed {
+                Committed::Snapshot(snapshot) => {
+                    self.cell = Cell::decode(&snapshot.data)?;
+                    self.cell.skip(snapshot.last_index);
+                    let text = format!("up to entry {}", snapshot.last_index);
+                    let journal = &self.shared.journal;
+                    journal.note(&kinds::SNAPSHOT_INSTALLED, Subject::default(), text);
+                    let now = self.now();
+                    self.role.reload(now, &self.cell);
+                }
+                Committed::Entry(entry) => match &entry.payload {
+                    Payload::Command(data) => self.apply(entry.index, entry.term, data),
+                    Payload::Noop | Payload::Membership(_) => self.cell.skip(entry.index),
+                },
+            }
+        }
+        self.put_in_force()
+    }
+
+    fn apply(&mut self, index: u64, term: u64, data: &[u8]) {
+        let now = self.now();
+        let asker = self.in_log.take(index, term).unwrap_or(Asker::Nobody);
+        let Ok(proposal) = postcard::from_bytes::<Proposal>(data) else {
+            // Every instance skips an entry that it cannot read, so that all stay the same.
+            self.cell.skip(index);
+            let reason = "the command cannot be read".into();
+            return self.answer(asker, Outcome::Invalid { reason });
+        };
+        let active = self.ended_jobs_before(&proposal.command);
+        let reply = self.cell.apply(index, &proposal);
+        if matches!(reply, Reply::Accepted { version } if version == index) {
+            self.note_applied(&proposal.command, index, &active);
+            self.role.applied(now, &self.cell, &proposal.command);
+            if matches!(proposal.command, Command::GrantEpoch { .. } | Command::ReleaseEpoch { .. })
+            {
+                self.role.follow_grant(now, &self.cell);
+            }
+        }
+        self.answer(asker, Outcome::Applied(reply));
+    }
+
+    fn ended_jobs_before(&self, command: &Command) -> Vec<model::JobName> {
+        let Command::EndTasks { ended, .. } = command else { return Vec::new() };
+        let active =
+            |name: &model::JobName| self.cell.jobs.get(name).is_some_and(|j| j.is_active());
+        let mut names: Vec<model::JobName> =
+            ended.iter().map(|e| e.task.job.clone()).filter(active).collect();
+        names.dedup();
+        names
+    }
+
+    /// Notes what an accepted command did, on the leader only where all instances see the same.
+    fn note_applied(&self, command: &Command, index: u64, were_active: &[model::JobName]) {
+        let journal = &self.shared.journal;
+        if let Command::GrantEpoch { zone, holder, .. } = command
+            && holder == self.shared.id()
+        {
+            let text = format!("zone {zone} epoch {index}");
+            journal.note(&kinds::EPOCH_GRANTED, Subject::default(), text);
+        }
+        if self.replica.node().role() != Role::Leader {
+            return;
+        }
+        match command {
+            Command::CreateJob { spec, .. } => {
+                let text = format!("{} tasks for team {}", spec.tasks, spec.team);
+                journal.note(&kinds::JOB_CREATED, Subject::job(&spec.name), text);
+            }
+            Command::CancelJob { name } => {
+                journal.note(&kinds::JOB_CANCELLED, Subject::job(name), "by its operator");
+            }
+            Command::EndTasks { .. } => {
+                for name in were_active {
+                    if self.cell.jobs.get(name).is_some_and(|j| !j.is_active()) {
+                        journal.note(&kinds::JOB_ENDED, Subject::job(name), "all tasks ended");
+                    }
+                }
+            }
+            Command::Drain { target, on } => {
+                let text = format!("{target} {}", if *on { "out of use" } else { "in use" });
+                journal.note(&kinds::DRAIN_CHANGED, Subject::default(), text);
+            }
+            Command::MoveShare { job, from, to, .. } => {
+                let text = format!("from zone {from} to zone {to}");
+                journal.note(&kinds::SHARE_MOVED, Subject::job(job), text);
+            }
+            Command::ReleaseEpoch { zone, epoch } => {
+                let text = format!("zone {zone} epoch {epoch}");
+                journal.note(&kinds::EPOCH_RELEASED, Subject::default(), text);
+            }
+            _ => {}
+        }
+    }
+
+    /// Puts a newer configuration in force: saved first, then used.
+    fn put_in_force(&mut self) -> Result<()> {
+        let newer = self.cell.config.version > self.in_force.config.version;
+        let behind = self.cell.config.version < self.in_force.config.version;
+        if behind || (!newer && self.cell.drained == self.in_force.drained) {
+            return Ok(());
+        }
+        let in_force =
+            InForce { config: self.cell.config.clone(), drained: self.cell.drained.clone() };
+        if let Some(path) = &self.saved {
+            in_force.save(path)?;
+        }
+        self.in_force = in_force;
+        self.shared.put_drained(self.cell.drained.clone());
+        if newer {
+            let version = self.cell.config.version;
+            self.shared.put_config(self.cell.config.clone());
+            let text = format!("version {version}");
+            self.shared.journal.note(&kinds::CONFIG_APPLIED, Subject::default(), text);
+        }
+        Ok(())
+    }
+
+    fn on_notice(&mut self, notice: Notice) {
+        let journal = &self.shared.journal;
+        match notice {
+            Notice::Founded => {
+                journal.note(&kinds::CELL_FOUNDED, Subject::default(), "the cell is founded");
+            }
+            Notice::Leads { term } => {
+                journal.note(&kinds::LEADER_ELECTED, Subject::default(), format!("term {term}"));
+                self.keeper = ZoneKeeper::new(self.replica.node().leads_since());
+            }
+            Notice::Resigned { term, reason } => {
+                let text = format!("term {term}: {reason}");
+                journal.note(&kinds::LEADER_RESIGNED, Subject::default(), text);
+                for asker in self.in_log.take_all() {
+                    self.answer(asker, Outcome::Unknown);
+                }
+            }
+            Notice::MembershipChanged(m) => {
+                let voters: Vec<&str> = m.voters.keys().map(|v| v.as_str()).collect();
+                let learners: Vec<&str> = m.learners.keys().map(|v| v.as_str()).collect();
+                let text = format!("voters {voters:?}, learners {learners:?}");
+                journal.note(&kinds::MEMBERS_CHANGED, Subject::default(), text);
+            }
+        }
+    }
+
+    fn compact(&mut self) -> Result<()> {
+        if self.replica.node().log_len() < COMPACT_AFTER {
+            return Ok(());
+        }
+        let index = self.cell.applied;
+        self.replica.compact(index, self.cell.encode().into())?;
+        let text = format!("up to entry {index}");
+        self.shared.journal.note(&kinds::LOG_COMPACTED, Subject::default(), text);
+        Ok(())
+    }
+
+    /// Hands leadership over once the release of the epoch is in the log.
+    fn finish_hand_over(&mut self) {
+        let Some(tx) = self.handing_over.take() else { return };
+        let now = self.now();
+        let grant = self.cell.zones.grant(self.shared.zone());
+        let holds = grant.is_some_and(|g| g.holder.as_ref() == Some(self.shared.id()));
+        if holds && self.leader().is_some() && !tx.is_closed() {
+            self.handing_over = Some(tx);
+            return;
+        }
+        self.replica.hand_over(now);
+        if let Ok(flushed) = self.replica.flush() {
+            for envelope in flushed.messages {
+                let to = envelope.to.clone();
+                self.send(&to, Message::Consensus(envelope));
+            }
+        }
+        // The one who waits may have given up.
+        let _ = tx.send(());
+    }
+
+    /// Refuses the links to these instances, for tests of cut links.
+    pub(crate) fn refuse_links(&self, peers: std::collections::BTreeSet<InstanceId>) {
+        self.links.refuse(peers);
+    }
+}
+
+fn change_fault(e: &ChangeError) -> Name {
+    match e {
+        ChangeError::NotLeader(_) => "this instance does not lead".into(),
+        ChangeError::Busy => "an earlier change of members is under way".into(),
+        ChangeError::Unknown => "the instance has not been heard from".into(),
+        ChangeError::NoVoter => "the change would leave no voter".into(),
+    }
+}
--- /dev/null
+++ b/components/instance/src/keeper.rs
@@ -0,0 +1,144 @@
+//! The leader's care for the zones: who allocates, and what moves when a zone is cut off.
+//!
+//! The keeper is pure. It only ever acts on rights that have surely run out, see
+//! docs/design/leases.md.
+
+use std::collections::BTreeMap;
+
+use cell::{Cell, Command, JobState, ZoneRoom, next_home};
+use clock::Millis;
+use model::{Epoch, InstanceId, ZoneId};
+use zone::{move_wait, takeover_wait};
+
+pub use crate::message::ZoneAsk;
+
+/// How much longer than it must a zone is left alone before its tasks move, so that short cuts move
+/// nothing.
+const MOVE_GRACE: Millis = Millis(10_000);
+/// The most shares that are moved at once.
+const MOVES_AT_ONCE: usize = 200;
+
+/// What the leader does about a question.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AskReply {
+    /// The asker's epoch is confirmed.
+    Confirm,
+    /// The zone is to be granted to the asker.
+    Grant(Command),
+    /// Nothing for now.
+    Wait,
+}
+
+#[derive(Clone, Debug, Default)]
+struct ZoneView {
+    /// When the leader last confirmed the zone's allocator.
+    confirmed_at: Option<Millis>,
+    /// When any instance of the zone was last heard.
+    heard_at: Option<Millis>,
+    room: Option<ZoneRoom>,
+    /// The log's index of a grant or move that is not applied yet.
+    changing_until: u64,
+}
+
+/// What a leader knows of the zones. It begins anew with each term.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneKeeper {
+    leads_since: Millis,
+    zones: BTreeMap<ZoneId, ZoneView>,
+}
+
+impl ZoneKeeper {
+    /// Begins a term. An earlier leader may have confirmed any allocator until just now.
+    pub fn new(leads_since: Millis) -> ZoneKeeper {
+        ZoneKeeper { leads_since, zones: BTreeMap::new() }
+    }
+
+    /// Decides about a question of a zone's instance. The caller proposes a grant and then calls
+    /// [`ZoneKeeper::changing`].
+    pub fn ask(&mut self, now: Millis, cell: &Cell, from: &InstanceId, ask: &ZoneAsk) -> AskReply {
+        let leads_since = self.leads_since;
+        let view = self.zones.entry(ask.zone.clone()).or_default();
+        view.heard_at = Some(now);
+        if let Some((free, largest)) = ask.room {
+            view.room = Some(ZoneRoom { zone: ask.zone.clone(), free, largest });
+        }
+        if view.changing_until > cell.applied {
+            return AskReply::Wait;
+        }
+        let grant = cell.zones.grant(&ask.zone);
+        let epoch = cell.zones.epoch(&ask.zone);
+        let holder = grant.and_then(|g| g.holder.as_ref());
+        let give = |to: &InstanceId| {
+            let (zone, holder) = (ask.zone.clone(), to.clone());
+            AskReply::Grant(Command::GrantEpoch { zone, holder, after: epoch })
+        };
+        if ask.applied < epoch.0 || cell.drained.contains(&from.0) {
+            return AskReply::Wait;
+        }
+        match holder {
+            None => give(from),
+            Some(h) if h == from && ask.epoch == epoch => {
+                view.confirmed_at = Some(now);
+                AskReply::Confirm
+            }
+            // The holder's process has restarted: it is the only one that could have acted on it.
+            Some(h) if h == from && ask.epoch == Epoch(0) => give(from),
+            Some(h) if h == from => AskReply::Wait,
+            Some(_) => {
+                let since = view.confirmed_at.unwrap_or(leads_since).max(leads_since);
+                match now.since(since) > takeover_wait() {
+                    true => give(from),
+                    false => AskReply::Wait,
+                }
+            }
+        }
+    }
+
+    /// Notes that a grant or move of `zone` was proposed at `index`: its allocator is not confirmed
+    /// until that is applied.
+    pub fn changing(&mut self, zone: &ZoneId, index: u64) {
+        let view = self.zones.entry(zone.clone()).or_default();
+        view.changing_until = view.changing_until.max(index);
+    }
+
+    /// Gives the rooms of all zones that have told theirs.
+    pub fn rooms(&self) -> Vec<ZoneRoom> {
+        self.zones.values().filter_map(|v| v.room.clone()).collect()
+    }
+
+    /// Gives the moves of movable tasks out of zones that have been silent for so long that their
+    /// leases have surely run out.
+    pub fn moves(&self, now: Millis, cell: &Cell) -> Vec<Command> {
+        let worker_lease = cell.config.config.worker_lease;
+        let silent = |zone: &ZoneId| {
+            let view = self.zones.get(zone);
+            let heard = view.and_then(|v| v.heard_at.max(v.confirmed_at));
+            let since = heard.unwrap_or(self.leads_since).max(self.leads_since);
+            let changing = view.is_some_and(|v| v.changing_until > cell.applied);
+            !changing && now.since(since) > move_wait(worker_lease) + MOVE_GRACE
+        };
+        let cut_off: Vec<&ZoneId> =
+            cell.zones.iter().map(|(z, _)| z).filter(|z| silent(z)).collect();
+        if cut_off.is_empty() {
+            return Vec::new();
+        }
+        let rooms: Vec<ZoneRoom> =
+            self.rooms().into_iter().filter(|r| !cut_off.contains(&&r.zone)).collect();
+        let movable = cell.jobs.values().filter(|j| j.state == JobState::Active && j.spec.may_move);
+        let mut moves = Vec::new();
+        for job in movable {
+            for (i, share) in job.shares.iter().enumerate() {
+                let over = share.tasks().all(|t| job.has_ended(t));
+                if over || !cut_off.contains(&&share.zone) {
+                    continue;
+                }
+                if let Some(to) = next_home(&job.spec, &share.zone, &rooms) {
+                    let (name, from) = (job.spec.name.clone(), share.zone.clone());
+                    moves.push(Command::MoveShare { job: name, share: i as u32, from, to });
+                }
+            }
+        }
+        moves.truncate(MOVES_AT_ONCE);
+        moves
+    }
+}
--- /dev/null
+++ b/components/instance/src/plane.rs
@@ -0,0 +1,197 @@
+//! The request plane: the router and the requests that wait for it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::Millis;
+use model::{CellConfig, Class, Name};
+use routing::{
+    Admission, Demand, Dispatch, Ending, Loan, Pick, RequestInfo, Router, RouterConfig, ShareWay,
+    TargetState,
+};
+use settings::Instance;
+use tokio::sync::oneshot;
+
+/// The chosen ways; docs/design/requests.md says by which measurement.
+const WAY: ShareWay = ShareWay::Borrowed;
+const PICK: Pick = Pick::ShortestWait;
+
+fn router_config(config: &CellConfig) -> RouterConfig {
+    RouterConfig {
+        way: WAY,
+        pick: PICK,
+        slots: config.upstream_slots,
+        instances: config.instances_per_zone,
+        queue_limit: config.queue_limit,
+        retry_percent: config.retry_percent,
+    }
+}
+
+/// Gives what the zone's broker may lend of each upstream.
+pub(crate) fn pool_to_lend(config: &CellConfig) -> u32 {
+    routing::pool(WAY, config.upstream_slots, config.instances_per_zone)
+}
+
+/// What an arriving request is told.
+pub(crate) enum Arrival {
+    /// The router has decided.
+    Decided(Admission),
+    /// It will decide.
+    Later(oneshot::Receiver<Dispatch>),
+}
+
+/// The router, and whom to tell its later decisions.
+pub(crate) struct Plane {
+    router: Router,
+    waiting: BTreeMap<u64, oneshot::Sender<Dispatch>>,
+    next_id: u64,
+    under_way: u32,
+    listed: BTreeMap<Name, TargetState>,
+    /// Upstreams that said themselves, or of which a peer said, that they are leaving.
+    leaving: BTreeSet<Name>,
+}
+
+impl Plane {
+    pub(crate) fn new(settings: &Instance) -> Plane {
+        Plane {
+            router: Router::new(router_config(&CellConfig::default()), settings.seed),
+            waiting: BTreeMap::new(),
+            next_id: 0,
+            under_way: 0,
+            listed: BTreeMap::new(),
+            leaving: BTreeSet::new(),
+        }
+    }
+
+    pub(crate) fn configure(&mut self, config: &CellConfig) {
+        self.router.configure(router_config(config));
+    }
+
+    /// Takes in the zone's upstreams. One that said that it is leaving stays so until it is gone
+    /// from the list.
+    pub(crate) fn set_targets(&mut self, listed: BTreeMap<Name, TargetState>) {
+        self.leaving.retain(|name| listed.contains_key(name));
+        self.listed = listed;
+        self.refresh_targets();
+    }
+
+    fn refresh_targets(&mut self) {
+        let mut targets = self.listed.clone();
+        for name in &self.leaving {
+            targets.insert(name.clone(), TargetState::Leaving);
+        }
+        self.router.set_targets(&targets);
+    }
+
+    /// Notes that an upstream is leaving. Gives false if that was known.
+    pub(crate) fn note_leaving(&mut self, name: &Name) -> bool {
+        let known = !self.listed.contains_key(name) || !self.leaving.insert(name.clone());
+        self.router.note_leaving(name);
+        !known
+    }
+
+    /// Numbers a request.
+    pub(crate) fn new_request(
+        &mut self,
+        class: Class,
+        deadline: Millis,
+        tried: BTreeSet<Name>,
+    ) -> RequestInfo {
+        self.next_id += 1;
+        RequestInfo { id: self.next_id, class, deadline, tried }
+    }
+
+    pub(crate) fn arrive(&mut self, now: Millis, info: RequestInfo) -> Arrival {
+        let (id, class) = (info.id, info.class);
+        match self.router.arrive(now, info.clone()) {
+            Admission::Wait => Arrival::Later(self.wait_for(id)),
+            Admission::Refuse { .. } if class == Class::Urgent => {
+                // Lower classes give way; the refusal stands if there are none.
+                let shed = self.router.shed_below(now, class);
+                if shed.is_none() {
+                    return Arrival::Decided(self.router.arrive(now, info));
+                }
+                self.tell(shed.into_iter().collect());
+                match self.router.arrive(now, info) {
+                    Admission::Wait => Arrival::Later(self.wait_for(id)),
+                    decided => Arrival::Decided(decided),
+                }
+            }
+            decided => Arrival::Decided(decided),
+        }
+    }
+
+    fn wait_for(&mut self, id: u64) -> oneshot::Receiver<Dispatch> {
+        let (tx, rx) = oneshot::channel();
+        self.waiting.insert(id, tx);
+        rx
+    }
+
+    pub(crate) fn ended(&mut self, now: Millis, upstream: &Name, ending: Ending) {
+        let dispatches = self.router.ended(now, upstream, ending);
+        self.tell_or_end(now, dispatches);
+    }
+
+    pub(crate) fn tick(&mut self, now: Millis) {
+        let dispatches = self.router.tick(now);
+        self.tell_or_end(now, dispatches);
+    }
+
+    /// Tells those who wait. A dispatch to a caller that has gone gives its slot back.
+    fn tell_or_end(&mut self, now: Millis, mut dispatches: Vec<Dispatch>) {
+        while !dispatches.is_empty() {
+            let unheard = self.tell(dispatches);
+            dispatches = Vec::new();
+            for upstream in unheard {
+                dispatches.extend(self.router.ended(now, &upstream, Ending::GivenUp));
+            }
+        }
+    }
+
+    fn tell(&mut self, dispatches: Vec<Dispatch>) -> Vec<Name> {
+        let mut unheard = Vec::new();
+        for dispatch in dispatches {
+            let id = match &dispatch {
+                Dispatch::Send { id, .. } | Dispatch::Refuse { id, .. } => *id,
+            };
+            let heard = self.waiting.remove(&id).map(|tx| tx.send(dispatch.clone()));
+            if let (Dispatch::Send { upstream, .. }, Some(Err(_)) | None) = (dispatch, heard) {
+                unheard.push(upstream);
+            }
+        }
+        unheard
+    }
+
+    /// Takes out a request whose caller has gone.
+    pub(crate) fn give_up(&mut self, id: u64) {
+        self.waiting.remove(&id);
+        self.router.give_up(id);
+    }
+
+    pub(crate) fn may_retry(&mut self, now: Millis, info: &RequestInfo) -> bool {
+        self.router.may_retry(now, info)
+    }
+
+    pub(crate) fn demand(&mut self, now: Millis, id: &model::InstanceId) -> Demand {
+        self.router.demand(now, id)
+    }
+
+    pub(crate) fn take_loan(&mut self, now: Millis, loan: &Loan) {
+        self.router.loans_mut().take(now, loan);
+        let dispatches = self.router.tick(now);
+        self.tell_or_end(now, dispatches);
+    }
+
+    /// Counts callers' requests from their arrival to their answer.
+    pub(crate) fn count(&mut self, by: i32) {
+        self.under_way = self.under_way.saturating_add_signed(by);
+    }
+
+    /// Gives how many callers' requests are under way.
+    pub(crate) fn under_way(&self) -> u32 {
+        self.under_way
+    }
+
+    pub(crate) fn router(&self) -> &Router {
+        &self.router
+    }
+}
--- /dev/null
+++ b/components/instance/src/saved.rs
@@ -0,0 +1,43 @@
+//! What an instance with a disk keeps besides the log: the configuration that it has put in force.
+//!
+//! After a restart the log's entries are there, but not which of them are committed. A cut-off
+//! instance must not fall back behind what it had in force, so that is saved before it is used.
+
+use std::collections::BTreeSet;
+
+use cell::ConfigVersion;
+use errors::{Error, Result};
+use model::Name;
+use serde::{Deserialize, Serialize};
+
+/// What was in force.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct InForce {
+    /// The configuration.
+    pub(crate) config: ConfigVersion,
+    /// What was out of use.
+    pub(crate) drained: BTreeSet<Name>,
+}
+
+/// The file that holds it.
+pub(crate) const IN_FORCE_FILE: &str = "in-force";
+
+impl InForce {
+    pub(crate) fn load(path: &std::path::Path) -> Result<Option<InForce>> {
+        let Some(bytes) = storage::load(path)? else { return Ok(None) };
+        let decoded = postcard::from_bytes(&bytes);
+        let fault = |e: postcard::Error| Error::Decode {
+            what: "the configuration in force",
+            reason: e.to_string(),
+        };
+        Ok(Some(decoded.map_err(fault)?))
+    }
+
+    pub(crate) fn save(&self, path: &std::path::Path) -> Result<()> {
+        let fault = |e: postcard::Error| Error::Decode {
+            what: "the configuration in force",
+            reason: e.to_string(),
+        };
+        storage::save(path, &postcard::to_allocvec(self).map_err(fault)?)
+    }
+}
--- /dev/null
+++ b/components/instance/src/shared.rs
@@ -0,0 +1,133 @@
+//! What the threads of an instance share.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, RwLock};
+
+use cell::ConfigVersion;
+use clock::{Clock, Millis, SystemClock};
+use events::Journal;
+use metrics::Timings;
+use model::{InstanceId, Name, ZoneId};
+use settings::Instance;
+
+use crate::plane::Plane;
+
+/// Locks a mutex whatever became of the thread that held it before.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// What the core shows the servers' threads.
+pub(crate) struct Shared {
+    /// The settings.
+    pub(crate) settings: Instance,
+    /// The clock that all timeouts are judged by.
+    pub(crate) clock: SystemClock,
+    /// The events.
+    pub(crate) journal: Journal,
+    /// How long things took.
+    pub(crate) timings: Mutex<Timings>,
+    /// The request plane.
+    pub(crate) plane: Mutex<Plane>,
+    config: RwLock<Arc<ConfigVersion>>,
+    addresses: RwLock<Arc<BTreeMap<Name, SocketAddr>>>,
+    drained: RwLock<Arc<BTreeSet<Name>>>,
+    ready: AtomicBool,
+    stopping: AtomicBool,
+    closed: AtomicBool,
+}
+
+impl Shared {
+    pub(crate) fn new(settings: Instance) -> Shared {
+        let journal = Journal::new(settings.own.id.0.clone());
+        let plane = Plane::new(&settings);
+        Shared {
+            clock: SystemClock::default(),
+            journal,
+            timings: Mutex::default(),
+            plane: Mutex::new(plane),
+            config: RwLock::default(),
+            addresses: RwLock::default(),
+            drained: RwLock::default(),
+            ready: AtomicBool::new(false),
+            stopping: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            settings,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn id(&self) -> &InstanceId {
+        &self.settings.own.id
+    }
+
+    pub(crate) fn zone(&self) -> &ZoneId {
+        &self.settings.own.zone
+    }
+
+    /// Gives the configuration in force.
+    pub(crate) fn config(&self) -> Arc<ConfigVersion> {
+        self.config.read().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    /// Puts a configuration in force, unless a newer one is.
+    pub(crate) fn put_config(&self, config: ConfigVersion) {
+        let mut current = self.config.write().unwrap_or_else(|e| e.into_inner());
+        if config.version >= current.version {
+            lock(&self.plane).configure(&config.config);
+            *current = Arc::new(config);
+        }
+    }
+
+    pub(crate) fn addresses(&self) -> Arc<BTreeMap<Name, SocketAddr>> {
+        self.addresses.read().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    pub(crate) fn put_addresses(&self, addresses: BTreeMap<Name, SocketAddr>) {
+        *self.addresses.write().unwrap_or_else(|e| e.into_inner()) = Arc::new(addresses);
+    }
+
+    pub(crate) fn drained(&self) -> Arc<BTreeSet<Name>> {
+        self.drained.read().unwrap_or_else(|e| e.into_inner()).clone()
+    }
+
+    pub(crate) fn put_drained(&self, drained: BTreeSet<Name>) {
+        *self.drained.write().unwrap_or_else(|e| e.into_inner()) = Arc::new(drained);
+    }
+
+    /// Tells whether this instance knows a configuration that may be in force.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.ready.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_ready(&self) {
+        self.ready.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether the balancer should send nothing more.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_stopping(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Tells whether new work is refused.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_closed(&self) {
+        self.closed.store(true, Ordering::SeqCst);
+    }
+
+    pub(crate) fn is_drained(&self) -> bool {
+        self.drained().contains(&self.id().0)
+    }
+}
--- /dev/null
+++ b/components/instance/src/upstream_call.rs
@@ -0,0 +1,213 @@
+//! Sending one request to an upstream, or on to another zone, and judging what comes back.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use clock::Millis;
+use model::{Answer, Name, Refusal};
+use ntex::SharedCfg;
+use ntex::client::error::{ClientError, ConnectError};
+use ntex::client::{Client, ClientResponse, Connector};
+use ntex::http::StatusCode;
+use ntex::time::Millis as Wait;
+use ntex::util::Bytes;
+use upstream::{MAX_BODY, headers};
+
+/// How long an unused connection is kept, in seconds; less than upstreams keep theirs, so that a
+/// request does not meet a connection that is just being closed.
+const KEEP_ALIVE_SECONDS: u16 = 3;
+
+/// When a caller comes back after another zone could not be reached either.
+const PEER_COME_BACK: Millis = Millis(1_000);
+
+/// A request on its way.
+#[derive(Clone)]
+pub(crate) struct Outgoing {
+    /// This instance's own id for it, which the answer must repeat.
+    pub(crate) id: String,
+    /// The caller's key, if it is not repeatable.
+    pub(crate) key: Option<String>,
+    /// Headers that are passed on as they came.
+    pub(crate) extra: Vec<(&'static str, String)>,
+    /// The body.
+    pub(crate) body: Bytes,
+}
+
+/// How a call ended.
+#[derive(Debug)]
+pub(crate) enum CallEnd {
+    /// The whole answer.
+    Done { body: Vec<u8>, load: Option<u32> },
+    /// It surely did not run: no byte was sent, or the upstream says so.
+    NotRun { leaving: bool, connected: bool },
+    /// It ran and the upstream reported a failure.
+    Failed(Name),
+    /// It may have run: the connection broke, time ran out, or the answer was not whole.
+    Broken(Name),
+    /// The answer was for another request.
+    Crossed,
+}
+
+/// One pool of connections for each upstream.
+#[derive(Clone, Default)]
+pub(crate) struct Clients {
+    by_name: Rc<RefCell<BTreeMap<Name, Client>>>,
+}
+
+impl Clients {
+    async fn get(&self, name: &Name, connections: usize) -> Result<Client, CallEnd> {
+        if let Some(client) = self.by_name.borrow().get(name) {
+            return Ok(client.clone());
+        }
+        let connector =
+            Connector::new().limit(connections).keep_alive(ntex::time::Seconds(KEEP_ALIVE_SECONDS));
+        let builder = Client::builder().connector::<()>(connector).disable_redirects();
+        match builder.build(SharedCfg::default()).await {
+            Ok(client) => {
+                self.by_name.borrow_mut().insert(name.clone(), client.clone());
+                Ok(client)
+            }
+            Err(_) => Err(CallEnd::NotRun { leaving: false, connected: false }),
+        }
+    }
+
+    /// Closes all connections to an upstream that mixed up answers.
+    pub(crate) fn close(&self, name: &Name) {
+        self.by_name.borrow_mut().remove(name);
+    }
+
+    /// Sends a request and waits for its whole answer, at most `timeout`.
+    pub(crate) async fn call(
+        &self,
+        name: &Name,
+        addr: SocketAddr,
+        connections: usize,
+        req: &Outgoing,
+        timeout: Millis,
+    ) -> CallEnd {
+        let client = match self.get(name, connections).await {
+            Ok(client) => client,
+            Err(end) => return end,
+        };
+        let wait = Wait(timeout.0.max(1) as u32);
+        match ntex::time::timeout(wait, exchange(&client, addr, req, wait)).await {
+            Ok(end) => end,
+            Err(()) => CallEnd::Broken("no answer before the deadline".into()),
+        }
+    }
+}
+
+/// The most connections to one instance of another zone.
+const PEER_CONNECTIONS: usize = 32;
+
+impl Clients {
+    /// Passes a request on to an instance of another zone and gives its answer.
+    pub(crate) async fn call_peer(
+        &self,
+        name: &Name,
+        addr: SocketAddr,
+        req: &Outgoing,
+        timeout: Millis,
+    ) -> Answer {
+        let come_back =
+            Answer::Refused { reason: Refusal::NoUpstream, retry_after: PEER_COME_BACK };
+        let client = match self.get(name, PEER_CONNECTIONS).await {
+            Ok(client) => client,
+            Err(_) => return come_back,
+        };
+        let wait = Wait(timeout.0.max(1) as u32);
+        let call = async {
+            match send(&client, addr, req, wait).await {
+                Ok(response) => judge_peer(response, &req.id).await,
+                Err(e) if never_sent(&e) => come_back,
+                Err(e) => Answer::MayHaveRun(e.to_string().into()),
+            }
+        };
+        let late = || Answer::MayHaveRun("no answer from another zone in time".into());
+        ntex::time::timeout(wait, call).await.unwrap_or_else(|()| late())
+    }
+}
+
+async fn judge_peer(response: ClientResponse, id: &str) -> Answer {
+    if text(&response, headers::REQUEST) != Some(id) {
+        return Answer::MayHaveRun("another zone answered another request".into());
+    }
+    let outcome = text(&response, headers::OUTCOME).unwrap_or_default().to_string();
+    let length = text(&response, headers::LENGTH).and_then(|l| l.parse::<usize>().ok());
+    let retry_after = text(&response, headers::RETRY_AFTER_MS).and_then(|l| l.parse().ok());
+    let body = response.body().limit(MAX_BODY).await.map(|b| b.to_vec()).unwrap_or_default();
+    if length != Some(body.len()) {
+        return Answer::MayHaveRun("the answer from another zone is not whole".into());
+    }
+    let reason = || Name::from(String::from_utf8_lossy(&body).as_ref());
+    match outcome.as_str() {
+        "done" => Answer::Done(body),
+        "refused" => Answer::Refused {
+            reason: Refusal::Overloaded,
+            retry_after: retry_after.map_or(PEER_COME_BACK, Millis),
+        },
+        "failed" => Answer::Failed(reason()),
+        _ => Answer::MayHaveRun(reason()),
+    }
+}
+
+async fn send(
+    client: &Client,
+    addr: SocketAddr,
+    req: &Outgoing,
+    wait: Wait,
+) -> Result<ClientResponse, ClientError> {
+    let mut call = client.post(format!("http://{addr}/run")).timeout(wait);
+    call = call.header(headers::REQUEST, req.id.as_str());
+    if let Some(key) = &req.key {
+        call = call.header(headers::KEY, key.as_str());
+    }
+    for (name, value) in &req.extra {
+        call = call.header(*name, value.as_str());
+    }
+    call.send_body(req.body.clone()).await
+}
+
+async fn exchange(client: &Client, addr: SocketAddr, req: &Outgoing, wait: Wait) -> CallEnd {
+    match send(client, addr, req, wait).await {
+        Ok(response) => judge(response, &req.id).await,
+        Err(e) if never_sent(&e) => CallEnd::NotRun { leaving: false, connected: false },
+        Err(e) => CallEnd::Broken(e.to_string().into()),
+    }
+}
+
+/// Only a refused connection proves that no byte was sent.
+fn never_sent(e: &ClientError) -> bool {
+    let ClientError::Connect(ConnectError::Disconnected(Some(e))) = e else { return false };
+    e.kind() == std::io::ErrorKind::ConnectionRefused
+}
+
+fn text<'a>(response: &'a ClientResponse, name: &str) -> Option<&'a str> {
+    response.headers().get(name).and_then(|v| v.to_str().ok())
+}
+
+async fn judge(response: ClientResponse, id: &str) -> CallEnd {
+    if text(&response, headers::REQUEST) != Some(id) {
+        return CallEnd::Crossed;
+    }
+    if text(&response, headers::NOT_RUN).is_some() {
+        let leaving = text(&response, headers::LEAVING).is_some();
+        return CallEnd::NotRun { leaving, connected: true };
+    }
+    let length = text(&response, headers::LENGTH).and_then(|l| l.parse::<usize>().ok());
+    let load = text(&response, headers::LOAD).and_then(|l| l.parse().ok());
+    let status = response.status();
+    let body = match response.body().limit(MAX_BODY).await {
+        Ok(body) => body.to_vec(),
+        Err(e) => return CallEnd::Broken(format!("the answer broke off: {e}").into()),
+    };
+    if length != Some(body.len()) {
+        return CallEnd::Broken("the answer is not whole".into());
+    }
+    match status {
+        StatusCode::OK => CallEnd::Done { body, load },
+        other => CallEnd::Failed(format!("the upstream answered {}", other.as_u16()).into()),
+    }
+}
--- /dev/null
+++ b/components/instance/src/worker_calls.rs
@@ -0,0 +1,54 @@
+//! The thread that calls workers and asks the platform for its list.
+
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+
+use ntex::client::Client;
+use ntex::time::{Millis as Wait, sleep};
+use tokio::sync::mpsc::UnboundedReceiver;
+use upstream::{HttpWorker, Worker, fetch_list};
+
+use crate::core::{Input, WorkerCall};
+
+/// How often the platform is asked.
+const LIST_EVERY: Wait = Wait(1_000);
+
+/// Makes calls until the core ends.
+pub(crate) async fn make_calls(
+    mut calls: UnboundedReceiver<WorkerCall>,
+    platform: SocketAddr,
+    core: Sender<Input>,
+) {
+    let client = Client::new().await;
+    ntex::rt::spawn(poll_list(client.clone(), platform, core.clone()));
+    while let Some(call) = calls.recv().await {
+        ntex::rt::spawn(make_call(client.clone(), call, core.clone()));
+    }
+}
+
+async fn make_call(client: Client, call: WorkerCall, core: Sender<Input>) {
+    let worker = HttpWorker::new(client, call.addr);
+    let waited =
+        ntex::time::timeout(Wait(call.timeout.0 as u32), worker.sync(&call.req, call.timeout));
+    let reply = waited.await.unwrap_or_else(|()| {
+        Err(errors::Error::Unreachable {
+            target: call.worker.to_string(),
+            reason: "no answer in time".into(),
+        })
+    });
+    let (epoch, worker, seq) = (call.epoch, call.worker, call.req.seq);
+    // The core may have ended.
+    let _ = core.send(Input::WorkerReply { epoch, worker, seq, reply });
+}
+
+async fn poll_list(client: Client, platform: SocketAddr, core: Sender<Input>) {
+    loop {
+        // Without an answer the last list stays in use; it lags anyhow.
+        if let Ok(list) = fetch_list(&client, platform).await
+            && core.send(Input::List(list)).is_err()
+        {
+            return;
+        }
+        sleep(LIST_EVERY).await;
+    }
+}
--- /dev/null
+++ b/components/instance/src/zone_role.rs
@@ -0,0 +1,209 @@
+//! This instance's part in its zone: asking for the epoch, and allocating while it holds it.
+
+use cell::{Cell, Command, Job};
+use clock::Millis;
+use model::{Epoch, InstanceId, Size, ZoneId};
+use routing::{Broker, Demand, Loan};
+use upstream::PlatformList;
+use zone::{Action, Allocator, AllocatorConfig, ZoneLease};
+
+use crate::message::ZoneAsk;
+
+/// The zone's allocator and broker, while this instance holds the epoch.
+pub(crate) struct ZoneRole {
+    zone: ZoneId,
+    id: InstanceId,
+    longest_request: Millis,
+    /// Grants up to this one belong to an earlier process of this instance.
+    old_grants: Option<u64>,
+    allocator: Option<Allocator>,
+    broker: Option<Broker>,
+    lease: ZoneLease,
+    lease_held: bool,
+    list: PlatformList,
+    stopping: bool,
+}
+
+/// A change of the zone lease.
+pub(crate) enum LeaseChange {
+    /// It holds again.
+    Held,
+    /// It no longer holds.
+    Lost,
+}
+
+impl ZoneRole {
+    pub(crate) fn new(zone: ZoneId, id: InstanceId, longest_request: Millis) -> ZoneRole {
+        ZoneRole {
+            zone,
+            id,
+            longest_request,
+            old_grants: None,
+            allocator: None,
+            broker: None,
+            lease: ZoneLease::default(),
+            lease_held: false,
+            list: PlatformList::default(),
+            stopping: false,
+        }
+    }
+
+    /// Notes that this process knows the cell as of `applied`: it acts on later grants only.
+    pub(crate) fn ready(&mut self, applied: u64) {
+        self.old_grants.get_or_insert(applied);
+    }
+
+    pub(crate) fn allocator(&self) -> Option<&Allocator> {
+        self.allocator.as_ref()
+    }
+
+    pub(crate) fn epoch(&self) -> Epoch {
+        self.allocator.as_ref().map_or(Epoch(0), Allocator::epoch)
+    }
+
+    /// Gives what to tell the leader, if this instance takes part.
+    pub(crate) fn ask(&self, now: Millis, applied: u64) -> Option<ZoneAsk> {
+        let takes_part = self.old_grants.is_some() && !self.stopping;
+        takes_part.then(|| ZoneAsk {
+            zone: self.zone.clone(),
+            epoch: self.epoch(),
+            asked_at: now,
+            applied,
+            room: self.room(),
+        })
+    }
+
+    /// An instance that does not allocate knows only what the platform lists.
+    fn room(&self) -> Option<(Size, Size)> {
+        let room = self.allocator.as_ref()?.room();
+        Some((room.free, room.largest))
+    }
+
+    pub(crate) fn confirm(&mut self, epoch: Epoch, asked_at: Millis, last_index: u64) {
+        self.lease.confirm(epoch, asked_at, last_index);
+    }
+
+    /// Looks at the zone's grant after a change of the cell, and starts or ends allocating.
+    pub(crate) fn follow_grant(&mut self, now: Millis, cell: &Cell) {
+        let grant = cell.zones.grant(&self.zone);
+        let epoch = grant.map_or(Epoch(0), |g| g.epoch);
+        let mine = grant.is_some_and(|g| g.holder.as_ref() == Some(&self.id));
+        let fresh = self.old_grants.is_some_and(|old| epoch.0 > old);
+        if !mine || !fresh || self.stopping {
+            self.allocator = None;
+            self.broker = None;
+            return;
+        }
+        if self.epoch() == epoch {
+            return;
+        }
+        self.broker = Some(Broker::new(now, epoch, self.longest_request));
+        let cfg = allocator_config(self.zone.clone(), epoch, cell);
+        let mut allocator = Allocator::new(now, cfg);
+        allocator.set_workers(now, &self.list.workers);
+        allocator.set_drained(&cell.drained);
+        for job in cell.jobs.values().filter(|j| j.is_active()) {
+            allocator.take_job(now, job);
+        }
+        self.allocator = Some(allocator);
+    }
+
+    /// Takes in a state that was replaced as a whole.
+    pub(crate) fn reload(&mut self, now: Millis, cell: &Cell) {
+        self.follow_grant(now, cell);
+        let Some(allocator) = &mut self.allocator else { return };
+        allocator.retain_jobs(now, &cell.jobs);
+        for job in cell.jobs.values() {
+            allocator.take_job(now, job);
+        }
+        allocator.set_drained(&cell.drained);
+    }
+
+    /// Takes in a command that the cell has applied.
+    pub(crate) fn applied(&mut self, now: Millis, cell: &Cell, command: &Command) {
+        let zone = self.zone.clone();
+        let Some(allocator) = &mut self.allocator else { return };
+        match command {
+            Command::CreateJob { spec, .. } => take(allocator, now, cell.jobs.get(&spec.name)),
+            Command::MoveShare { job, .. } => take(allocator, now, cell.jobs.get(job)),
+            Command::CancelJob { name } => allocator.drop_job(now, name),
+            Command::EndTasks { zone: z, ended, .. } if *z == zone => allocator.tasks_ended(ended),
+            Command::ClaimTasks { zone: z, tasks, .. } if *z == zone => {
+                allocator.tasks_claimed(tasks);
+            }
+            Command::Drain { .. } => allocator.set_drained(&cell.drained),
+            Command::ApplyConfig { .. } => {
+                let cfg = allocator_config(zone, allocator.epoch(), cell);
+                allocator.configure(cfg.worker_lease, cfg.profile, cfg.quotas);
+            }
+            _ => {}
+        }
+    }
+
+    pub(crate) fn set_list(&mut self, now: Millis, list: PlatformList) {
+        if let Some(allocator) = &mut self.allocator {
+            allocator.set_workers(now, &list.workers);
+        }
+        self.list = list;
+    }
+
+    /// Lets time pass and gives what the allocator wants done.
+    pub(crate) fn tick(&mut self, now: Millis, applied: u64) -> (Vec<Action>, Option<LeaseChange>) {
+        let Some(allocator) = &mut self.allocator else { return (Vec::new(), None) };
+        let holds = self.lease.holds(now, allocator.epoch(), applied);
+        let change = match (self.lease_held, holds) {
+            (false, true) => Some(LeaseChange::Held),
+            (true, false) => Some(LeaseChange::Lost),
+            _ => None,
+        };
+        self.lease_held = holds;
+        (allocator.tick(now, holds), change)
+    }
+
+    pub(crate) fn on_reply(
+        &mut self,
+        now: Millis,
+        epoch: Epoch,
+        worker: &model::Name,
+        seq: u64,
+        reply: errors::Result<upstream::SyncReply>,
+    ) {
+        if let Some(allocator) = self.allocator.as_mut().filter(|a| a.epoch() == epoch) {
+            allocator.on_reply(now, worker, seq, reply);
+        }
+    }
+
+    pub(crate) fn lend(&mut self, now: Millis, demand: &Demand, pool: u32) -> Option<Loan> {
+        self.broker.as_mut()?.answer(now, demand, pool)
+    }
+
+    /// Gives the zone back for a planned stop: nothing is told to workers from now on.
+    pub(crate) fn release(&mut self) -> Option<Command> {
+        self.stopping = true;
+        let epoch = self.allocator.take()?.epoch();
+        self.broker = None;
+        Some(Command::ReleaseEpoch { zone: self.zone.clone(), epoch })
+    }
+}
+
+fn take(allocator: &mut Allocator, now: Millis, job: Option<&Job>) {
+    if let Some(job) = job {
+        allocator.take_job(now, job);
+    }
+}
+
+/// A team's ceiling is cut equally over the zones, so that the sum holds without asking.
+fn allocator_config(zone: ZoneId, epoch: Epoch, cell: &Cell) -> AllocatorConfig {
+    let config = &cell.config.config;
+    let zones = cell.zones.iter().count().max(1) as u64;
+    let part =
+        |s: &Size| Size::new(s.cpu_milli / zones, s.memory_mb / zones, s.accelerators / zones);
+    let quotas = config.quotas.iter().map(|q| (q.team.clone(), part(&q.size))).collect();
+    AllocatorConfig {
+        zone,
+        epoch,
+        worker_lease: config.worker_lease,
+        profile: config.profile,
+        quotas,
+    }
+}
--- a/components/routing/src/queue.rs
+++ b/components/routing/src/queue.rs
@@ -53,9 +53,10 @@
     pub(crate) fn take_out(&mut self, gone: impl Fn(&Waiting) -> bool) -> Vec<Waiting> {
         let mut out = Vec::new();
         for line in self.lines.values_mut() {
-            let (leaving, staying) = std::mem::take(line).into_iter().partition(|w| gone(w));
-            *line = staying;
-            let leaving: Vec<Waiting> = leaving;
+            let all = std::mem::take(line);
+            let (leaving, staying): (Vec<Waiting>, Vec<Waiting>) =
+                all.into_iter().partition(|w| gone(w));
+            *line = staying.into();
             out.extend(leaving);
         }
         out
--- a/components/upstream/src/lib.rs
+++ b/components/upstream/src/lib.rs
@@ -5,6 +5,7 @@
 //! message.
 
 mod client;
+pub mod headers;
 mod platform;
 mod protocol;
 
--- a/components/zone/src/jobs.rs
+++ b/components/zone/src/jobs.rs
@@ -1,6 +1,6 @@
 //! The jobs whose tasks this zone holds.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cell::{Job, TaskEnd, TaskOutcome};
@@ -94,6 +94,13 @@
         }
     }
 
+    /// Drops the jobs that are not among `jobs` any more.
+    pub fn retain_jobs(&mut self, now: Millis, jobs: &BTreeMap<JobName, Job>) {
+        let gone: Vec<JobName> =
+            self.jobs.keys().filter(|name| !jobs.contains_key(*name)).cloned().collect();
+        gone.iter().for_each(|name| self.drop_job(now, name));
+    }
+
     /// Stops a task that is no longer wanted here.
     fn drop_task(&mut self, task: &TaskId) {
         self.unaccounted.remove(task);
