--- /dev/null
+++ b/scripts/cell.sh
@@ -0,0 +1,152 @@
+# Functions that start and end a cell of stand-ins and instances on loopback. Sourced by the demo
+# and the proof; the processes are started from the shell, since none of ours starts another.
+#
+# It needs BIN (folder of the programs), WORK (an empty folder) and leaves the processes' ids in PIDS.
+
+declare -A PIDS=()
+ZONES=(za zb zc)
+
+# Finds $1 free ports, one a line. They are free when asked; nothing is fixed.
+free_ports() {
+  python3 - "$1" <<'PY'
+import socket, sys
+held = [socket.socket() for _ in range(int(sys.argv[1]))]
+for s in held:
+    s.bind(("127.0.0.1", 0))
+for s in held:
+    print(s.getsockname()[1])
+PY
+}
+
+# Chooses all addresses: INSTANCES (names), PEERS, OPERATORS, CALLERS, WORKERS, and ADDR_* maps.
+plan_cell() {
+  local workers_per_zone=$1
+  local count=$((6 * 3 + 3 * workers_per_zone + 1))
+  mapfile -t PORTS < <(free_ports "$count")
+  local next=0
+  INSTANCES=()
+  WORKERS=()
+  PEERS=""
+  declare -gA PEER_PORT=() CALLER_PORT=() OPERATOR_PORT=() WORKER_PORT=() ZONE_OF=() HAS_DISK=()
+  for zone in "${ZONES[@]}"; do
+    for n in 1 2; do
+      local name="$zone$n"
+      INSTANCES+=("$name")
+      ZONE_OF[$name]=$zone
+      PEER_PORT[$name]=${PORTS[next]}
+      CALLER_PORT[$name]=${PORTS[next + 1]}
+      OPERATOR_PORT[$name]=${PORTS[next + 2]}
+      next=$((next + 3))
+      local disk=""
+      if [ "$n" = 1 ]; then disk="+disk"; HAS_DISK[$name]=1; fi
+      PEERS+="$name=$zone@127.0.0.1:${PEER_PORT[$name]}/127.0.0.1:${CALLER_PORT[$name]}$disk,"
+    done
+    for n in $(seq "$workers_per_zone"); do
+      local worker="$zone-w$n"
+      WORKERS+=("$worker")
+      ZONE_OF[$worker]=$zone
+      WORKER_PORT[$worker]=${PORTS[next]}
+      next=$((next + 1))
+    done
+  done
+  PLATFORM_PORT=${PORTS[next]}
+  PEERS=${PEERS%,}
+  OPERATORS=$(for i in "${INSTANCES[@]}"; do printf '127.0.0.1:%s,' "${OPERATOR_PORT[$i]}"; done)
+  CALLERS=$(for i in "${INSTANCES[@]}"; do printf '127.0.0.1:%s,' "${CALLER_PORT[$i]}"; done)
+  OPERATORS=${OPERATORS%,}
+  CALLERS=${CALLERS%,}
+  export HEATHVALE_INSTANCES=$OPERATORS
+}
+
+# Writes the platform's list; the names in LEAVING are listed as leaving, those in GONE not at all.
+write_list() {
+  {
+    local first=1
+    printf '{"workers":['
+    for worker in "${WORKERS[@]}"; do
+      case " ${GONE:-} " in *" $worker "*) continue ;; esac
+      local state=live
+      case " ${LEAVING:-} " in *" $worker "*) state=leaving ;; esac
+      [ "$first" = 1 ] || printf ','
+      first=0
+      printf '{"name":"%s","zone":"%s","rack":"%s-r%s","addr":"127.0.0.1:%s",' \
+        "$worker" "${ZONE_OF[$worker]}" "${ZONE_OF[$worker]}" "$((${worker##*w} % 2))" \
+        "${WORKER_PORT[$worker]}"
+      printf '"size":{"cpu_milli":16000,"memory_mb":32768,"accelerators":0},"state":"%s"}' "$state"
+    done
+    printf ']}'
+  } >"$WORK/list.new"
+  mv "$WORK/list.new" "$WORK/list.json"
+}
+
+start_platform() {
+  "$BIN/examples/platform" --listen "127.0.0.1:$PLATFORM_PORT" --list "$WORK/list.json" \
+    >>"$WORK/platform.log" 2>&1 &
+  PIDS[platform]=$!
+}
+
+start_worker() {
+  local worker=$1
+  "$BIN/examples/worker" --name "$worker" --listen "127.0.0.1:${WORKER_PORT[$worker]}" \
+    --records "$WORK/$worker.records" "${@:2}" >>"$WORK/$worker.log" 2>&1 &
+  PIDS[$worker]=$!
+}
+
+start_instance() {
+  local name=$1
+  local disk=()
+  if [ -n "${HAS_DISK[$name]:-}" ]; then disk=(--data-folder "$WORK/data-$name"); fi
+  "$BIN/heathvaled" --name "$name" --peers "$PEERS" --platform "127.0.0.1:$PLATFORM_PORT" \
+    --operators "127.0.0.1:${OPERATOR_PORT[$name]}" --test-refuse-file "$WORK/refuse-$name" \
+    "${disk[@]}" >>"$WORK/$name.log" 2>&1 &
+  PIDS[$name]=$!
+}
+
+start_cell() {
+  write_list
+  start_platform
+  for worker in "${WORKERS[@]}"; do start_worker "$worker"; done
+  for name in "${INSTANCES[@]}"; do start_instance "$name"; done
+}
+
+# Ends one process by its id, at once, and waits for it.
+kill_now() {
+  kill -9 "${PIDS[$1]}" 2>/dev/null
+  wait "${PIDS[$1]}" 2>/dev/null
+  unset "PIDS[$1]"
+}
+
+# Ends everything that was started, by id.
+end_cell() {
+  for name in "${!PIDS[@]}"; do
+    kill -CONT "${PIDS[$name]}" 2>/dev/null
+    kill -9 "${PIDS[$name]}" 2>/dev/null
+  done
+  for name in "${!PIDS[@]}"; do wait "${PIDS[$name]}" 2>/dev/null; done
+  PIDS=()
+}
+
+# Waits up to $1 seconds until the rest of the line succeeds.
+wait_until() {
+  local tries=$(($1 * 5))
+  shift
+  for _ in $(seq "$tries"); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.2
+  done
+  return 1
+}
+
+# Counts the instances that allocate for their zone.
+allocators() {
+  "$BIN/heathvale" status 2>/dev/null | grep -c ' allocates$'
+}
+
+all_zones_allocated() { [ "$(allocators)" = 3 ]; }
+
+# Gives how many tasks of a job are in a state.
+tasks_in() {
+  "$BIN/heathvale" show "$1" 2>/dev/null | awk -v s="$2" 'NR > 1 && $4 == s { n++ } END { print n + 0 }'
+}
+
+has_tasks_in() { [ "$(tasks_in "$1" "$2")" = "$3" ]; }
--- /dev/null
+++ b/src/bin/heathvaled.rs
@@ -0,0 +1,61 @@
+//! `heathvaled`: one instance of heathvale.
+
+use std::collections::BTreeMap;
+use std::process::ExitCode;
+
+use events::LogFormat;
+use gumdrop::Options;
+use log::LevelFilter;
+use settings::{Flags, Instance};
+
+/// The exit code for faulty settings; nothing was started.
+const FAULTY_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let flags = match Flags::parse_args_default(&arguments) {
+        Ok(flags) => flags,
+        Err(e) => {
+            eprintln!("heathvaled: {e}; see heathvaled --help");
+            return ExitCode::from(FAULTY_SETTINGS);
+        }
+    };
+    if flags.help {
+        println!("Usage: heathvaled [FLAGS]\n\n{}", Flags::usage());
+        return ExitCode::SUCCESS;
+    }
+    if flags.version {
+        println!("heathvaled {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let variables: BTreeMap<String, String> = std::env::vars().collect();
+    match settings::read(&flags, &variables) {
+        Ok(settings) => start(settings),
+        Err(findings) => {
+            eprintln!("{:?}", miette::Report::new(findings));
+            ExitCode::from(FAULTY_SETTINGS)
+        }
+    }
+}
+
+fn start(settings: Instance) -> ExitCode {
+    let format = match settings.log_format {
+        settings::LogFormat::Text => LogFormat::Text,
+        settings::LogFormat::Json => LogFormat::Json,
+    };
+    let level = match settings.log_level.as_ref() {
+        "error" => LevelFilter::Error,
+        "warn" => LevelFilter::Warn,
+        "off" => LevelFilter::Off,
+        _ => LevelFilter::Info,
+    };
+    let name = settings.own.id.to_string();
+    let ran = events::start_logging(&name, format, level).and_then(|()| instance::run(settings));
+    match ran {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("{:?}", miette::Report::new(e));
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/config.rs
@@ -0,0 +1,23 @@
+//! `heathvale config`: prints the configuration in force.
+
+use std::net::SocketAddr;
+
+use api::pb::ReadConfigRequest;
+use errors::Result;
+
+use crate::cli::ConfigOpts;
+use crate::cmd::reach;
+
+/// Prints the configuration in force on the first instance that answers, and its version as a
+/// comment that `apply --base` takes.
+///
+/// # Errors
+/// If no instance answers.
+pub async fn run(instances: &[SocketAddr], _opts: &ConfigOpts) -> Result<()> {
+    let req = ReadConfigRequest::default();
+    let call = async |op: api::Operator| op.read_config(&req).send().await.ok().map(|r| r.output);
+    let config = reach::first(instances, call).await?;
+    println!("# version {}", config.version);
+    print!("{}", config.text);
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/create.rs
@@ -0,0 +1,30 @@
+//! `heathvale create`: creates the jobs of a file.
+
+use std::net::SocketAddr;
+
+use api::pb::CreateJobRequest;
+use errors::Result;
+
+use crate::cli::CreateOpts;
+use crate::cmd::{change, reach};
+
+/// Creates the jobs of a file, after all of it was checked.
+///
+/// # Errors
+/// All faults of the file, or the first job that was refused.
+pub async fn run(instances: &[SocketAddr], opts: &CreateOpts) -> Result<()> {
+    let text = reach::read_file(&opts.file)?;
+    let jobs = model::parse_jobs(&opts.file, &text)?;
+    let key = opts.key.clone().unwrap_or_else(change::new_key);
+    for (i, spec) in jobs.iter().enumerate() {
+        let req = CreateJobRequest {
+            request_key: format!("{key}/{i}").into(),
+            job: api::convert::job_message(spec),
+        };
+        let call =
+            async |op: api::Operator| op.create_job(&req).send().await.ok().map(|r| r.output);
+        let version = change::make(instances, spec.name.as_str(), call).await?;
+        println!("created {} at version {version}", spec.name);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/list.rs
@@ -0,0 +1,34 @@
+//! `heathvale list`: lists jobs.
+
+use std::net::SocketAddr;
+
+use api::pb::{Kind, ListJobsRequest};
+use errors::{Error, Result};
+
+use crate::cli::ListOpts;
+use crate::cmd::reach;
+
+/// Lists all jobs that the first reachable instance knows.
+///
+/// # Errors
+/// If no instance answers, or if the answer was to be fresh and could not be.
+pub async fn run(instances: &[SocketAddr], opts: &ListOpts) -> Result<()> {
+    let req = ListJobsRequest { fresh: opts.fresh };
+    let call = async |op: api::Operator| op.list_jobs(&req).send().await.ok().map(|r| r.output);
+    let reply = reach::first(instances, call).await?;
+    if opts.fresh && !reply.fresh {
+        return Err(Error::Refused("no leader could confirm that the answer is fresh".into()));
+    }
+    println!("{:<24} {:<8} {:>6} {:>9} {:<10} reason", "job", "kind", "tasks", "finished", "state");
+    for job in &reply.jobs {
+        let kind = match job.job.kind {
+            Kind::Service => "service",
+            Kind::Batch => "batch",
+            Kind::Gang => "gang",
+        };
+        let (name, tasks) = (&job.job.name, job.job.tasks);
+        let (finished, state) = (job.finished, &job.state);
+        println!("{name:<24} {kind:<8} {tasks:>6} {finished:>9} {state:<10} {}", job.reason);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/member.rs
@@ -0,0 +1,26 @@
+//! `heathvale member`: changes a member's role.
+
+use std::net::SocketAddr;
+
+use api::pb::ReplaceMemberRequest;
+use errors::Result;
+
+use crate::cli::MemberOpts;
+use crate::cmd::change;
+
+/// Changes the role of a member of the replicated log.
+///
+/// # Errors
+/// If the change was not taken up.
+pub async fn run(instances: &[SocketAddr], opts: &MemberOpts) -> Result<()> {
+    let req = ReplaceMemberRequest {
+        request_key: change::new_key().into(),
+        instance: opts.instance.as_str().into(),
+        role: opts.role.as_str().into(),
+    };
+    let call =
+        async |op: api::Operator| op.replace_member(&req).send().await.ok().map(|r| r.output);
+    change::make(instances, &opts.instance, call).await?;
+    println!("{} becomes {}", opts.instance, opts.role);
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/show.rs
@@ -0,0 +1,54 @@
+//! `heathvale show`: shows one job and its tasks.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use api::pb::{ShowJobReply, ShowJobRequest, TaskView};
+use errors::{Error, Result};
+
+use crate::cli::ShowOpts;
+use crate::cmd::reach;
+
+/// What an instance says of a task whose zone it does not allocate for.
+const NOT_KNOWN_HERE: &str = "ask-allocator";
+
+/// Shows a job, with each task as the allocator of its zone knows it.
+///
+/// # Errors
+/// If no instance answers or there is no such job.
+pub async fn run(instances: &[SocketAddr], opts: &ShowOpts) -> Result<()> {
+    let req = ShowJobRequest { name: opts.name.as_str().into() };
+    let mut replies: Vec<ShowJobReply> = Vec::new();
+    for addr in instances {
+        let call = async |op: api::Operator| op.show_job(&req).send().await.ok().map(|r| r.output);
+        replies.extend(reach::one(*addr, call).await);
+    }
+    let Some(found) = replies.iter().find(|r| r.found) else {
+        let reason = match replies.is_empty() {
+            true => "no instance answers".to_string(),
+            false => format!("there is no job {}", opts.name),
+        };
+        return Err(Error::Refused(reason));
+    };
+    let tasks = merge(&replies);
+    let running = tasks.values().filter(|t| t.state == "running").count();
+    let (state, finished) = (&found.summary.state, found.summary.finished);
+    println!("{} {state}: {running} running, {finished} finished", opts.name);
+    for task in tasks.values() {
+        let TaskView { index, zone, worker, state, reason } = task;
+        println!("  {index:>5} {zone:<10} {worker:<12} {state} {reason}");
+    }
+    Ok(())
+}
+
+/// Takes each task from the instance that knows it best.
+fn merge(replies: &[ShowJobReply]) -> BTreeMap<u32, TaskView> {
+    let mut tasks: BTreeMap<u32, TaskView> = BTreeMap::new();
+    for view in replies.iter().flat_map(|r| &r.tasks) {
+        let known = tasks.get(&view.index).is_some_and(|t| t.state != NOT_KNOWN_HERE);
+        if !known {
+            tasks.insert(view.index, view.clone());
+        }
+    }
+    tasks
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,50 @@
+//! `heathvale status`: shows the instances and their figures.
+
+use std::net::SocketAddr;
+
+use api::pb::{StatusReply, StatusRequest};
+use errors::Result;
+
+use crate::cli::StatusOpts;
+use crate::cmd::reach;
+
+/// Shows every instance; one that cannot be reached is named as such.
+///
+/// # Errors
+/// None so far; an unreachable instance is part of the answer.
+pub async fn run(instances: &[SocketAddr], opts: &StatusOpts) -> Result<()> {
+    let req = StatusRequest::default();
+    for addr in instances {
+        let call = async |op: api::Operator| op.status(&req).send().await.ok().map(|r| r.output);
+        match reach::one(*addr, call).await {
+            Some(status) => print(&status, opts.upstreams),
+            None => println!("{addr} unreachable"),
+        }
+    }
+    Ok(())
+}
+
+fn print(s: &StatusReply, upstreams: bool) {
+    let holds = if s.holds_epoch { " allocates" } else { "" };
+    println!(
+        "{} zone {} {} leader {} term {} applied {} config {} epoch {}{holds}",
+        s.instance, s.zone, s.role, s.leader, s.term, s.applied, s.config_version, s.epoch
+    );
+    println!("  members {}", s.members.join(", "));
+    for figure in &s.figures {
+        println!("  {} {:.2} {}", figure.name, figure.value, figure.unit);
+    }
+    for u in s.upstreams.iter().filter(|_| upstreams) {
+        println!(
+            "  upstream {} {} in flight {}/{} reserved {}/{} milli-cores {}/{} MB",
+            u.name,
+            u.state,
+            u.in_flight,
+            u.share,
+            u.reserved.cpu_milli,
+            u.capacity.cpu_milli,
+            u.reserved.memory_mb,
+            u.capacity.memory_mb
+        );
+    }
+}
