--- /dev/null
+++ b/Makefile
@@ -0,0 +1,17 @@
+# The commands a newcomer uses. Each installs what is missing (see scripts/setup.sh).
+.PHONY: setup build demo test bench prove ci
+
+setup:
+	@scripts/setup.sh
+
+build: setup
+	cargo build --workspace --bins --examples
+
+demo: build
+	@scripts/demo.sh
+
+test: setup
+	cargo test --workspace
+
+ci:
+	@.ci/run
--- a/components/events/src/journal.rs
+++ b/components/events/src/journal.rs
@@ -7,7 +7,7 @@
 use model::Name;
 use serde::{Deserialize, Serialize};
 
-use crate::catalogue::{Kind, Level};
+use crate::catalogue::{Kind, Level, find};
 use crate::order::LogicalClock;
 
 /// How many events a process keeps.
@@ -59,6 +59,39 @@
     pub subject: Subject,
 }
 
+/// An event as it travels to the other instances of the zone, which keep it for the case that its
+/// own process dies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EventCopy {
+    order: u64,
+    wall: Millis,
+    instance: Name,
+    number: u32,
+    text: String,
+    subject: Subject,
+}
+
+impl From<&Event> for EventCopy {
+    fn from(e: &Event) -> EventCopy {
+        EventCopy {
+            order: e.order,
+            wall: e.wall,
+            instance: e.instance.clone(),
+            number: e.kind.number,
+            text: e.text.clone(),
+            subject: e.subject.clone(),
+        }
+    }
+}
+
+impl EventCopy {
+    /// Gives the event, unless its kind is from a newer version.
+    fn event(self) -> Option<Event> {
+        let EventCopy { order, wall, instance, number, text, subject } = self;
+        Some(Event { order, wall, instance, kind: find(number)?, text, subject })
+    }
+}
+
 /// Which events are asked for. Empty fields ask for all.
 #[derive(Clone, Debug, Default)]
 pub struct Filter {
@@ -85,18 +118,34 @@
     }
 }
 
-/// The last events of this process.
+#[derive(Debug, Default)]
+struct Kept {
+    events: VecDeque<Event>,
+    /// Own events that no copy was made of yet.
+    uncopied: VecDeque<EventCopy>,
+}
+
+impl Kept {
+    fn push(&mut self, event: Event) {
+        self.events.push_back(event);
+        if self.events.len() > KEPT {
+            self.events.pop_front();
+        }
+    }
+}
+
+/// The last events of this process, and copies of those of its zone's other instances.
 #[derive(Debug)]
 pub struct Journal {
     instance: Name,
     clock: LogicalClock,
-    events: Mutex<VecDeque<Event>>,
+    kept: Mutex<Kept>,
 }
 
 impl Journal {
     /// Makes an empty journal for the process named `instance`.
     pub fn new(instance: Name) -> Journal {
-        Journal { instance, clock: LogicalClock::default(), events: Mutex::new(VecDeque::new()) }
+        Journal { instance, clock: LogicalClock::default(), kept: Mutex::default() }
     }
 
     /// Gives the clock that orders this process's events and messages.
@@ -115,21 +164,35 @@
             subject,
         };
         write_line(&event);
-        let mut events = self.lock();
-        events.push_back(event);
-        if events.len() > KEPT {
-            events.pop_front();
+        let mut kept = self.lock();
+        kept.uncopied.push_back(EventCopy::from(&event));
+        if kept.uncopied.len() > KEPT {
+            kept.uncopied.pop_front();
         }
+        kept.push(event);
+    }
+
+    /// Gives up to `most` own events that no copy was made of yet.
+    pub fn to_copy(&self, most: usize) -> Vec<EventCopy> {
+        let mut kept = self.lock();
+        let n = kept.uncopied.len().min(most);
+        kept.uncopied.drain(..n).collect()
+    }
+
+    /// Keeps copies of another instance's events.
+    pub fn keep_copies(&self, copies: Vec<EventCopy>) {
+        let mut kept = self.lock();
+        copies.into_iter().filter_map(EventCopy::event).for_each(|e| kept.push(e));
     }
 
-    /// Gives the events that `filter` asks for, oldest first.
+    /// Gives the events that `filter` asks for.
     pub fn read(&self, filter: &Filter) -> Vec<Event> {
-        self.lock().iter().filter(|e| filter.accepts(e)).cloned().collect()
+        self.lock().events.iter().filter(|e| filter.accepts(e)).cloned().collect()
     }
 
-    fn lock(&self) -> std::sync::MutexGuard<'_, VecDeque<Event>> {
-        // A panic while the lock was held cannot leave the queue half changed.
-        self.events.lock().unwrap_or_else(|e| e.into_inner())
+    fn lock(&self) -> std::sync::MutexGuard<'_, Kept> {
+        // A panic while the lock was held cannot leave the queues half changed.
+        self.kept.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
 
--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -8,6 +8,6 @@
 mod order;
 
 pub use catalogue::{CATALOGUE, Kind, Level, find, kinds};
-pub use journal::{Event, Filter, Journal, Subject};
+pub use journal::{Event, EventCopy, Filter, Journal, Subject};
 pub use logging::{LogFormat, start_logging};
 pub use order::LogicalClock;
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -32,6 +32,10 @@
 const ASK_EVERY: Millis = Millis(500);
 /// How often an instance tells the broker what it needs.
 const DEMAND_EVERY: Millis = Millis(100);
+/// How often an instance's events are copied to the others of its zone.
+const COPIES_EVERY: Millis = Millis(200);
+/// How many events are copied at once.
+const MOST_COPIES: usize = 2_000;
 /// How often the leader looks for zones that are cut off.
 const MOVES_EVERY: Millis = Millis(1_000);
 /// How many inputs are taken in between two syncs at the most.
@@ -80,6 +84,7 @@
     ask: Millis,
     demand: Millis,
     moves: Millis,
+    copies: Millis,
 }
 
 fn is_due(now: Millis, next: &mut Millis, every: Millis) -> bool {
@@ -244,6 +249,10 @@
             }
             Message::Loan(loan) => lock(&self.shared.plane).take_loan(now, &loan),
             Message::Leaving(name) => self.on_leaving(&name, false),
+            Message::Events(copies) if from != *self.shared.id() => {
+                self.shared.journal.keep_copies(copies);
+            }
+            Message::Events(_) => {}
         }
     }
 
@@ -449,6 +458,12 @@
             let demand = lock(&self.shared.plane).demand(now, &id);
             self.send_to_zone(&Message::Demand(demand));
         }
+        if is_due(now, &mut self.timers.copies, COPIES_EVERY) {
+            let copies = self.shared.journal.to_copy(MOST_COPIES);
+            if !copies.is_empty() {
+                self.send_to_zone(&Message::Events(copies));
+            }
+        }
         let leads = self.replica.node().lease_holds(now);
         if leads && is_due(now, &mut self.timers.moves, MOVES_EVERY) {
             for command in self.keeper.moves(now, &self.cell) {
--- a/components/instance/src/message.rs
+++ b/components/instance/src/message.rs
@@ -3,6 +3,7 @@
 use cell::{Command, Reply};
 use clock::Millis;
 use consensus::{Envelope, MemberRole};
+use events::EventCopy;
 use model::{Epoch, InstanceId, JobSpec, Name, RequestKey, Size, ZoneId};
 use routing::{Demand, Loan};
 use serde::{Deserialize, Serialize};
@@ -55,6 +56,8 @@
     Loan(Loan),
     /// Tells the others of the zone that an upstream is leaving.
     Leaving(Name),
+    /// Copies of the sender's events, for the case that its process dies.
+    Events(Vec<EventCopy>),
 }
 
 /// A zone's instance asks to allocate for it, or to go on.
--- a/components/zone/src/lease.rs
+++ b/components/zone/src/lease.rs
@@ -14,32 +14,46 @@
 /// What is waited beyond the drift, for clocks that count whole milliseconds.
 pub const CLOCK_MARGIN: Millis = Millis(50);
 
+/// One confirmation by the leader.
+#[derive(Clone, Copy, Debug)]
+struct Confirmed {
+    until: Millis,
+    needs_applied: u64,
+}
+
+/// How many confirmations are kept: several, because a newer one counts only once more of the log
+/// is applied, and the one before it counts until then.
+const KEPT: usize = 16;
+
 /// The allocator's right to renew movable tasks.
 #[derive(Clone, Debug, Default)]
 pub struct ZoneLease {
     epoch: Epoch,
-    until: Millis,
-    needs_applied: u64,
+    confirmed: Vec<Confirmed>,
 }
 
 impl ZoneLease {
     /// Notes that the leader confirmed `epoch` in answer to a question asked at `asked_at`. The
-    /// lease counts only once this instance has applied the log up to `last_index`, so that it acts
-    /// on no share that was moved away meanwhile.
+    /// confirmation counts only once this instance has applied the log up to `last_index`, so that
+    /// it acts on no share that was moved away meanwhile.
     pub fn confirm(&mut self, epoch: Epoch, asked_at: Millis, last_index: u64) {
         if epoch < self.epoch {
             return;
         }
         if epoch > self.epoch {
-            *self = ZoneLease { epoch, until: Millis::ZERO, needs_applied: 0 };
+            *self = ZoneLease { epoch, confirmed: Vec::new() };
+        }
+        let fresh = Confirmed { until: asked_at + ZONE_LEASE, needs_applied: last_index };
+        self.confirmed.push(fresh);
+        if self.confirmed.len() > KEPT {
+            self.confirmed.remove(0);
         }
-        self.until = self.until.max(asked_at + ZONE_LEASE);
-        self.needs_applied = self.needs_applied.max(last_index);
     }
 
     /// Tells whether the lease holds.
     pub fn holds(&self, now: Millis, epoch: Epoch, applied: u64) -> bool {
-        epoch == self.epoch && now < self.until && applied >= self.needs_applied
+        let counts = |c: &Confirmed| now < c.until && applied >= c.needs_applied;
+        epoch == self.epoch && self.confirmed.iter().any(counts)
     }
 }
 
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -283,11 +283,11 @@
 pub fn print_help(cli: &Cli) -> ExitCode {
     match cli.command.as_ref().and_then(|c| c.command_name().map(|n| (c, n))) {
         Some((command, name)) => {
-            println!("Usage: heathvale {name} [FLAGS]\n\n{}", command.self_usage());
+            say!("Usage: heathvale {name} [FLAGS]\n\n{}", command.self_usage());
         }
         None => {
-            println!("Usage: heathvale [FLAGS] COMMAND\n\n{}", Cli::usage());
-            println!("\nCommands:\n{}", Command::usage());
+            say!("Usage: heathvale [FLAGS] COMMAND\n\n{}", Cli::usage());
+            say!("\nCommands:\n{}", Command::usage());
         }
     }
     ExitCode::SUCCESS
--- a/src/cmd/apply.rs
+++ b/src/cmd/apply.rs
@@ -22,6 +22,6 @@
     };
     let call = async |op: api::Operator| op.apply_config(&req).send().await.ok().map(|r| r.output);
     let version = change::make(instances, &opts.file, call).await?;
-    println!("version {version} is accepted");
+    say!("version {version} is accepted");
     Ok(())
 }
--- a/src/cmd/cancel.rs
+++ b/src/cmd/cancel.rs
@@ -19,7 +19,7 @@
         let call =
             async |op: api::Operator| op.cancel_job(&req).send().await.ok().map(|r| r.output);
         let version = change::make(instances, name, call).await?;
-        println!("cancelled {name} at version {version}");
+        say!("cancelled {name} at version {version}");
     }
     Ok(())
 }
--- a/src/cmd/config.rs
+++ b/src/cmd/config.rs
@@ -17,7 +17,7 @@
     let req = ReadConfigRequest::default();
     let call = async |op: api::Operator| op.read_config(&req).send().await.ok().map(|r| r.output);
     let config = reach::first(instances, call).await?;
-    println!("# version {}", config.version);
-    print!("{}", config.text);
+    say!("# version {}", config.version);
+    say!("{}", config.text.trim_end());
     Ok(())
 }
--- a/src/cmd/create.rs
+++ b/src/cmd/create.rs
@@ -24,7 +24,7 @@
         let call =
             async |op: api::Operator| op.create_job(&req).send().await.ok().map(|r| r.output);
         let version = change::make(instances, spec.name.as_str(), call).await?;
-        println!("created {} at version {version}", spec.name);
+        say!("created {} at version {version}", spec.name);
     }
     Ok(())
 }
--- a/src/cmd/drain.rs
+++ b/src/cmd/drain.rs
@@ -21,6 +21,6 @@
     let call = async |op: api::Operator| op.drain(&req).send().await.ok().map(|r| r.output);
     let version = change::make(instances, &opts.target, call).await?;
     let what = if opts.back { "in use" } else { "out of use" };
-    println!("{} is {what} at version {version}", opts.target);
+    say!("{} is {what} at version {version}", opts.target);
     Ok(())
 }
--- a/src/cmd/list.rs
+++ b/src/cmd/list.rs
@@ -19,7 +19,7 @@
     if opts.fresh && !reply.fresh {
         return Err(Error::Refused("no leader could confirm that the answer is fresh".into()));
     }
-    println!("{:<24} {:<8} {:>6} {:>9} {:<10} reason", "job", "kind", "tasks", "finished", "state");
+    say!("{:<24} {:<8} {:>6} {:>9} {:<10} reason", "job", "kind", "tasks", "finished", "state");
     for job in &reply.jobs {
         let kind = match job.job.kind {
             Kind::Service => "service",
@@ -28,7 +28,7 @@
         };
         let (name, tasks) = (&job.job.name, job.job.tasks);
         let (finished, state) = (job.finished, &job.state);
-        println!("{name:<24} {kind:<8} {tasks:>6} {finished:>9} {state:<10} {}", job.reason);
+        say!("{name:<24} {kind:<8} {tasks:>6} {finished:>9} {state:<10} {}", job.reason);
     }
     Ok(())
 }
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -77,7 +77,7 @@
         if elapsed / 1_000_000 > told {
             told = elapsed / 1_000_000;
             let t = tally.borrow();
-            println!("{told} s: sent {} answered {}", t.sent, t.answers.len());
+            say!("{told} s: sent {} answered {}", t.sent, t.answers.len());
         }
         sleep(STEP).await;
     }
@@ -228,27 +228,27 @@
 fn print(tally: &Tally, started: Instant) {
     let seconds = started.elapsed().as_secs_f64();
     let done = tally.answers.iter().filter(|a| a.outcome == "done").count();
-    println!("sent {} answered {} in {seconds:.1} s", tally.sent, tally.answers.len());
-    println!("goodput {:.1} requests/s", done as f64 / seconds);
+    say!("sent {} answered {} in {seconds:.1} s", tally.sent, tally.answers.len());
+    say!("goodput {:.1} requests/s", done as f64 / seconds);
     let mut outcomes: BTreeMap<(&str, &str), u64> = BTreeMap::new();
     for a in &tally.answers {
         *outcomes.entry((a.class.as_str(), a.outcome.as_str())).or_default() += 1;
     }
     for ((class, outcome), n) in outcomes {
-        println!("  {class:<7} {outcome:<14} {n}");
+        say!("  {class:<7} {outcome:<14} {n}");
     }
     let broken = tally.answers.iter().filter(|a| !a.whole).count();
-    println!("answers not whole or for another request: {broken}");
+    say!("answers not whole or for another request: {broken}");
     for class in Class::ALL {
         let Ok(mut histogram) = Histogram::<u64>::new(HISTOGRAM_DIGITS) else { continue };
         let of_class = tally.answers.iter().filter(|a| a.class == class && a.outcome == "done");
-        of_class.for_each(|a| histogram.saturating_record(a.micros));
+        of_class.for_each(|a| histogram.record(a.micros).unwrap_or_default());
         if histogram.is_empty() {
             continue;
         }
         let ms = |q: f64| histogram.value_at_quantile(q) as f64 / 1_000.0;
         let (p50, p90, p99, max) = (ms(0.5), ms(0.9), ms(0.99), ms(1.0));
-        println!(
+        say!(
             "  {:<7} done in p50 {p50:.1} p90 {p90:.1} p99 {p99:.1} max {max:.1} ms",
             class.as_str()
         );
--- a/src/cmd/member.rs
+++ b/src/cmd/member.rs
@@ -21,6 +21,6 @@
     let call =
         async |op: api::Operator| op.replace_member(&req).send().await.ok().map(|r| r.output);
     change::make(instances, &opts.instance, call).await?;
-    println!("{} becomes {}", opts.instance, opts.role);
+    say!("{} becomes {}", opts.instance, opts.role);
     Ok(())
 }
--- a/src/cmd/show.rs
+++ b/src/cmd/show.rs
@@ -33,10 +33,11 @@
     let tasks = merge(&replies);
     let running = tasks.values().filter(|t| t.state == "running").count();
     let (state, finished) = (&found.summary.state, found.summary.finished);
-    println!("{} {state}: {running} running, {finished} finished", opts.name);
+    say!("{} {state}: {running} running, {finished} finished", opts.name);
     for task in tasks.values() {
         let TaskView { index, zone, worker, state, reason } = task;
-        println!("  {index:>5} {zone:<10} {worker:<12} {state} {reason}");
+        let worker = if worker.is_empty() { "-" } else { worker.as_str() };
+        say!("  {index:>5} {zone:<10} {worker:<12} {state} {reason}");
     }
     Ok(())
 }
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -18,7 +18,7 @@
         let call = async |op: api::Operator| op.status(&req).send().await.ok().map(|r| r.output);
         match reach::one(*addr, call).await {
             Some(status) => print(&status, opts.upstreams),
-            None => println!("{addr} unreachable"),
+            None => say!("{addr} unreachable"),
         }
     }
     Ok(())
@@ -26,16 +26,23 @@
 
 fn print(s: &StatusReply, upstreams: bool) {
     let holds = if s.holds_epoch { " allocates" } else { "" };
-    println!(
+    say!(
         "{} zone {} {} leader {} term {} applied {} config {} epoch {}{holds}",
-        s.instance, s.zone, s.role, s.leader, s.term, s.applied, s.config_version, s.epoch
+        s.instance,
+        s.zone,
+        s.role,
+        s.leader,
+        s.term,
+        s.applied,
+        s.config_version,
+        s.epoch
     );
-    println!("  members {}", s.members.join(", "));
+    say!("  members {}", s.members.join(", "));
     for figure in &s.figures {
-        println!("  {} {:.2} {}", figure.name, figure.value, figure.unit);
+        say!("  {} {:.2} {}", figure.name, figure.value, figure.unit);
     }
     for u in s.upstreams.iter().filter(|_| upstreams) {
-        println!(
+        say!(
             "  upstream {} {} in flight {}/{} reserved {}/{} milli-cores {}/{} MB",
             u.name,
             u.state,
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -35,9 +35,11 @@
     let on = opts.on.as_deref();
     events.retain(|e| on.is_none_or(|name| e.instance == name));
     events.sort_by(|a, b| (a.order, &a.instance).cmp(&(b.order, &b.instance)));
+    // Other instances of a zone keep copies of each event.
+    events.dedup_by(|a, b| a.order == b.order && a.instance == b.instance);
     events.iter().for_each(print);
     for addr in missing {
-        println!("{addr} unreachable: its events are missing");
+        say!("{addr} unreachable: its events are missing");
     }
     Ok(())
 }
@@ -49,5 +51,5 @@
         .filter(|(_, value)| !value.is_empty())
         .map(|(name, value)| format!(" {name}={value}"))
         .collect();
-    println!("{} {:<6} E{} {}: {}{about}", e.wall_ms, e.instance, e.number, e.name, e.text);
+    say!("{} {:<6} E{} {}: {}{about}", e.wall_ms, e.instance, e.number, e.name, e.text);
 }
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,7 @@
 //! `heathvale`: the operator's command line.
 
+#[macro_use]
+mod out;
 mod cli;
 mod cmd;
 
@@ -23,7 +25,7 @@
         }
     };
     if cli.version {
-        println!("heathvale {}", env!("CARGO_PKG_VERSION"));
+        say!("heathvale {}", env!("CARGO_PKG_VERSION"));
         return ExitCode::SUCCESS;
     }
     let Some(command) = cli.command.clone().filter(|_| !cli.help_requested()) else {
