--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -113,14 +113,23 @@
 #[derive(Default)]
 struct Round {
     decisions: Vec<Decision>,
-    no_room: Vec<(Size, bool)>,
+    no_room: Vec<NoRoom>,
+}
+
+/// A task that found no room in this round.
+struct NoRoom {
+    size: Size,
+    spread: bool,
+    /// How long it would have run: workers that a gang waits for take shorter work only.
+    run: Millis,
 }
 
 impl Round {
-    /// Tells whether something no larger has found no room in this round already.
-    fn is_known_stuck(&self, spec: &JobSpec) -> bool {
+    /// Tells whether something no larger and no longer has found no room in this round already.
+    fn is_known_stuck(&self, spec: &JobSpec, run: Millis) -> bool {
         let spread = spec.spread != Spread::None;
-        self.no_room.iter().any(|(size, s)| *s == spread && size.fits(&spec.size))
+        let covers = |n: &NoRoom| n.spread == spread && n.run <= run && n.size.fits(&spec.size);
+        self.no_room.iter().any(covers)
     }
 }
 
@@ -296,7 +305,8 @@
         if !self.within_limits(&spec, tasks.len()) {
             return false;
         }
-        let found = match round.is_known_stuck(&spec) {
+        let run = self.estimator.expected(&spec);
+        let found = match round.is_known_stuck(&spec, run) {
             true => None,
             false => self.place_all(now, &spec, generation, &tasks),
         };
@@ -310,7 +320,8 @@
             return true;
         }
         if tasks.len() == 1 && !self.avoid.contains_key(job) {
-            round.no_room.push((spec.size, spec.spread != Spread::None));
+            let (size, spread) = (spec.size, spec.spread != Spread::None);
+            round.no_room.push(NoRoom { size, spread, run });
         }
         self.note_stuck(now, &spec, &tasks, round);
         false
--- a/components/zone/src/jobs.rs
+++ b/components/zone/src/jobs.rs
@@ -111,8 +111,8 @@
         let ix = placed.worker;
         let running = RunningTask { task: task.clone(), generation: placed.generation };
         let Some(link) = self.links.get_mut(&ix) else { return };
-        let unsent = link.to_start.remove(task).is_some() && !link.sent_starts.contains(task);
-        if never_sent || (unsent && !link.runs(task)) {
+        let unsent = link.to_start.remove(task).is_some_and(|q| !q.sent);
+        if never_sent || unsent {
             self.planner.release(task);
         } else {
             // Its room stays taken until the worker says that it has stopped.
--- a/components/zone/src/reports.rs
+++ b/components/zone/src/reports.rs
@@ -42,7 +42,6 @@
         link.leaving_reported = report.leaving;
         let running: BTreeSet<RunningTask> = report.running.iter().cloned().collect();
         link.note_report(now, report.boot, report.now, running.iter().cloned());
-        let sent = std::mem::take(&mut link.sent_starts);
         if first || restarted {
             link.call_soon(now);
             link.to_forget.clear();
@@ -53,7 +52,7 @@
             self.on_ended(now, ix, ended);
         }
         let adopted = self.adopt(now, ix, &running);
-        self.find_missing(now, ix, &running, &sent, restarted);
+        self.find_missing(now, ix, &running);
         let ours = running.iter().filter_map(|r| self.planner.placed(&r.task));
         let ours =
             ours.filter(|p| p.worker == ix).fold(Size::ZERO, |sum, p| sum.plus(&p.spec.size));
@@ -85,8 +84,9 @@
         let Some(link) = self.links.get_mut(&ix) else { return };
         link.to_stop.retain(|task, _| running.contains(task));
         link.to_forget.retain(|task| ended.iter().any(|e| e.task == *task));
-        link.to_start.retain(|task, start| {
-            let started = RunningTask { task: task.clone(), generation: start.generation };
+        link.to_start.retain(|task, queued| {
+            let generation = queued.start.generation;
+            let started = RunningTask { task: task.clone(), generation };
             !running.contains(&started) && !ended.iter().any(|e| e.task == started)
         });
     }
@@ -130,14 +130,7 @@
     }
 
     /// Finds tasks that were placed here and that the worker neither runs nor will run.
-    fn find_missing(
-        &mut self,
-        now: Millis,
-        ix: WorkerIndex,
-        running: &BTreeSet<RunningTask>,
-        sent: &[TaskId],
-        restarted: bool,
-    ) {
+    fn find_missing(&mut self, now: Millis, ix: WorkerIndex, running: &BTreeSet<RunningTask>) {
         let placed: Vec<TaskId> = self.planner.tasks_on(ix).cloned().collect();
         for task in placed {
             let Some(p) = self.planner.placed(&task) else { continue };
@@ -145,18 +138,13 @@
             if running.contains(&run) || self.claiming.contains_key(&task) {
                 continue;
             }
-            let link = self.links.get_mut(&ix);
-            let unsent = link.is_some_and(|l| {
-                let queued = l.to_start.contains_key(&task);
-                let refused = queued && sent.contains(&task) && !restarted;
-                if refused {
-                    l.to_start.remove(&task);
-                }
-                queued && !refused
-            });
-            if unsent {
+            let Some(link) = self.links.get_mut(&ix) else { continue };
+            if link.to_start.get(&task).is_some_and(|q| !q.sent) {
                 continue;
             }
+            // A start that was sent and is not there was refused, or its process has died since;
+            // calls before this report's cannot act any more.
+            link.to_start.remove(&task);
             self.planner.release(&task);
             self.retry_or_end(now, &task, true, "its worker no longer has it");
         }
--- a/components/zone/src/sync.rs
+++ b/components/zone/src/sync.rs
@@ -46,11 +46,17 @@
     running: BTreeSet<RunningTask>,
     /// What the worker spends on tasks that are not ours, which are being stopped.
     pub(crate) stray: Size,
-    pub(crate) to_start: BTreeMap<TaskId, StartTask>,
+    pub(crate) to_start: BTreeMap<TaskId, QueuedStart>,
     pub(crate) to_stop: BTreeMap<RunningTask, bool>,
     pub(crate) to_forget: BTreeSet<RunningTask>,
-    /// What the call in flight told the worker to start.
-    pub(crate) sent_starts: Vec<TaskId>,
+}
+
+/// A start that the worker has not reported yet.
+#[derive(Clone, Debug)]
+pub(crate) struct QueuedStart {
+    pub(crate) start: StartTask,
+    /// Whether any call has carried it, so that the worker may have started it.
+    pub(crate) sent: bool,
 }
 
 impl WorkerLink {
@@ -71,7 +77,6 @@
             to_start: BTreeMap::new(),
             to_stop: BTreeMap::new(),
             to_forget: BTreeSet::new(),
-            sent_starts: Vec::new(),
         }
     }
 
@@ -146,7 +151,7 @@
     }
 
     fn is_due(&self, now: Millis, right: Right) -> bool {
-        let starts = self.to_start.values().any(|s| may_start(right, s));
+        let starts = self.to_start.values().any(|q| may_start(right, &q.start));
         let news = starts || !self.to_stop.is_empty() || !self.to_forget.is_empty();
         let answered = self.unanswered == 0 && self.last.is_some();
         self.in_flight.is_none() && (now >= self.next_call || (news && answered))
@@ -173,7 +178,6 @@
             stop: Vec::new(),
             forget: Vec::new(),
         };
-        self.sent_starts.clear();
         let Some(last) = self.last else { return req };
         let until = last.worker_now + worker_lease;
         req.boot = last.boot;
@@ -182,9 +186,11 @@
             movable_until: if right == Right::Full { until } else { Millis::ZERO },
         });
         self.lease_ends = self.lease_ends.max(lease_bound(last.at, worker_lease));
-        let allowed = self.to_start.values().filter(|s| may_start(right, s));
-        req.start = allowed.take(MAX_STARTS).cloned().collect();
-        self.sent_starts = req.start.iter().map(|s| s.task.clone()).collect();
+        let allowed = self.to_start.values_mut().filter(|q| may_start(right, &q.start));
+        for queued in allowed.take(MAX_STARTS) {
+            queued.sent = true;
+            req.start.push(queued.start.clone());
+        }
         req.stop = self.to_stop.iter().map(|(r, &checkpoint)| stop(r, checkpoint)).collect();
         req.forget = self.to_forget.iter().cloned().collect();
         req
@@ -226,7 +232,7 @@
             may_move: placed.spec.may_move,
         };
         if let Some(link) = self.links.get_mut(&ix) {
-            link.to_start.insert(task.clone(), start);
+            link.to_start.insert(task.clone(), QueuedStart { start, sent: false });
         }
     }
 
