--- /dev/null
+++ b/components/events/tests/catalogue.rs
@@ -0,0 +1,56 @@
+//! The catalogue, its page, and the order of events.
+
+use std::collections::BTreeSet;
+
+use events::{CATALOGUE, Filter, Journal, Level, LogicalClock, Subject, kinds};
+
+#[test]
+fn numbers_and_names_are_unique() {
+    let numbers: BTreeSet<u32> = CATALOGUE.iter().map(|k| k.number).collect();
+    let names: BTreeSet<&str> = CATALOGUE.iter().map(|k| k.name).collect();
+    assert_eq!((numbers.len(), names.len()), (CATALOGUE.len(), CATALOGUE.len()));
+}
+
+#[test]
+fn the_page_lists_each_event_once_and_as_the_code_has_it() {
+    let page = include_str!("../../../docs/events.md");
+    let rows: Vec<&str> =
+        page.lines().filter(|l| l.starts_with("| ") && !l.contains("number")).collect();
+    let wanted: Vec<String> = CATALOGUE
+        .iter()
+        .map(|k| {
+            let level = match k.level {
+                Level::Info => "info",
+                Level::Warn => "warn",
+                Level::Error => "error",
+            };
+            format!("| {} | {level} | {} | {} |", k.number, k.name, k.meaning)
+        })
+        .collect();
+    assert_eq!(rows, wanted);
+}
+
+#[test]
+fn what_follows_a_message_comes_after_it() {
+    let (here, there) = (LogicalClock::default(), LogicalClock::default());
+    // A message from a process whose clock is far ahead.
+    there.observe(u64::MAX / 2);
+    let sent = there.next();
+    here.observe(sent);
+    assert!(here.next() > sent);
+}
+
+#[test]
+fn a_journal_filters_and_keeps_copies() {
+    let (a, b) = (Journal::new("a".into()), Journal::new("b".into()));
+    a.note(&kinds::JOB_CREATED, Subject::job(&"x"), "one");
+    a.note(&kinds::JOB_CREATED, Subject::job(&"y"), "two");
+    b.keep_copies(a.to_copy(10));
+    assert!(a.to_copy(10).is_empty(), "each event is copied once");
+    let filter = Filter { subject: Subject::job(&"y"), ..Filter::default() };
+    let found = b.read(&filter);
+    assert_eq!(found.len(), 1);
+    assert_eq!((&*found[0].instance, found[0].text.as_str()), ("a", "two"));
+    let later = Filter { after: found[0].order, ..Filter::default() };
+    assert!(a.read(&later).is_empty());
+}
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -473,7 +473,8 @@
         }
         if is_due(now, &mut self.timers.demand, DEMAND_EVERY) {
             let id = self.shared.id().clone();
-            let demand = lock(&self.shared.plane).demand(now, &id);
+            let epoch = self.cell.zones.epoch(self.shared.zone());
+            let demand = lock(&self.shared.plane).demand(now, epoch, &id);
             self.send_to_zone(&Message::Demand(demand));
         }
         if is_due(now, &mut self.timers.copies, COPIES_EVERY) {
--- a/components/instance/src/plane.rs
+++ b/components/instance/src/plane.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use clock::Millis;
-use model::{CellConfig, Class, Name};
+use model::{CellConfig, Class, Epoch, InstanceId, Name};
 use routing::{
     Admission, Demand, Dispatch, Ending, Loan, Pick, RequestInfo, Router, RouterConfig, ShareWay,
     TargetState,
@@ -53,7 +53,11 @@
 impl Plane {
     pub(crate) fn new(settings: &Instance) -> Plane {
         Plane {
-            router: Router::new(router_config(&CellConfig::default()), settings.seed),
+            router: Router::new(
+                router_config(&CellConfig::default()),
+                settings.seed,
+                clock::wall_now().0,
+            ),
             waiting: BTreeMap::new(),
             next_id: 0,
             under_way: 0,
@@ -171,8 +175,8 @@
         self.router.may_retry(now, info)
     }
 
-    pub(crate) fn demand(&mut self, now: Millis, id: &model::InstanceId) -> Demand {
-        self.router.demand(now, id)
+    pub(crate) fn demand(&mut self, now: Millis, epoch: Epoch, id: &InstanceId) -> Demand {
+        self.router.demand(now, epoch, id)
     }
 
     pub(crate) fn take_loan(&mut self, now: Millis, loan: &Loan) {
--- a/components/instance/src/zone_role.rs
+++ b/components/instance/src/zone_role.rs
@@ -120,7 +120,9 @@
             return;
         }
         self.right = Right::RenewOnly;
-        self.broker = Some(Broker::new(now, epoch, self.longest_request));
+        let mut instances = self.mates.clone();
+        instances.insert(self.id.clone());
+        self.broker = Some(Broker::new(now, epoch, self.longest_request, instances));
         let cfg = allocator_config(self.zone.clone(), epoch, cell);
         let mut allocator = Allocator::new(now, cfg);
         allocator.set_workers(now, &self.list.workers);
--- /dev/null
+++ b/components/instance/tests/keeper.rs
@@ -0,0 +1,166 @@
+//! The leader grants zones and moves tasks only when earlier rights have surely run out.
+
+use cell::{Cell, Command, Proposal, Share, ZoneRoom};
+use clock::Millis;
+use instance::{AskReply, ZoneAsk, ZoneKeeper};
+use model::{Class, Epoch, InstanceId, JobKind, JobSpec, Size, Spread};
+use zone::{ZONE_LEASE, lease_bound, move_wait, takeover_wait};
+
+const START: Millis = Millis(1_000_000);
+
+fn apply(cell: &mut Cell, index: u64, command: Command) {
+    cell.apply(index, &Proposal { key: None, at: Millis(0), command });
+}
+
+fn grant(cell: &mut Cell, index: u64, zone: &str, holder: &str) {
+    let after = cell.zones.epoch(&zone.into());
+    let (zone, holder) = (zone.into(), holder.into());
+    apply(cell, index, Command::GrantEpoch { zone, holder, after });
+}
+
+fn ask(zone: &str, epoch: u64, applied: u64) -> ZoneAsk {
+    let size = Size::new(100_000, 100_000, 0);
+    ZoneAsk {
+        zone: zone.into(),
+        epoch: Epoch(epoch),
+        asked_at: Millis(7),
+        applied,
+        room: Some((size, size)),
+    }
+}
+
+fn id(name: &str) -> InstanceId {
+    name.into()
+}
+
+/// One question after the zone was granted to "a" under epoch 5 and confirmed at START: who asks,
+/// allocating under which epoch, how much later, and whether it is granted, confirmed or put off.
+macro_rules! asks {
+    ($($name:ident: $who:expr, $epoch:expr, $later:expr => $reply:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut cell = Cell::default();
+            grant(&mut cell, 5, "za", "a");
+            let mut keeper = ZoneKeeper::new(START - Millis(60_000));
+            assert_eq!(keeper.ask(START, &cell, &id("a"), &ask("za", 5, 5)), AskReply::Confirm);
+            let reply = keeper.ask(START + $later, &cell, &id($who), &ask("za", $epoch, 5));
+            assert!(matches!(reply, AskReply::$reply { .. }), "{reply:?}");
+        }
+    )*};
+}
+
+asks! {
+    the_holder_goes_on: "a", 5, Millis(500) => Confirm;
+    the_holder_goes_on_after_a_long_silence: "a", 5, Millis(60_000) => Confirm;
+    the_holder_restarted_gets_a_new_epoch: "a", 0, Millis(500) => Grant;
+    the_holder_under_an_older_epoch_waits: "a", 4, Millis(500) => Wait;
+    another_waits_at_once: "b", 0, Millis(1) => Wait;
+    another_waits_while_the_lease_may_hold: "b", 0, ZONE_LEASE => Wait;
+    another_waits_through_the_drift: "b", 0, takeover_wait() => Wait;
+    another_takes_over_after_that: "b", 0, takeover_wait() + Millis(1) => Grant;
+}
+
+#[test]
+fn a_new_leader_waits_as_if_the_old_one_had_just_confirmed() {
+    let mut cell = Cell::default();
+    grant(&mut cell, 5, "za", "a");
+    let mut keeper = ZoneKeeper::new(START);
+    let at = START + takeover_wait();
+    assert_eq!(keeper.ask(at, &cell, &id("b"), &ask("za", 0, 5)), AskReply::Wait);
+    let at = at + Millis(1);
+    assert!(matches!(keeper.ask(at, &cell, &id("b"), &ask("za", 0, 5)), AskReply::Grant(_)));
+}
+
+#[test]
+fn nobody_is_confirmed_while_a_change_of_the_zone_is_under_way() {
+    let mut cell = Cell::default();
+    grant(&mut cell, 5, "za", "a");
+    let mut keeper = ZoneKeeper::new(START);
+    keeper.changing(&"za".into(), 6);
+    assert_eq!(keeper.ask(START, &cell, &id("a"), &ask("za", 5, 5)), AskReply::Wait);
+    cell.skip(6);
+    assert_eq!(keeper.ask(START, &cell, &id("a"), &ask("za", 5, 6)), AskReply::Confirm);
+}
+
+#[test]
+fn an_instance_that_has_not_applied_the_newest_grant_gets_none() {
+    let mut cell = Cell::default();
+    grant(&mut cell, 5, "za", "a");
+    let mut keeper = ZoneKeeper::new(Millis(0));
+    assert_eq!(keeper.ask(START, &cell, &id("b"), &ask("za", 0, 4)), AskReply::Wait);
+}
+
+#[test]
+fn a_drained_instance_gets_no_zone() {
+    let mut cell = Cell::default();
+    apply(&mut cell, 1, Command::Drain { target: "a".into(), on: true });
+    let mut keeper = ZoneKeeper::new(Millis(0));
+    assert_eq!(keeper.ask(START, &cell, &id("a"), &ask("za", 0, 1)), AskReply::Wait);
+    assert!(matches!(keeper.ask(START, &cell, &id("b"), &ask("za", 0, 1)), AskReply::Grant(_)));
+}
+
+fn job(name: &str, may_move: bool) -> Command {
+    let spec = JobSpec {
+        name: name.into(),
+        team: "t".into(),
+        kind: JobKind::Service,
+        tasks: 2,
+        size: Size::new(1_000, 1_000, 0),
+        run_time: Millis::ZERO,
+        class: Class::Normal,
+        deadline: Millis::ZERO,
+        spread: Spread::None,
+        may_move,
+        repeatable: true,
+    };
+    let shares = vec![Share { zone: "za".into(), first: 0, count: 2 }];
+    Command::CreateJob { spec, shares }
+}
+
+fn cut_off_cell() -> (Cell, ZoneKeeper, Millis) {
+    let mut cell = Cell::default();
+    grant(&mut cell, 1, "za", "a");
+    grant(&mut cell, 2, "zb", "b");
+    apply(&mut cell, 3, job("moves", true));
+    apply(&mut cell, 4, job("stays", false));
+    let mut keeper = ZoneKeeper::new(START);
+    keeper.ask(START, &cell, &id("a"), &ask("za", 1, 4));
+    let lease = cell.config.config.worker_lease;
+    (cell, keeper, START + move_wait(lease))
+}
+
+#[test]
+fn movable_tasks_of_a_silent_zone_move_and_others_stay() {
+    let (cell, mut keeper, surely_over) = cut_off_cell();
+    keeper.ask(surely_over + Millis(20_000), &cell, &id("b"), &ask("zb", 2, 4));
+    let moves = keeper.moves(surely_over + Millis(20_000), &cell);
+    let [Command::MoveShare { job, from, to, .. }] = &moves[..] else { panic!("{moves:?}") };
+    assert_eq!((job.as_str(), from.as_str(), to.as_str()), ("moves", "za", "zb"));
+}
+
+#[test]
+fn nothing_moves_before_the_leases_have_surely_run_out() {
+    let (cell, mut keeper, surely_over) = cut_off_cell();
+    keeper.ask(surely_over, &cell, &id("b"), &ask("zb", 2, 4));
+    assert!(keeper.moves(surely_over, &cell).is_empty());
+    // The zone's lease and the workers' run out one after the other.
+    let lease = cell.config.config.worker_lease;
+    let least = lease_bound(Millis::ZERO, ZONE_LEASE) + lease_bound(Millis::ZERO, lease);
+    assert!(surely_over.since(START) >= least);
+}
+
+#[test]
+fn nothing_moves_while_any_instance_of_the_zone_is_heard() {
+    let (cell, mut keeper, surely_over) = cut_off_cell();
+    let at = surely_over + Millis(20_000);
+    keeper.ask(at, &cell, &id("b"), &ask("zb", 2, 4));
+    keeper.ask(at, &cell, &id("a2"), &ask("za", 0, 0));
+    assert!(keeper.moves(at, &cell).is_empty());
+}
+
+#[test]
+fn rooms_are_those_last_told() {
+    let (_, keeper, _) = cut_off_cell();
+    let rooms: Vec<ZoneRoom> = keeper.rooms();
+    assert_eq!(rooms.len(), 1);
+}
--- a/components/routing/src/broker.rs
+++ b/components/routing/src/broker.rs
@@ -4,7 +4,7 @@
 //! itself, but requests sent under it may still be under way then: what was lent is lent again only
 //! when the borrower says that it no longer uses it, or when the longest request has surely ended.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use clock::Millis;
 use model::{Epoch, InstanceId, Name};
@@ -20,11 +20,27 @@
 pub struct Demand {
     /// Who asks.
     pub instance: InstanceId,
-    /// Counts the asker's demands, so that an old one does not undo a newer one.
+    /// The asker's process; a later one has a higher number.
+    pub process: u64,
+    /// Counts the process's demands, so that an old one does not undo a newer one.
     pub seq: u64,
-    /// For each upstream: how many slots beyond its own it uses or keeps now, and how many beyond
-    /// its own it would like to have.
-    pub upstreams: Vec<(Name, u32, u32)>,
+    /// The newest epoch that the asker knows; it takes loans of this one only.
+    pub epoch: Epoch,
+    /// What it asks of each upstream.
+    pub wishes: Vec<Wish>,
+}
+
+/// What an instance asks of one upstream, in slots beyond its own.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wish {
+    /// The upstream.
+    pub upstream: Name,
+    /// How many it has requests in.
+    pub used: u32,
+    /// How many an earlier loan still lets it use.
+    pub held: u32,
+    /// How many it would like to have.
+    pub wanted: u32,
 }
 
 /// What the broker lends one instance.
@@ -34,10 +50,21 @@
     pub epoch: Epoch,
     /// Who borrows.
     pub instance: InstanceId,
+    /// The process that borrows.
+    pub process: u64,
     /// The demand that this answers.
     pub seq: u64,
-    /// For each upstream: how many slots beyond its own the instance may use.
-    pub upstreams: Vec<(Name, u32)>,
+    /// What is lent of each upstream.
+    pub slots: Vec<LentSlots>,
+}
+
+/// How many slots beyond its own an instance may use on an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LentSlots {
+    /// The upstream.
+    pub upstream: Name,
+    /// How many.
+    pub slots: u32,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -54,59 +81,70 @@
     longest_request: Millis,
     /// When loans of earlier epochs have surely ended.
     opens_at: Millis,
+    /// The zone's instances that have not asked under this epoch yet. Once all have, what they still
+    /// hold of earlier loans is known.
+    unheard: BTreeSet<InstanceId>,
     lent: BTreeMap<Name, BTreeMap<InstanceId, Lent>>,
-    last_seq: BTreeMap<InstanceId, u64>,
+    last: BTreeMap<InstanceId, Heard>,
+}
+
+/// The newest demand of an instance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+struct Heard {
+    process: u64,
+    seq: u64,
 }
 
 impl Broker {
-    /// Starts a broker. It lends nothing until loans of an earlier epoch have surely ended.
-    pub fn new(now: Millis, epoch: Epoch, longest_request: Millis) -> Broker {
+    /// Starts a broker. It lends nothing new until it knows what each of `instances` holds of loans
+    /// of an earlier epoch, or those have surely ended.
+    pub fn new(
+        now: Millis,
+        epoch: Epoch,
+        longest_request: Millis,
+        instances: BTreeSet<InstanceId>,
+    ) -> Broker {
         Broker {
             epoch,
             longest_request,
             opens_at: loan_end(now, longest_request),
+            unheard: instances,
             lent: BTreeMap::new(),
-            last_seq: BTreeMap::new(),
+            last: BTreeMap::new(),
         }
     }
 
     /// Answers a demand. `pool` is what each upstream has to lend.
     pub fn answer(&mut self, now: Millis, demand: &Demand, pool: u32) -> Option<Loan> {
-        let last = self.last_seq.entry(demand.instance.clone()).or_default();
-        if demand.seq <= *last {
+        let heard = Heard { process: demand.process, seq: demand.seq };
+        let last = self.last.entry(demand.instance.clone()).or_default();
+        if heard <= *last || demand.epoch != self.epoch {
             return None;
         }
-        *last = demand.seq;
-        let mut upstreams = Vec::with_capacity(demand.upstreams.len());
-        for (name, used, wanted) in &demand.upstreams {
-            let granted = self.lend(now, name, &demand.instance, (*used, *wanted), pool);
-            upstreams.push((name.clone(), granted));
+        *last = heard;
+        self.unheard.remove(&demand.instance);
+        let mut slots = Vec::with_capacity(demand.wishes.len());
+        for wish in &demand.wishes {
+            let granted = self.lend(now, &demand.instance, wish, pool);
+            slots.push(LentSlots { upstream: wish.upstream.clone(), slots: granted });
         }
-        let (epoch, instance, seq) = (self.epoch, demand.instance.clone(), demand.seq);
-        Some(Loan { epoch, instance, seq, upstreams })
+        let (epoch, instance) = (self.epoch, demand.instance.clone());
+        Some(Loan { epoch, instance, process: demand.process, seq: demand.seq, slots })
     }
 
-    fn lend(
-        &mut self,
-        now: Millis,
-        upstream: &Name,
-        borrower: &InstanceId,
-        (used, wanted): (u32, u32),
-        pool: u32,
-    ) -> u32 {
-        if now < self.opens_at {
-            return 0;
-        }
-        let lent = self.lent.entry(upstream.clone()).or_default();
+    fn lend(&mut self, now: Millis, borrower: &InstanceId, wish: &Wish, pool: u32) -> u32 {
+        let open = self.unheard.is_empty() || now >= self.opens_at;
+        let lent = self.lent.entry(wish.upstream.clone()).or_default();
         lent.retain(|_, l| l.slots > 0 && now < l.surely_free_at);
         let others: u32 = lent.iter().filter(|(id, _)| *id != borrower).map(|(_, l)| l.slots).sum();
-        let claimants = lent.len().max(1) as u32 + u32::from(!lent.contains_key(borrower));
-        // Nobody may keep more than its part of the pool while others ask for theirs.
-        let fair = if others > 0 { pool.div_ceil(claimants.max(2)) } else { pool };
-        let most = pool.saturating_sub(others).min(fair.max(1));
-        let granted = wanted.min(most);
-        // What is still in use stays lent, even if it is no longer granted.
-        let slots = granted.max(used.min(pool.saturating_sub(others)));
+        let most = pool.saturating_sub(others);
+        // Nobody gets more than its part of the pool while others have some of it.
+        let claimants = lent.keys().filter(|id| *id != borrower).count() as u32 + 1;
+        let allowed = if open { most.min(pool.div_ceil(claimants)) } else { wish.held };
+        let granted = wish.wanted.min(allowed);
+        // Until the borrower has the answer it goes on by its earlier loan, and requests that are
+        // under way go on in any case.
+        let slots = granted.max(wish.held).max(wish.used);
         let surely_free_at = loan_end(now, self.longest_request);
         lent.insert(borrower.clone(), Lent { slots, surely_free_at });
         granted
@@ -126,31 +164,44 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoanBook {
     epoch: Epoch,
+    process: u64,
     seq: u64,
-    sent_at: BTreeMap<u64, Millis>,
+    /// When the newest demand was sent. Only its answer is taken, so that a late answer to an
+    /// earlier one does not bring back what has been given up.
+    asked_at: Millis,
     slots: BTreeMap<Name, u32>,
     until: Millis,
 }
 
 impl LoanBook {
-    /// Numbers the next demand.
-    pub fn next_seq(&mut self, now: Millis) -> u64 {
+    /// Starts a book for a process; a later process of the same instance has a higher number.
+    pub fn new(process: u64) -> LoanBook {
+        LoanBook { process, ..LoanBook::default() }
+    }
+
+    /// Writes the next demand.
+    pub fn demand(
+        &mut self,
+        now: Millis,
+        epoch: Epoch,
+        instance: &InstanceId,
+        wishes: Vec<Wish>,
+    ) -> Demand {
         self.seq += 1;
-        self.sent_at.retain(|_, at| now.since(*at) < LOAN_LENGTH);
-        self.sent_at.insert(self.seq, now);
-        self.seq
+        self.asked_at = now;
+        self.epoch = self.epoch.max(epoch);
+        let (process, seq, epoch) = (self.process, self.seq, self.epoch);
+        Demand { instance: instance.clone(), process, seq, epoch, wishes }
     }
 
     /// Takes in a loan. It counts from when its demand was sent, whenever it arrives.
     pub fn take(&mut self, now: Millis, loan: &Loan) {
-        let Some(&asked_at) = self.sent_at.get(&loan.seq) else { return };
-        let newest = self.sent_at.range(loan.seq + 1..).next().is_none() || loan.seq == self.seq;
-        if loan.epoch < self.epoch || now.since(asked_at) >= LOAN_LENGTH || !newest {
+        let is_answer = loan.process == self.process && loan.seq == self.seq;
+        if !is_answer || loan.epoch != self.epoch || now.since(self.asked_at) >= LOAN_LENGTH {
             return;
         }
-        self.epoch = loan.epoch;
-        self.slots = loan.upstreams.iter().cloned().collect();
-        self.until = asked_at + LOAN_LENGTH;
+        self.slots = loan.slots.iter().map(|l| (l.upstream.clone(), l.slots)).collect();
+        self.until = self.asked_at + LOAN_LENGTH;
     }
 
     /// Gives how many slots beyond its own the instance may use on an upstream now.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -12,7 +12,7 @@
 mod share;
 mod upstream;
 
-pub use broker::{Broker, Demand, Loan, LoanBook};
+pub use broker::{Broker, Demand, LentSlots, Loan, LoanBook, Wish};
 pub use budget::RetryBudget;
 pub use pick::Pick;
 pub use router::{Admission, Dispatch, Ending, RequestInfo, Router, RouterConfig};
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -3,11 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use clock::Millis;
-use model::{Class, Name, Refusal};
+use model::{Class, Epoch, InstanceId, Name, Refusal};
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::broker::{Demand, LoanBook};
+use crate::broker::{Demand, LoanBook, Wish};
 use crate::budget::RetryBudget;
 use crate::pick::{Candidate, Pick};
 use crate::queue::{WaitQueue, Waiting};
@@ -125,15 +125,15 @@
 }
 
 impl Router {
-    /// Makes a router without upstreams.
-    pub fn new(cfg: RouterConfig, seed: u64) -> Router {
+    /// Makes a router without upstreams, for a process whose number grows with each restart.
+    pub fn new(cfg: RouterConfig, seed: u64, process: u64) -> Router {
         Router {
             budget: RetryBudget::new(cfg.retry_percent),
             cfg,
             targets: Vec::new(),
             places: BTreeMap::new(),
             queue: WaitQueue::default(),
-            loans: LoanBook::default(),
+            loans: LoanBook::new(process),
             rng: StdRng::seed_from_u64(seed),
             latency: UNKNOWN_LATENCY,
         }
@@ -328,22 +328,22 @@
         untried && now < info.deadline && self.budget.spend()
     }
 
-    /// Gives what to ask of the broker: what is in use beyond the instance's own part, and what is
+    /// Writes what to ask of the broker: what is in use beyond the instance's own part, and what is
     /// wanted for the requests that wait.
-    pub fn demand(&mut self, now: Millis, instance: &model::InstanceId) -> Demand {
+    pub fn demand(&mut self, now: Millis, epoch: Epoch, instance: &InstanceId) -> Demand {
         let base = self.base();
         let live = self.targets.iter().filter(|t| t.state == TargetState::Live).count().max(1);
         let queued = self.queue.len().div_ceil(live) as u32;
-        let mut upstreams = Vec::with_capacity(self.targets.len());
-        for t in &self.targets {
+        let wish = |t: &Target| {
             let used = t.in_flight.saturating_sub(base);
             // One more than is used keeps a step ahead of growth.
             let near_full = u32::from(t.in_flight >= base);
-            let wanted = used + near_full + queued;
-            let wanted = if t.state == TargetState::Live { wanted } else { 0 };
-            upstreams.push((t.name.clone(), used, wanted));
-        }
-        let seq = self.loans.next_seq(now);
-        Demand { instance: instance.clone(), seq, upstreams }
+            let live = t.state == TargetState::Live;
+            let wanted = if live { used + near_full + queued } else { 0 };
+            let held = self.loans.slots(now, &t.name);
+            Wish { upstream: t.name.clone(), used, held, wanted }
+        };
+        let wishes = self.targets.iter().map(wish).collect();
+        self.loans.demand(now, epoch, instance, wishes)
     }
 }
