Prove the promises with real processes: make prove

Cause: only real processes show that kills, freezes, emptied disks, cuts and races are survived together. A request that may have run and is refused on its next try is now told as may-have-run; the first version of the router said refused.

--- a/Makefile
+++ b/Makefile
@@ -15,3 +15,6 @@
 
 ci:
 	@.ci/run
+
+prove: build
+	@scripts/prove.sh
--- a/components/instance/src/callers.rs
+++ b/components/instance/src/callers.rs
@@ -44,6 +44,8 @@
 /// A request as its caller sent it.
 struct Incoming {
     id: String,
+    /// The id that the caller itself gave; another one only if the request was passed on.
+    caller: String,
     class: Class,
     deadline: Millis,
     key: Option<Claim>,
@@ -80,13 +82,16 @@
         Some(_) => return Err(format!("{} is neither yes nor no", headers::REPEATABLE)),
     };
     let key = if repeatable { None } else { Some(read_key(req)?) };
+    let passed_on = text(req, headers::PASSED_ON).is_some();
+    let caller = text(req, headers::CALLER).filter(|_| passed_on).unwrap_or(id);
     Ok(Incoming {
         id: id.to_string(),
+        caller: caller.to_string(),
         class,
         deadline: now + wait.min(longest),
         key,
         repeatable,
-        passed_on: text(req, headers::PASSED_ON).is_some(),
+        passed_on,
         work: text(req, headers::WORK).map(str::to_string),
         body,
     })
@@ -228,9 +233,11 @@
         }
     }
 
-    /// Sends the request to upstreams of this zone until one has answered or none may be tried.
+    /// Sends the request to upstreams of this zone until one has answered or none may be tried. Once
+    /// a try may have run, no refusal of a later one can say that the request did not.
     async fn route(&self, incoming: &Incoming) -> Answer {
         let mut tried = BTreeSet::new();
+        let mut may_have_run: Option<Answer> = None;
         loop {
             let info = lock(&self.shared.plane).new_request(
                 incoming.class,
@@ -239,24 +246,28 @@
             );
             let upstream = match self.dispatch(info.clone()).await {
                 Ok(upstream) => upstream,
-                Err(answer) => return answer,
+                Err(refusal) => return may_have_run.unwrap_or(refusal),
             };
             tried.insert(upstream.clone());
             let info = RequestInfo { tried: tried.clone(), ..info };
-            let end = self.call_upstream(incoming, &upstream).await;
-            let (again, answer) = match end {
+            let refusal = match self.call_upstream(incoming, &upstream).await {
                 CallEnd::Done { body, .. } => return Answer::Done(body),
                 CallEnd::Failed(reason) => return Answer::Failed(reason),
-                CallEnd::NotRun { .. } => (true, refused(Refusal::Overloaded, COME_BACK)),
-                CallEnd::Broken(reason) => (incoming.repeatable, Answer::MayHaveRun(reason)),
+                CallEnd::NotRun { .. } => refused(Refusal::Overloaded, COME_BACK),
+                CallEnd::Broken(reason) => {
+                    may_have_run = Some(Answer::MayHaveRun(reason));
+                    refused(Refusal::Overloaded, COME_BACK)
+                }
                 CallEnd::Crossed => {
                     let reason = "the upstream answered another request".into();
-                    (incoming.repeatable, Answer::MayHaveRun(reason))
+                    may_have_run = Some(Answer::MayHaveRun(reason));
+                    refused(Refusal::Overloaded, COME_BACK)
                 }
             };
+            let again = incoming.repeatable || may_have_run.is_none();
             let now = self.shared.now();
             if !again || !lock(&self.shared.plane).may_retry(now, &info) {
-                return answer;
+                return may_have_run.unwrap_or(refusal);
             }
         }
     }
@@ -333,7 +344,7 @@
 
     fn outgoing(&self, incoming: &Incoming) -> Outgoing {
         let order = self.shared.journal.clock().next();
-        let mut extra = Vec::new();
+        let mut extra = vec![(headers::CALLER, incoming.caller.clone())];
         if let Some(work) = &incoming.work {
             extra.push((headers::WORK, work.clone()));
         }
--- a/components/instance/src/operators.rs
+++ b/components/instance/src/operators.rs
@@ -133,7 +133,11 @@
     #[method(ReadConfig)]
     async fn read_config(&self, _req: pb::ReadConfigRequest) -> pb::ReadConfigReply {
         let config = self.shared.config();
-        pb::ReadConfigReply { version: config.version, text: config.text.as_ref().into() }
+        pb::ReadConfigReply {
+            version: config.version,
+            text: config.text.as_ref().into(),
+            known: self.shared.is_ready(),
+        }
     }
 
     #[method(Status)]
--- a/components/instance/src/status.rs
+++ b/components/instance/src/status.rs
@@ -99,6 +99,7 @@
         figures: figures(core).into_iter().map(figure_message).collect(),
         upstreams: upstreams(core),
         members: members(core),
+        ready: shared.is_ready(),
     }
 }
 
--- a/components/upstream/src/headers.rs
+++ b/components/upstream/src/headers.rs
@@ -2,6 +2,8 @@
 
 /// The request's id. An answer repeats the id of the request it answers.
 pub const REQUEST: &str = "x-heathvale-request";
+/// The caller's own id of a request, told to upstreams for their records.
+pub const CALLER: &str = "x-heathvale-caller";
 /// The caller's key of a not repeatable request.
 pub const KEY: &str = "x-heathvale-key";
 /// When the caller made the key, in milliseconds since 1970.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -73,7 +73,7 @@
   bash -c "! $BIN/heathvale apply examples/zapisnik.toml --base 0"
 same_everywhere() {
   [ "$(hv status | awk '/ zone / { for (i = 1; i < NF; i++) if ($i == "config") print $(i + 1) }' |
-    sort -u | wc -l)" = 1 ] && ! hv status | grep -q ' config 0 '
+    sort -u | wc -l)" = 1 ] && ! hv status | grep -qE ' config (0|not-ready) '
 }
 check "one version is in force on all six instances" wait_until 5 same_everywhere
 
