Let an instance act only behind a barrier of its own

Ruled out: trusting only commits that a leader has proved. A test that added this check to the random schedules still failed, since a heartbeat from before the restart may arrive late. Change: a process asks the leader how far the log is committed and acts once it has applied that. Its questions are numbered beyond those of any earlier process, so that no late answer is taken for its own.

--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -140,8 +140,6 @@
     pub(crate) hard: HardState,
     pub(crate) log: Log,
     pub(crate) commit: u64,
-    /// How far a leader was heard to have committed.
-    pub(crate) heard_commit: Option<u64>,
     pub(crate) leader: Option<InstanceId>,
     /// When a leader was last heard, or this process started: either may have promised a lease.
     pub(crate) quiet_since: Millis,
@@ -171,7 +169,6 @@
             role: if formed { Role::Follower } else { Role::Unformed },
             hard: restored.hard,
             commit: log.base().last_index,
-            heard_commit: None,
             log,
             leader: None,
             quiet_since: now,
@@ -319,15 +316,6 @@
         self.commit
     }
 
-    /// Tells whether this member has all that was committed when it first heard from a leader, or
-    /// leads itself.
-    pub fn has_caught_up(&self) -> bool {
-        match self.role {
-            Role::Leader => self.commit >= self.first_own,
-            _ => self.heard_commit.is_some_and(|c| self.commit >= c),
-        }
-    }
-
     /// Gives the last entry in the log, committed or not.
     pub fn last_index(&self) -> u64 {
         self.log.last_index()
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -125,8 +125,6 @@
             return;
         }
         self.follow(from);
-        // The first commit heard is the one to catch up with; later ones only move on from there.
-        self.heard_commit.get_or_insert(commit);
         let term = self.hard.term;
         if !self.extends_log(prev_index, prev_term) {
             let index = self.log.last_index().min(prev_index.saturating_sub(1));
--- a/components/instance/src/calls.rs
+++ b/components/instance/src/calls.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use clock::Millis;
+use clock::{Millis, wall_now};
 use model::InstanceId;
 use tokio::sync::oneshot;
 
@@ -11,6 +11,13 @@
 /// How long an outcome is waited for before it is told as unknown.
 const PATIENCE: Millis = Millis(5_000);
 
+/// Gives the number from which a process counts its questions, beyond those of an earlier process of
+/// this instance, so that a late answer to that one is not taken for one of its own.
+fn first_token() -> u64 {
+    const QUESTIONS_PER_MILLISECOND: u32 = 20;
+    wall_now().0 << QUESTIONS_PER_MILLISECOND
+}
+
 /// Who gets an outcome.
 pub(crate) enum Asker {
     /// A call on this instance.
@@ -22,12 +29,17 @@
 }
 
 /// Changes sent to the leader, by this instance's numbers.
-#[derive(Default)]
 pub(crate) struct Forwarded {
     next: u64,
     waiting: BTreeMap<u64, (oneshot::Sender<Outcome>, Millis)>,
 }
 
+impl Default for Forwarded {
+    fn default() -> Self {
+        Forwarded { next: first_token(), waiting: BTreeMap::new() }
+    }
+}
+
 impl Forwarded {
     pub(crate) fn add(&mut self, now: Millis, tx: oneshot::Sender<Outcome>) -> u64 {
         self.next += 1;
@@ -81,14 +93,44 @@
 }
 
 /// Reads that wait until this instance has applied up to an entry.
-#[derive(Default)]
 pub(crate) struct Reads {
     next: u64,
+    /// The question by which this process catches up, and up to where it has to.
+    barrier: Option<u64>,
+    barrier_index: Option<u64>,
     asked: BTreeMap<u64, (oneshot::Sender<bool>, Millis)>,
     applying: Vec<(u64, oneshot::Sender<bool>)>,
 }
 
+impl Default for Reads {
+    fn default() -> Self {
+        Reads {
+            next: first_token(),
+            barrier: None,
+            barrier_index: None,
+            asked: BTreeMap::new(),
+            applying: Vec::new(),
+        }
+    }
+}
+
 impl Reads {
+    /// Numbers the question up to where this process has to apply the log before it acts on it.
+    pub(crate) fn ask_barrier(&mut self) -> u64 {
+        self.next += 1;
+        *self.barrier.insert(self.next)
+    }
+
+    /// Notes the answer that this process, leading, gives itself.
+    pub(crate) fn pass_barrier(&mut self, index: u64) {
+        self.barrier_index = Some(index);
+    }
+
+    /// Tells whether this process has applied all that was committed when it asked.
+    pub(crate) fn is_past_barrier(&self, applied: u64) -> bool {
+        self.barrier_index.is_some_and(|index| applied >= index)
+    }
+
     pub(crate) fn ask(&mut self, now: Millis, tx: oneshot::Sender<bool>) -> u64 {
         self.next += 1;
         self.asked.insert(self.next, (tx, now + PATIENCE));
@@ -100,6 +142,9 @@
     }
 
     pub(crate) fn told(&mut self, token: u64, index: Option<u64>) {
+        if self.barrier == Some(token) {
+            self.barrier_index = self.barrier_index.or(index);
+        }
         let Some((tx, _)) = self.asked.remove(&token) else { return };
         match index {
             Some(index) => self.wait_for(index, tx),
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -32,6 +32,8 @@
 const ASK_EVERY: Millis = Millis(500);
 /// How often an instance tells the broker what it needs.
 const DEMAND_EVERY: Millis = Millis(100);
+/// How often an instance that has not caught up asks how far it has to.
+const BARRIER_EVERY: Millis = Millis(100);
 /// How often an instance's events are copied to the others of its zone.
 const COPIES_EVERY: Millis = Millis(200);
 /// How many events are copied at once.
@@ -85,6 +87,7 @@
     demand: Millis,
     moves: Millis,
     copies: Millis,
+    barrier: Millis,
 }
 
 fn is_due(now: Millis, next: &mut Millis, every: Millis) -> bool {
@@ -464,9 +467,10 @@
     fn tick(&mut self, now: Millis) {
         self.replica.tick(now);
         self.forwarded.expire(now);
-        if self.replica.node().has_caught_up() && self.cell.applied >= self.replica.node().commit()
-        {
+        if self.reads.is_past_barrier(self.cell.applied) {
             self.become_ready();
+        } else if is_due(now, &mut self.timers.barrier, BARRIER_EVERY) {
+            self.ask_barrier(now);
         }
         if is_due(now, &mut self.timers.ask, ASK_EVERY) {
             self.ask_leader(now);
@@ -497,6 +501,23 @@
         self.reads.settle(now, self.cell.applied);
     }
 
+    /// Asks the leader how far the log is committed. Only an answer to this process's own question
+    /// tells that; a heartbeat may be late, or come from a leader that does not know yet.
+    fn ask_barrier(&mut self, now: Millis) {
+        match self.leader() {
+            Some(leader) if leader == *self.shared.id() => {
+                if self.replica.node().lease_holds(now) {
+                    self.reads.pass_barrier(self.cell.applied);
+                }
+            }
+            Some(leader) => {
+                let token = self.reads.ask_barrier();
+                self.send(&leader, Message::ReadAsk { token });
+            }
+            None => {}
+        }
+    }
+
     fn become_ready(&mut self) {
         self.role.ready(self.cell.applied);
         if !self.shared.is_ready() {
