Read the certain index from the log's commit; add the bench crate

Ruled out: a late answer, whose number would not match. Change: the barrier, fresh reads and the keeper of zones go by the log's commit.

--- /dev/null
+++ b/components/bench/src/placing.rs
@@ -0,0 +1,111 @@
+//! How fast placements are decided, by the number of workers.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use clock::Millis;
+use hdrhistogram::Histogram;
+use model::{Class, JobKind, JobSpec, Profile, Size, Spread, TaskId};
+use placement::{Decision, Planner, Policy, WorkerInfo};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+use crate::figure::figure;
+
+const RUNNING: u32 = 58_000;
+const DECISIONS: u32 = 40_000;
+/// How full the workers are while decisions are timed, in percent.
+const FULL_PERCENT: u64 = 80;
+const MEAN_CPU: u64 = 1_000;
+const WORKERS: [u32; 3] = [400, 1_600, 3_200];
+
+fn size(rng: &mut StdRng) -> Size {
+    Size::new(rng.random_range(200..1_800), rng.random_range(400..3_600), 0)
+}
+
+fn spec(number: u32, rng: &mut StdRng) -> JobSpec {
+    let service = rng.random_range(0..5) == 0;
+    JobSpec {
+        name: format!("job{number}").as_str().into(),
+        team: format!("team{}", number % 88).as_str().into(),
+        kind: if service { JobKind::Service } else { JobKind::Batch },
+        tasks: 1,
+        size: size(rng),
+        run_time: if service { Millis::ZERO } else { Millis(60_000) },
+        class: Class::Normal,
+        deadline: Millis::ZERO,
+        spread: if service { Spread::Rack } else { Spread::None },
+        may_move: true,
+        repeatable: true,
+    }
+}
+
+fn planner(workers: u32, profile: Profile) -> Planner {
+    let mut planner = Planner::new(Policy { profile, ..Policy::default() });
+    let cpu = u64::from(RUNNING) * MEAN_CPU * 100 / FULL_PERCENT / u64::from(workers);
+    for i in 0..workers {
+        let ix = planner.ledger.add(WorkerInfo {
+            name: format!("w{i}").as_str().into(),
+            rack: format!("r{}", i / 8).as_str().into(),
+            total: Size::new(cpu, cpu * 2, 0),
+        });
+        planner.ledger.set_open(ix, true);
+    }
+    planner
+}
+
+fn fill(planner: &mut Planner, rng: &mut StdRng) -> Vec<TaskId> {
+    let mut running = Vec::new();
+    for number in 0..RUNNING {
+        planner.submit(Millis(0), &Arc::new(spec(number, rng)), 1, [0]);
+        running.extend(started(planner.plan(Millis(0), 10)));
+    }
+    running
+}
+
+fn started(decisions: Vec<Decision>) -> Vec<TaskId> {
+    let task = |d| match d {
+        Decision::Start { task, .. } => Some(task),
+        _ => None,
+    };
+    decisions.into_iter().filter_map(task).collect()
+}
+
+/// Times single decisions while one task ends for each that starts.
+fn time(workers: u32, profile: Profile) -> (f64, Histogram<u64>) {
+    let mut rng = StdRng::seed_from_u64(u64::from(workers));
+    let mut planner = planner(workers, profile);
+    let mut running = fill(&mut planner, &mut rng);
+    let mut nanos = Histogram::new(2).unwrap_or_else(|_| unreachable!("two digits are valid"));
+    let mut total = 0;
+    for number in 0..DECISIONS {
+        let place = rng.random_range(0..running.len());
+        planner.release(&running.swap_remove(place));
+        let spec = Arc::new(spec(RUNNING + number, &mut rng));
+        let begun = Instant::now();
+        planner.submit(Millis(1), &spec, 1, [0]);
+        let decisions = planner.plan(Millis(1), 10);
+        let spent = begun.elapsed().as_nanos() as u64;
+        total += spent;
+        // The histogram grows as it needs to.
+        let _ = nanos.record(spent);
+        running.extend(started(decisions));
+    }
+    (total as f64 / f64::from(DECISIONS), nanos)
+}
+
+/// Times decisions at each number of workers and for each profile.
+pub fn run() {
+    for (profile, name) in [(Profile::Waiting, "waiting"), (Profile::Packing, "packing")] {
+        let mut means = Vec::new();
+        for workers in WORKERS {
+            let (mean, nanos) = time(workers, profile);
+            let p99 = nanos.value_at_quantile(0.99) as f64 / 1_000.0;
+            figure(&format!("placements_{name}_{workers}_workers"), 1e9 / mean, "per_s");
+            figure(&format!("decision_p99_{name}_{workers}_workers"), p99, "us");
+            means.push(mean);
+        }
+        let growth = means[means.len() - 1] / means[0];
+        figure(&format!("decision_growth_{name}_400_to_3200"), growth, "times");
+    }
+}
--- a/components/instance/src/calls.rs
+++ b/components/instance/src/calls.rs
@@ -122,8 +122,8 @@
     }
 
     /// Notes the answer that this process, leading, gives itself.
-    pub(crate) fn pass_barrier(&mut self, index: u64) {
-        self.barrier_index = Some(index);
+    pub(crate) fn pass_barrier(&mut self, index: Option<u64>) {
+        self.barrier_index = self.barrier_index.or(index);
     }
 
     /// Tells whether this process has applied all that was committed when it asked.
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -236,8 +236,7 @@
             }
             Message::Changed { token, outcome } => self.forwarded.answer(token, outcome),
             Message::ReadAsk { token } => {
-                let certain = self.replica.node().lease_holds(now);
-                let index = certain.then_some(self.cell.applied);
+                let index = self.certain_index(now);
                 self.send(&from, Message::ReadAt { token, index });
             }
             Message::ReadAt { token, index } => self.reads.told(token, index),
@@ -387,12 +386,23 @@
         cell::assign(spec, &rooms).ok_or(none)
     }
 
+    /// Gives the entry up to which a state holds every accepted change, if this instance surely
+    /// leads. What is committed in a batch of inputs is applied only at its end, so that this may lie
+    /// ahead of the state.
+    fn certain_index(&self, now: Millis) -> Option<u64> {
+        let node = self.replica.node();
+        node.lease_holds(now).then(|| node.commit())
+    }
+
     fn on_read(&mut self, now: Millis, tx: oneshot::Sender<bool>) {
         match self.leader() {
-            Some(leader) if leader == *self.shared.id() => {
-                // The caller may have gone.
-                let _ = tx.send(self.replica.node().lease_holds(now));
-            }
+            Some(leader) if leader == *self.shared.id() => match self.certain_index(now) {
+                Some(index) => self.reads.wait_for(index, tx),
+                None => {
+                    // The caller may have gone.
+                    let _ = tx.send(false);
+                }
+            },
             Some(leader) => {
                 let token = self.reads.ask(now, tx);
                 self.send(&leader, Message::ReadAsk { token });
@@ -440,7 +450,7 @@
     }
 
     fn on_zone_ask(&mut self, now: Millis, from: &InstanceId, ask: &ZoneAsk) {
-        if !self.replica.node().lease_holds(now) {
+        if self.certain_index(now) != Some(self.cell.applied) {
             return;
         }
         match self.keeper.ask(now, &self.cell, from, ask) {
@@ -487,7 +497,7 @@
                 self.send_to_zone(&Message::Events(copies));
             }
         }
-        let leads = self.replica.node().lease_holds(now);
+        let leads = self.certain_index(now) == Some(self.cell.applied);
         if leads && is_due(now, &mut self.timers.moves, MOVES_EVERY) {
             for command in self.keeper.moves(now, &self.cell) {
                 self.propose_zone_change(now, command);
@@ -506,9 +516,8 @@
     fn ask_barrier(&mut self, now: Millis) {
         match self.leader() {
             Some(leader) if leader == *self.shared.id() => {
-                if self.replica.node().lease_holds(now) {
-                    self.reads.pass_barrier(self.cell.applied);
-                }
+                let index = self.certain_index(now);
+                self.reads.pass_barrier(index);
             }
             Some(leader) => {
                 let token = self.reads.ask_barrier();
