Lend slots ahead of need and in equal parts when wishes clash

Cause: borrowed shares waited longer than fixed ones under even load: each instance began with a quarter of the slots and asked for one more at a time, and a wish that was not met was forgotten at once. Ruled out: a higher part for ever, which gives the loans' use away when an instance is dead. Change: an instance asks for two slots beyond those in use; unmet wishes are remembered; while there is not enough for all, each gets at least an equal part. A broker without the right to start tasks lends nothing, since its successor may.

--- a/components/bench/src/requests.rs
+++ b/components/bench/src/requests.rs
@@ -68,6 +68,7 @@
 #[derive(Default)]
 struct Outcome {
     waits: BTreeMap<Class, Waits>,
+    times: BTreeMap<Class, Waits>,
     arrived: u64,
     done: u64,
     refused: u64,
@@ -176,8 +177,11 @@
         let dispatches = self.routers[instance].ended(Millis(now), &name(upstream), ending);
         self.follow(now, instance, dispatches);
         if !fails {
-            self.requests.remove(&id);
-            self.out.done += 1;
+            if let Some(r) = self.requests.remove(&id) {
+                let time = Millis(now - r.arrived);
+                self.out.times.entry(r.class).or_default().note(time);
+                self.out.done += 1;
+            }
             return;
         }
         let again =
@@ -283,6 +287,9 @@
     for (class, waits) in &out.waits {
         waits.print(&format!("request_wait_{name}_{}", class.as_str()));
     }
+    for (class, times) in &out.times {
+        times.print(&format!("request_time_{name}_{}", class.as_str()));
+    }
     let part = |n: u64| n as f64 * 100.0 / out.arrived.max(1) as f64;
     figure(&format!("request_goodput_{name}"), part(out.done), "percent");
     figure(&format!("request_refused_{name}"), part(out.refused), "percent");
--- a/components/instance/src/zone_role.rs
+++ b/components/instance/src/zone_role.rs
@@ -202,7 +202,11 @@
         }
     }
 
+    /// Answers a demand. Without the right to start tasks another instance may lend already.
     pub(crate) fn lend(&mut self, now: Millis, demand: &Demand, pool: u32) -> Option<Loan> {
+        if self.right == Right::RenewOnly {
+            return None;
+        }
         self.broker.as_mut()?.answer(now, demand, pool)
     }
 
--- a/components/routing/src/broker.rs
+++ b/components/routing/src/broker.rs
@@ -70,6 +70,8 @@
 #[derive(Clone, Debug, Default)]
 struct Lent {
     slots: u32,
+    /// What the borrower last asked for.
+    wanted: u32,
     /// When even the longest request sent under the loan has ended.
     surely_free_at: Millis,
 }
@@ -135,18 +137,25 @@
     fn lend(&mut self, now: Millis, borrower: &InstanceId, wish: &Wish, pool: u32) -> u32 {
         let open = self.unheard.is_empty() || now >= self.opens_at;
         let lent = self.lent.entry(wish.upstream.clone()).or_default();
-        lent.retain(|_, l| l.slots > 0 && now < l.surely_free_at);
-        let others: u32 = lent.iter().filter(|(id, _)| *id != borrower).map(|(_, l)| l.slots).sum();
-        let most = pool.saturating_sub(others);
-        // Nobody gets more than its part of the pool while others have some of it.
-        let claimants = lent.keys().filter(|id| *id != borrower).count() as u32 + 1;
-        let allowed = if open { most.min(pool.div_ceil(claimants)) } else { wish.held };
+        lent.retain(|_, l| (l.slots > 0 || l.wanted > 0) && now < l.surely_free_at);
+        let others = lent.iter().filter(|(id, _)| *id != borrower);
+        let (mut others_hold, mut others_want, mut claimants) = (0, 0, 1);
+        for (_, other) in others {
+            others_hold += other.slots;
+            others_want += other.wanted;
+            claimants += 1;
+        }
+        // While there is not enough for all wishes, each gets at least an equal part.
+        let unwanted = pool.saturating_sub(others_want);
+        let fair = unwanted.max(pool.div_ceil(claimants));
+        let allowed = if open { fair.min(pool.saturating_sub(others_hold)) } else { wish.held };
         let granted = wish.wanted.min(allowed);
         // Until the borrower has the answer it goes on by its earlier loan, and requests that are
         // under way go on in any case.
         let slots = granted.max(wish.held).max(wish.used);
         let surely_free_at = loan_end(now, self.longest_request);
-        lent.insert(borrower.clone(), Lent { slots, surely_free_at });
+        let wanted = wish.wanted;
+        lent.insert(borrower.clone(), Lent { slots, wanted, surely_free_at });
         granted
     }
 
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -21,6 +21,8 @@
 const UNKNOWN_LATENCY: u64 = 10 * MICROS;
 /// The shortest time after which a refused caller is told to come back.
 const SHORTEST_RETRY_AFTER: Millis = Millis(50);
+/// How many slots beyond those in use an instance asks for.
+const SLOTS_AHEAD: u32 = 2;
 /// After how long a caller is told to come back when no upstream is known.
 const NO_UPSTREAM_RETRY_AFTER: Millis = Millis(1_000);
 
@@ -336,10 +338,10 @@
         let queued = self.queue.len().div_ceil(live) as u32;
         let wish = |t: &Target| {
             let used = t.in_flight.saturating_sub(base);
-            // One more than is used keeps a step ahead of growth.
-            let near_full = u32::from(t.in_flight >= base);
+            // A loan takes a while to come, so that some are held before they are needed.
+            let ahead = (t.in_flight + SLOTS_AHEAD).saturating_sub(base);
             let live = t.state == TargetState::Live;
-            let wanted = if live { used + near_full + queued } else { 0 };
+            let wanted = if live { ahead + queued } else { 0 };
             let held = self.loans.slots(now, &t.name);
             Wish { upstream: t.name.clone(), used, held, wanted }
         };
