Test answers, bad bytes and processes; show an instance that is not ready

Change: the status line says not-ready; a test starts an instance that cannot catch up and looks at its status, its health and its answer. Tables of late, crossed, cut, doubled and missing answers, of bad bytes at all three doors and of malformed requests, against one real process and small fakes.

--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -26,15 +26,15 @@
 
 fn print(s: &StatusReply, upstreams: bool) {
     let holds = if s.holds_epoch { " allocates" } else { "" };
+    let config = if s.ready { s.config_version.to_string() } else { "not-ready".to_string() };
     say!(
-        "{} zone {} {} leader {} term {} applied {} config {} epoch {}{holds}",
+        "{} zone {} {} leader {} term {} applied {} config {config} epoch {}{holds}",
         s.instance,
         s.zone,
         s.role,
         s.leader,
         s.term,
         s.applied,
-        s.config_version,
         s.epoch
     );
     say!("  members {}", s.members.join(", "));
--- /dev/null
+++ b/tests/answers.rs
@@ -0,0 +1,206 @@
+//! Whole answers only to their own request: late, crossed, cut and doubled answers of upstreams, and
+//! what callers are told.
+
+mod common;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+
+use common::{Behaviour, Wire, cell, wait_until, whole_answer, write_wire};
+use upstream::{WorkerState, headers};
+
+fn answer_with(stream: &mut TcpStream, id: &str, length: usize, body: &[u8]) -> bool {
+    let head = [(headers::REQUEST, id.to_string()), (headers::LENGTH, length.to_string())];
+    write_wire(stream, "HTTP/1.1 200 OK", &head, body).is_ok()
+}
+
+fn for_another(stream: &mut TcpStream, _: &Wire) -> bool {
+    answer_with(stream, "another", 5, b"other")
+}
+
+fn without_an_id(stream: &mut TcpStream, _: &Wire) -> bool {
+    write_wire(stream, "HTTP/1.1 200 OK", &[], b"whose?").is_ok()
+}
+
+fn cut_in_the_body(stream: &mut TcpStream, req: &Wire) -> bool {
+    let id = req.header(headers::REQUEST);
+    let head = format!(
+        "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n{}: {id}\r\n{}: 9\r\n\r\nhalf",
+        headers::REQUEST,
+        headers::LENGTH
+    );
+    let _ = stream.write_all(head.as_bytes());
+    false
+}
+
+fn shorter_than_told(stream: &mut TcpStream, req: &Wire) -> bool {
+    answer_with(stream, req.header(headers::REQUEST), 99, b"short")
+}
+
+fn closed_at_once(_: &mut TcpStream, _: &Wire) -> bool {
+    false
+}
+
+fn never(_: &mut TcpStream, _: &Wire) -> bool {
+    thread::sleep(Duration::from_secs(5));
+    false
+}
+
+fn full(stream: &mut TcpStream, req: &Wire) -> bool {
+    let id = req.header(headers::REQUEST).to_string();
+    let head = [(headers::REQUEST, id), (headers::NOT_RUN, "1".to_string())];
+    write_wire(stream, "HTTP/1.1 503 Full", &head, b"").is_ok()
+}
+
+fn leaving(stream: &mut TcpStream, req: &Wire) -> bool {
+    let id = req.header(headers::REQUEST).to_string();
+    let one = || "1".to_string();
+    let head = [(headers::REQUEST, id), (headers::NOT_RUN, one()), (headers::LEAVING, one())];
+    write_wire(stream, "HTTP/1.1 503 Leaving", &head, b"").is_ok()
+}
+
+fn failing(stream: &mut TcpStream, req: &Wire) -> bool {
+    let id = req.header(headers::REQUEST).to_string();
+    let head = [(headers::REQUEST, id), (headers::LENGTH, "0".to_string())];
+    write_wire(stream, "HTTP/1.1 500 Broken", &head, b"").is_ok()
+}
+
+/// A late answer to an earlier request stands on the connection before the own one.
+fn doubled(stream: &mut TcpStream, req: &Wire) -> bool {
+    whole_answer(stream, req) && whole_answer(stream, req)
+}
+
+const REPEATABLE: &[(&str, &str)] = &[(headers::DEADLINE, "1500")];
+
+fn once(key: &str) -> Vec<(&'static str, String)> {
+    vec![
+        (headers::DEADLINE, "1500".to_string()),
+        (headers::REPEATABLE, "no".to_string()),
+        (headers::KEY, key.to_string()),
+        (headers::ISSUED, clock::wall_now().0.to_string()),
+    ]
+}
+
+fn call_once(instance: &common::Instance, id: &str, key: &str) -> Wire {
+    let extra = once(key);
+    let extra: Vec<(&str, &str)> = extra.iter().map(|(k, v)| (*k, v.as_str())).collect();
+    instance.call(id, &extra)
+}
+
+/// A single upstream that behaves so, and what the caller of a request is told: first of one that may
+/// be repeated, then of one that may not.
+macro_rules! told {
+    ($($name:ident: $behaviour:expr => $repeatable:expr, $once:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let behaviour: Behaviour = $behaviour;
+            let (instance, _platform, upstreams) = cell(&[behaviour]);
+            let answer = instance.call("r1", REPEATABLE);
+            assert_eq!(answer.header(headers::OUTCOME), $repeatable, "{answer:?}");
+            assert_eq!(answer.header(headers::REQUEST), "r1");
+            assert_eq!(answer.header(headers::LENGTH), answer.body.len().to_string());
+            let before = upstreams[0].runs();
+            let answer = call_once(&instance, "r2", "k2");
+            assert_eq!(answer.header(headers::OUTCOME), $once, "{answer:?}");
+            assert!(upstreams[0].runs() <= before + 1, "it was sent more than once");
+            if answer.header(headers::OUTCOME) == "refused" {
+                assert!(answer.header(headers::RETRY_AFTER_MS).parse::<u64>().unwrap() > 0);
+                assert!(answer.header("retry-after").parse::<u64>().unwrap() > 0);
+            }
+        }
+    )*};
+}
+
+told! {
+    a_whole_answer: whole_answer => "done", "done";
+    an_answer_for_another_request: for_another => "may-have-run", "may-have-run";
+    an_answer_without_an_id: without_an_id => "may-have-run", "may-have-run";
+    an_answer_cut_in_the_body: cut_in_the_body => "may-have-run", "may-have-run";
+    an_answer_shorter_than_told: shorter_than_told => "may-have-run", "may-have-run";
+    a_connection_closed_at_once: closed_at_once => "may-have-run", "may-have-run";
+    no_answer_in_time: never => "may-have-run", "may-have-run";
+    an_upstream_that_is_full: full => "refused", "refused";
+    an_upstream_that_is_leaving: leaving => "refused", "refused";
+    an_upstream_that_fails: failing => "failed", "failed";
+}
+
+/// One bad upstream beside a good one: a request that may be repeated, or did not run, is done by the
+/// good one.
+macro_rules! rescued {
+    ($($name:ident: $behaviour:expr => $once:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let behaviour: Behaviour = $behaviour;
+            let (instance, _platform, _upstreams) = cell(&[behaviour, whole_answer]);
+            for i in 0..8 {
+                let id = format!("r{i}");
+                let answer = instance.call(&id, REPEATABLE);
+                assert_eq!(answer.header(headers::OUTCOME), "done", "{answer:?}");
+                assert_eq!(answer.body, format!("ran:{id}").as_bytes());
+            }
+            let allowed: &[&str] = $once;
+            let answer = call_once(&instance, "r9", "k9");
+            assert!(allowed.contains(&answer.header(headers::OUTCOME)), "{answer:?}");
+        }
+    )*};
+}
+
+rescued! {
+    beside_one_that_closes: closed_at_once => &["done", "may-have-run"];
+    beside_one_that_answers_others: for_another => &["done", "may-have-run"];
+    beside_one_that_is_full: full => &["done"];
+    beside_one_that_is_leaving: leaving => &["done"];
+}
+
+#[test]
+fn a_doubled_answer_is_never_given_to_the_next_request() {
+    let (instance, _platform, _upstreams) = cell(&[doubled]);
+    for i in 0..20 {
+        let id = format!("r{i}");
+        let answer = instance.call(&id, REPEATABLE);
+        if answer.header(headers::OUTCOME) == "done" {
+            assert_eq!(answer.body, format!("ran:{id}").as_bytes(), "another request's answer");
+        }
+    }
+}
+
+#[test]
+fn a_resent_key_runs_once_also_after_a_kill() {
+    let (mut instance, _platform, upstreams) = cell(&[whole_answer]);
+    assert_eq!(call_once(&instance, "r1", "key").header(headers::OUTCOME), "done");
+    let again = call_once(&instance, "r2", "key");
+    assert_eq!(again.header(headers::OUTCOME), "may-have-run");
+    instance.kill_and_restart();
+    let again = call_once(&instance, "r3", "key");
+    assert_eq!(again.header(headers::OUTCOME), "may-have-run");
+    assert_eq!(upstreams[0].runs(), 1);
+}
+
+#[test]
+fn a_key_that_is_too_old_or_from_the_future_does_not_run() {
+    let (instance, _platform, upstreams) = cell(&[whole_answer]);
+    let day = 24 * 3_600 * 1_000;
+    let now = clock::wall_now().0;
+    for (issued, outcome) in [(now - day, "may-have-run"), (now + day, "refused")] {
+        let issued = issued.to_string();
+        let extra = [(headers::REPEATABLE, "no"), (headers::KEY, "k"), (headers::ISSUED, &issued)];
+        assert_eq!(instance.call("r", &extra).header(headers::OUTCOME), outcome);
+    }
+    assert_eq!(upstreams[0].runs(), 0);
+}
+
+#[test]
+fn an_upstream_listed_as_leaving_gets_nothing_new() {
+    let (instance, platform, upstreams) = cell(&[whole_answer, whole_answer]);
+    platform.change(|list| list.workers[0].state = WorkerState::Leaving);
+    wait_until("the list is taken in", || {
+        instance.operate(&["status", "--upstreams"]).1.contains("w0 leaving")
+    });
+    let before = upstreams[0].runs();
+    for i in 0..20 {
+        assert_eq!(instance.call(&format!("r{i}"), REPEATABLE).header(headers::OUTCOME), "done");
+    }
+    assert_eq!(upstreams[0].runs(), before);
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,315 @@
+//! One real `heathvaled` with small fakes of the platform and its upstreams around it.
+#![allow(dead_code)]
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use clock::{Clock, Millis, SystemClock};
+use model::Size;
+use tempfile::TempDir;
+use testkit::{Recorder, WorkerConfig, WorkerCore};
+use upstream::{ListedWorker, PlatformList, SyncRequest, WorkerState, headers};
+
+/// How long anything may take before a test gives up.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A request or an answer as it stands on the wire.
+#[derive(Clone, Debug, Default)]
+pub struct Wire {
+    pub first_line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+impl Wire {
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    pub fn status(&self) -> u32 {
+        self.first_line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Reads one message, or gives nothing if the connection ends first.
+pub fn read_wire(stream: &mut TcpStream) -> Option<Wire> {
+    let mut head = Vec::new();
+    let mut byte = [0];
+    while !head.ends_with(b"\r\n\r\n") {
+        if stream.read(&mut byte).ok()? == 0 {
+            return None;
+        }
+        head.push(byte[0]);
+    }
+    let text = String::from_utf8_lossy(&head).to_string();
+    let mut lines = text.split("\r\n");
+    let first_line = lines.next()?.to_string();
+    let headers: BTreeMap<String, String> = lines
+        .filter_map(|l| l.split_once(':'))
+        .map(|(k, v)| (k.trim().to_lowercase(), v.trim().to_string()))
+        .collect();
+    let length = headers.get("content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).ok()?;
+    Some(Wire { first_line, headers, body })
+}
+
+pub fn write_wire(
+    stream: &mut TcpStream,
+    first_line: &str,
+    headers: &[(&str, String)],
+    body: &[u8],
+) -> std::io::Result<()> {
+    let mut text = format!("{first_line}\r\ncontent-length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += "\r\n";
+    stream.write_all(text.as_bytes())?;
+    stream.write_all(body)
+}
+
+/// What a fake upstream does with a request. It gives false to close the connection.
+pub type Behaviour = fn(&mut TcpStream, &Wire) -> bool;
+
+pub fn whole_answer(stream: &mut TcpStream, req: &Wire) -> bool {
+    let body = [b"ran:".as_slice(), &req.body].concat();
+    let head = [
+        (headers::REQUEST, req.header(headers::REQUEST).to_string()),
+        (headers::LENGTH, body.len().to_string()),
+    ];
+    write_wire(stream, "HTTP/1.1 200 OK", &head, &body).is_ok()
+}
+
+/// An upstream that holds leases as a worker stand-in does, and answers requests as it is told.
+pub struct FakeUpstream {
+    pub addr: SocketAddr,
+    pub runs: Arc<AtomicU32>,
+}
+
+impl FakeUpstream {
+    pub fn start(behaviour: Behaviour) -> FakeUpstream {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let runs = Arc::new(AtomicU32::new(0));
+        let cfg = WorkerConfig {
+            total: Size::new(16_000, 32_000, 0),
+            boot: 1,
+            fails_tasks: false,
+            run_percent: 100,
+            usage_lag: Millis(1_000),
+        };
+        let core = WorkerCore::new(cfg, Recorder::open("w", None).unwrap());
+        let core = Arc::new((Mutex::new(core), SystemClock::default()));
+        let counted = runs.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (core, counted) = (core.clone(), counted.clone());
+                thread::spawn(move || serve(stream, &core, behaviour, &counted));
+            }
+        });
+        FakeUpstream { addr, runs }
+    }
+
+    pub fn runs(&self) -> u32 {
+        self.runs.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    core: &(Mutex<WorkerCore>, SystemClock),
+    behaviour: Behaviour,
+    runs: &AtomicU32,
+) {
+    while let Some(req) = read_wire(&mut stream) {
+        let goes_on = if req.first_line.starts_with("POST /sync") {
+            let call: SyncRequest = serde_json::from_slice(&req.body).unwrap();
+            let reply = core.0.lock().unwrap().sync(core.1.now(), &call);
+            let body = serde_json::to_vec(&reply).unwrap();
+            write_wire(&mut stream, "HTTP/1.1 200 OK", &[], &body).is_ok()
+        } else {
+            runs.fetch_add(1, Ordering::SeqCst);
+            behaviour(&mut stream, &req)
+        };
+        if !goes_on {
+            return;
+        }
+    }
+}
+
+/// Serves the platform's list; it can be changed while it is served.
+pub struct FakePlatform {
+    pub addr: SocketAddr,
+    list: Arc<Mutex<PlatformList>>,
+}
+
+impl FakePlatform {
+    pub fn start(upstreams: &[&FakeUpstream]) -> FakePlatform {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let addr = listener.local_addr().unwrap();
+        let listed = |(i, u): (usize, &&FakeUpstream)| ListedWorker {
+            name: format!("w{i}").as_str().into(),
+            zone: "za".into(),
+            rack: "r".into(),
+            addr: u.addr,
+            size: Size::new(16_000, 32_000, 0),
+            state: WorkerState::Live,
+        };
+        let workers = upstreams.iter().enumerate().map(listed).collect();
+        let list = Arc::new(Mutex::new(PlatformList { workers }));
+        let served = list.clone();
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let served = served.clone();
+                thread::spawn(move || {
+                    while read_wire(&mut stream).is_some() {
+                        let body = serde_json::to_vec(&*served.lock().unwrap()).unwrap();
+                        if write_wire(&mut stream, "HTTP/1.1 200 OK", &[], &body).is_err() {
+                            return;
+                        }
+                    }
+                });
+            }
+        });
+        FakePlatform { addr, list }
+    }
+
+    pub fn change(&self, f: impl FnOnce(&mut PlatformList)) {
+        f(&mut self.list.lock().unwrap());
+    }
+}
+
+fn free_ports() -> [u16; 3] {
+    let held = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
+    held.map(|l| l.local_addr().unwrap().port())
+}
+
+/// A cell of one instance.
+pub struct Instance {
+    pub child: Child,
+    pub callers: SocketAddr,
+    pub operators: SocketAddr,
+    pub peers: SocketAddr,
+    folder: TempDir,
+    args: Vec<String>,
+}
+
+impl Instance {
+    pub fn start(platform: &FakePlatform) -> Instance {
+        let mut instance = Instance::start_with_peers(platform, "");
+        instance.wait_ready();
+        instance
+    }
+
+    /// Starts an instance of a cell whose other instances are not there, and does not wait.
+    pub fn start_with_peers(platform: &FakePlatform, others: &str) -> Instance {
+        let folder = tempfile::tempdir().unwrap();
+        let ports = free_ports();
+        let [peers, callers, operators] = ports.map(|p| SocketAddr::from(([127, 0, 0, 1], p)));
+        let args: Vec<String> = [
+            ("--name", "a".to_string()),
+            ("--peers", format!("a=za@{peers}/{callers}+disk{others}")),
+            ("--operators", operators.to_string()),
+            ("--platform", platform.addr.to_string()),
+            ("--data-folder", folder.path().join("data").display().to_string()),
+            ("--drain-notice-ms", "10".to_string()),
+            ("--log-level", "off".to_string()),
+        ]
+        .into_iter()
+        .flat_map(|(k, v)| [k.to_string(), v])
+        .collect();
+        let child = spawn(&args);
+        Instance { child, callers, operators, peers, folder, args }
+    }
+
+    pub fn wait_ready(&mut self) {
+        wait_until("the instance is ready", || {
+            self.get("/health").is_some_and(|w| w.status() == 200)
+        });
+    }
+
+    pub fn kill_and_restart(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        self.child = spawn(&self.args);
+        self.wait_ready();
+    }
+
+    pub fn get(&self, path: &str) -> Option<Wire> {
+        let mut stream = TcpStream::connect(self.callers).ok()?;
+        write_wire(&mut stream, &format!("GET {path} HTTP/1.1"), &host(), b"").ok()?;
+        read_wire(&mut stream)
+    }
+
+    /// Sends a request as a caller does and gives the answer.
+    pub fn call(&self, id: &str, extra: &[(&str, &str)]) -> Wire {
+        let mut stream = TcpStream::connect(self.callers).unwrap();
+        let mut head = host();
+        head.push((headers::REQUEST, id.to_string()));
+        head.extend(extra.iter().map(|(k, v)| (*k, v.to_string())));
+        write_wire(&mut stream, "POST /run HTTP/1.1", &head, id.as_bytes()).unwrap();
+        read_wire(&mut stream).expect("every request gets an answer")
+    }
+
+    /// Runs the command line against this instance and gives its exit code and output.
+    pub fn operate(&self, args: &[&str]) -> (i32, String) {
+        let output = Command::new(env!("CARGO_BIN_EXE_heathvale"))
+            .args(args)
+            .env("HEATHVALE_INSTANCES", self.operators.to_string())
+            .output()
+            .unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).to_string())
+    }
+
+    pub fn file(&self, name: &str, text: &str) -> String {
+        let path = self.folder.path().join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+}
+
+fn host() -> Vec<(&'static str, String)> {
+    vec![("host", "h".to_string())]
+}
+
+fn spawn(args: &[String]) -> Child {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathvaled"));
+    command.args(args).stderr(Stdio::null()).spawn().unwrap()
+}
+
+impl Drop for Instance {
+    fn drop(&mut self) {
+        // It may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !done() {
+        assert!(begun.elapsed() < PATIENCE, "{what}: never came");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// A cell of one instance that has taken in its upstreams.
+pub fn cell(behaviours: &[Behaviour]) -> (Instance, FakePlatform, Vec<FakeUpstream>) {
+    let upstreams: Vec<FakeUpstream> = behaviours.iter().map(|b| FakeUpstream::start(*b)).collect();
+    let platform = FakePlatform::start(&upstreams.iter().collect::<Vec<_>>());
+    let instance = Instance::start(&platform);
+    let wanted = behaviours.len();
+    wait_until("the upstreams are known", || {
+        let (_, text) = instance.operate(&["status", "--upstreams"]);
+        text.matches(" live, open ").count() == wanted
+    });
+    (instance, platform, upstreams)
+}
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,202 @@
+//! The programs as processes: what they may not do, what they survive, how they refuse faulty input.
+
+mod common;
+
+use std::fs;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::Command;
+
+use common::{FakePlatform, FakeUpstream, Instance, cell, wait_until, whole_answer};
+use upstream::headers;
+
+#[test]
+fn a_loaded_instance_uses_no_io_uring_no_shared_memory_and_starts_no_process() {
+    let (instance, _platform, _upstreams) = cell(&[whole_answer]);
+    for i in 0..50 {
+        instance.call(&format!("r{i}"), &[]);
+    }
+    let proc = format!("/proc/{}", instance.child.id());
+    let maps = fs::read_to_string(format!("{proc}/maps")).unwrap();
+    for forbidden in ["io_uring", "/dev/shm", "/SYSV", "memfd:"] {
+        assert!(!maps.contains(forbidden), "{forbidden} is mapped");
+    }
+    // Shared writable mappings would be shared memory under any name.
+    let shared = maps.lines().filter(|l| l.split(' ').nth(1).is_some_and(|p| p.contains("ws")));
+    assert_eq!(shared.count(), 0);
+    for fd in fs::read_dir(format!("{proc}/fd")).unwrap().flatten() {
+        let target = fs::read_link(fd.path()).unwrap_or_default();
+        assert!(!target.to_string_lossy().contains("io_uring"), "{target:?} is open");
+    }
+    for task in fs::read_dir(format!("{proc}/task")).unwrap().flatten() {
+        let children = fs::read_to_string(task.path().join("children")).unwrap_or_default();
+        assert_eq!(children.trim(), "", "it has started a process");
+    }
+}
+
+fn say(addr: SocketAddr, bytes: &[u8]) -> Vec<u8> {
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.set_read_timeout(Some(std::time::Duration::from_millis(300))).unwrap();
+    // The other side may close while we write.
+    let _ = stream.write_all(bytes);
+    let mut answer = Vec::new();
+    let _ = stream.take(100_000).read_to_end(&mut answer);
+    answer
+}
+
+/// Bytes that no part of the system sends, to each of the three doors; the process goes on.
+macro_rules! bad_bytes {
+    ($($name:ident: $bytes:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (instance, _platform, _upstreams) = cell(&[whole_answer]);
+            let bytes: Vec<u8> = $bytes;
+            for addr in [instance.callers, instance.operators, instance.peers] {
+                say(addr, &bytes);
+            }
+            assert_eq!(instance.call("after", &[]).header(headers::OUTCOME), "done");
+            assert_eq!(instance.operate(&["list", "--fresh"]).0, 0);
+        }
+    )*};
+}
+
+bad_bytes! {
+    nothing_at_all: Vec::new();
+    random_bytes: (0..4_000u32).map(|i| (i * 7_919 % 251) as u8).collect();
+    a_half_sent_request: b"POST /run HTTP/1.1\r\ncontent-length: 100\r\n\r\nhalf".to_vec();
+    a_head_without_end: [b"GET / HTTP/1.1\r\n".to_vec(), b"a: b\r\n".repeat(50_000)].concat();
+    a_length_that_is_none: b"POST /run HTTP/1.1\r\ncontent-length: -5\r\n\r\n".to_vec();
+    an_http2_preface_and_junk: [b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(), vec![0xff; 500]].concat();
+    a_link_s_greeting_and_a_huge_length:
+        [vec![0, b'S', b'P', 0, 0, 0x50, 0, 0], vec![0xff; 8]].concat();
+    a_link_s_greeting_and_a_message_that_is_none:
+        [vec![0, b'S', b'P', 0, 0, 0x50, 0, 0], 5u64.to_be_bytes().to_vec(), vec![9; 5]].concat();
+}
+
+/// A faulty header or body of a caller's request, which gets a typed answer.
+macro_rules! malformed {
+    ($($name:ident: $id:expr, $extra:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let (instance, _platform, upstreams) = cell(&[whole_answer]);
+            let answer = instance.call($id, $extra);
+            assert_eq!(answer.status(), 400);
+            assert_eq!(answer.header(headers::OUTCOME), "refused");
+            assert_eq!(answer.header(headers::REASON), "malformed");
+            assert_eq!(upstreams[0].runs(), 0);
+        }
+    )*};
+}
+
+malformed! {
+    an_empty_id: "", &[];
+    an_id_too_long: &"x".repeat(201), &[];
+    an_unknown_class: "r", &[(headers::CLASS, "vip")];
+    a_deadline_that_is_none: "r", &[(headers::DEADLINE, "soon")];
+    neither_repeatable_nor_not: "r", &[(headers::REPEATABLE, "maybe")];
+    not_repeatable_without_a_key: "r", &[(headers::REPEATABLE, "no")];
+    a_key_without_its_time: "r", &[(headers::REPEATABLE, "no"), (headers::KEY, "k")];
+}
+
+#[test]
+fn an_oversized_body_is_refused_and_the_process_goes_on() {
+    let (instance, _platform, upstreams) = cell(&[whole_answer]);
+    let head = format!(
+        "POST /run HTTP/1.1\r\nhost: h\r\n{}: big\r\ncontent-length: 50000000\r\n\r\n",
+        headers::REQUEST
+    );
+    let bytes = [head.into_bytes(), vec![b'x'; 6 << 20]].concat();
+    let answer = String::from_utf8_lossy(&say(instance.callers, &bytes)).to_string();
+    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert_eq!(upstreams[0].runs(), 0);
+    assert_eq!(instance.call("after", &[]).header(headers::OUTCOME), "done");
+}
+
+#[test]
+fn faulty_settings_are_told_together_with_exit_code_2() {
+    let output = Command::new(env!("CARGO_BIN_EXE_heathvaled"))
+        .args(["--name", "x", "--log-level", "loud", "--seed", "z"])
+        .env("HEATHVALE_OPERATORS", "nowhere")
+        .output()
+        .unwrap();
+    let text = String::from_utf8_lossy(&output.stderr).to_string();
+    assert_eq!(output.status.code(), Some(2), "{text}");
+    for place in ["--peers", "--platform", "--log-level", "--seed", "$HEATHVALE_OPERATORS"] {
+        assert!(text.contains(place), "{place} is not told of in {text}");
+    }
+}
+
+#[test]
+fn faulty_files_change_nothing_and_exit_with_2() {
+    let (instance, _platform, _upstreams) = cell(&[whole_answer]);
+    let jobs = instance.file("jobs.toml", "[[job]]\nname = \"a\"\n[[job]]\nkind = \"nap\"\n");
+    let (code, text) = instance.operate(&["create", &jobs]);
+    assert_eq!(code, 2, "{text}");
+    assert!(text.contains("jobs.toml:1:1") && text.contains("jobs.toml:4:8"), "{text}");
+    let config = instance.file("config.toml", "upstream_slots = 0\nfoo = 1\n");
+    let (code, text) = instance.operate(&["apply", &config]);
+    assert_eq!(code, 2, "{text}");
+    assert!(text.contains("config.toml:2:1"), "{text}");
+    assert!(!instance.operate(&["list"]).1.contains(" a "));
+}
+
+#[test]
+fn what_was_accepted_is_there_after_kill_9() {
+    let (mut instance, _platform, _upstreams) = cell(&[whole_answer]);
+    let config = instance.file("config.toml", "queue_limit_ms = 321\n");
+    assert_eq!(instance.operate(&["apply", &config, "--base", "0", "--key", "k"]).0, 0);
+    let jobs = instance.file(
+        "jobs.toml",
+        "[[job]]\nname = \"svc\"\nteam = \"t\"\nkind = \"service\"\ncpu_milli = 100\nmemory_mb = 10\n",
+    );
+    assert_eq!(instance.operate(&["create", &jobs]).0, 0);
+    instance.kill_and_restart();
+    let (_, text) = instance.operate(&["config"]);
+    assert!(text.contains("queue_limit_ms = 321"), "{text}");
+    wait_until("the job is known", || instance.operate(&["list", "--fresh"]).1.contains("svc"));
+    // The resend gets the first answer; another operator's late change does not win.
+    let (code, text) = instance.operate(&["apply", &config, "--base", "0", "--key", "k"]);
+    assert_eq!(code, 0, "{text}");
+    assert_ne!(instance.operate(&["apply", &config, "--base", "0", "--key", "other"]).0, 0);
+}
+
+#[test]
+fn an_instance_that_has_not_caught_up_says_so_and_serves_nobody() {
+    let upstream = FakeUpstream::start(whole_answer);
+    let platform = FakePlatform::start(&[&upstream]);
+    // Another founder that is not there: the cell cannot be founded without it.
+    let others = ",b=zb@127.0.0.1:9/127.0.0.1:9+disk";
+    let instance = Instance::start_with_peers(&platform, others);
+    wait_until("it listens", || instance.get("/health").is_some());
+    assert_eq!(instance.get("/health").unwrap().status(), 503);
+    let answer = instance.call("r", &[]);
+    assert_eq!(answer.header(headers::REASON), "not_ready", "{answer:?}");
+    assert!(answer.header(headers::RETRY_AFTER_MS).parse::<u64>().unwrap() > 0);
+    let (_, text) = instance.operate(&["status"]);
+    assert!(text.contains("config not-ready"), "{text}");
+    assert_eq!(upstream.runs(), 0);
+}
+
+#[test]
+fn a_job_that_can_never_run_is_refused_at_once_with_the_reason() {
+    let (instance, _platform, _upstreams) = cell(&[whole_answer]);
+    let jobs = instance.file(
+        "jobs.toml",
+        "[[job]]\nname = \"huge\"\nteam = \"t\"\nkind = \"service\"\ncpu_milli = 90000\nmemory_mb = 10\n",
+    );
+    wait_until("the job gets its verdict", || {
+        let (code, text) = instance.operate(&["create", &jobs]);
+        code == 1 && text.contains("can never run")
+    });
+}
+
+#[test]
+fn help_is_complete_and_versions_are_told() {
+    for program in [env!("CARGO_BIN_EXE_heathvale"), env!("CARGO_BIN_EXE_heathvaled")] {
+        let help = Command::new(program).arg("--help").output().unwrap();
+        assert!(help.status.success());
+        assert!(String::from_utf8_lossy(&help.stdout).contains("--help"));
+        let version = Command::new(program).arg("--version").output().unwrap();
+        assert!(String::from_utf8_lossy(&version.stdout).contains(env!("CARGO_PKG_VERSION")));
+    }
+}
