--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,8 @@
 
 prove: build
 	@scripts/prove.sh
+
+bench: setup
+	cargo bench -p bench
+	cargo build --release --workspace --bins --examples
+	@scripts/bench-cell.sh
--- /dev/null
+++ b/components/consensus/tests/rules.rs
@@ -0,0 +1,165 @@
+//! Single rules of the replicated log, each in the one situation that needs it.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use clock::Millis;
+use common::{Cluster, id};
+use consensus::{
+    Body, Entry, Envelope, HardState, MemberRole, Membership, Node, NodeConfig, Payload, Restored,
+    Role, Timing,
+};
+use model::Incarnation;
+
+fn run(c: &mut Cluster, millis: u64) {
+    for _ in 0..millis / 20 {
+        c.now += 20;
+        for i in 0..c.members.len() {
+            c.tick(i);
+        }
+        let under_way = c.wire.len();
+        (0..under_way).for_each(|_| c.deliver(0));
+    }
+}
+
+fn cut(c: &mut Cluster, a: usize, b: usize) {
+    c.cut.insert((a, b));
+    c.cut.insert((b, a));
+}
+
+fn role(c: &Cluster, i: usize) -> Role {
+    c.members[i].replica.as_ref().unwrap().node().role()
+}
+
+/// The leader's lease rests on one follower's answers; the other has been cut off and stands. If the
+/// first restarts, it must not vote before the lease that it has forgotten is over.
+#[test]
+fn a_restarted_voter_waits_before_it_votes() {
+    for seed in 0..40 {
+        let mut c = Cluster::new(seed, 3, 0);
+        c.settle();
+        let leader = c.leader().unwrap();
+        let (kept, lost) = ((leader + 1) % 3, (leader + 2) % 3);
+        cut(&mut c, leader, lost);
+        run(&mut c, 2_500);
+        assert_eq!(role(&c, leader), Role::Leader, "one follower is quorum enough");
+        // Now the other one, too; the lease still holds for a while.
+        cut(&mut c, leader, kept);
+        c.kill(kept);
+        c.start(kept);
+        // Any vote in this time would give two leases, which every flush checks.
+        run(&mut c, 4_000);
+        assert_ne!(role(&c, leader), Role::Leader, "it resigned without answers");
+        assert!(c.leader().is_some_and(|l| l != leader));
+    }
+}
+
+fn config() -> NodeConfig {
+    NodeConfig {
+        id: id(0),
+        incarnation: Incarnation(1),
+        founders: (0..3).map(id).collect(),
+        observers: BTreeSet::new(),
+        timing: Timing::default(),
+        seed: 1,
+    }
+}
+
+fn members() -> Membership {
+    let voters = (0..3).map(|i| (id(i), Incarnation(i as u64 + 1))).collect();
+    Membership { voters, ..Membership::default() }
+}
+
+fn from(i: usize, body: Body) -> Envelope {
+    Envelope { from: id(i), incarnation: Incarnation(i as u64 + 1), to: id(0), body }
+}
+
+/// A leader elected with entries of an earlier term in its log.
+fn leader_with_old_entries() -> Node {
+    let restored = Restored {
+        hard: HardState { term: 3, voted_for: None },
+        entries: vec![
+            Entry { index: 1, term: 1, payload: Payload::Membership(members()) },
+            Entry { index: 2, term: 2, payload: Payload::Command([7].into()) },
+        ],
+        ..Restored::default()
+    };
+    let mut node = Node::new(config(), restored, Millis(0));
+    let now = Millis(5_000);
+    node.tick(now);
+    node.receive(now, from(1, Body::PreVoteReply { term: 4, granted: true }));
+    node.receive(now, from(1, Body::VoteReply { term: 4, granted: true }));
+    assert_eq!(node.role(), Role::Leader);
+    node
+}
+
+fn matched(index: u64) -> Body {
+    Body::AppendReply { term: 4, matched: true, index, sent_at: Millis(5_000) }
+}
+
+#[test]
+fn an_entry_of_an_earlier_term_is_not_committed_by_counting() {
+    let mut node = leader_with_old_entries();
+    let out = node.receive(Millis(5_001), from(1, matched(2)));
+    assert!(out.committed.is_empty(), "a later leader could still replace it");
+    let out = node.receive(Millis(5_002), from(1, matched(3)));
+    let committed: Vec<u64> = out.committed.iter().map(|e| e.index).collect();
+    assert_eq!(committed, [1, 2, 3], "its own entry takes the others with it");
+}
+
+#[test]
+fn an_answer_from_another_disk_counts_for_nothing() {
+    let mut node = leader_with_old_entries();
+    let stranger = Envelope { incarnation: Incarnation(99), ..from(1, matched(3)) };
+    let out = node.receive(Millis(5_001), stranger);
+    assert!(out.committed.is_empty());
+    assert!(!node.lease_holds(Millis(5_001)));
+}
+
+#[test]
+fn a_second_change_of_members_waits_for_the_first() {
+    let mut node = leader_with_old_entries();
+    node.receive(Millis(5_001), from(1, matched(3)));
+    node.receive(Millis(5_001), from(2, matched(3)));
+    assert!(node.change_member(Millis(5_002), &id(2), MemberRole::Learner).is_ok());
+    assert!(node.change_member(Millis(5_003), &id(1), MemberRole::Learner).is_err());
+    node.receive(Millis(5_004), from(1, matched(4)));
+    assert!(node.change_member(Millis(5_005), &id(2), MemberRole::Removed).is_ok());
+}
+
+#[test]
+fn a_member_votes_once_in_a_term_also_after_a_restart() {
+    let ask = |i| from(i, Body::Vote { term: 9, last_index: 9, last_term: 9, transfer: false });
+    let granted = |out: &consensus::Output| {
+        out.messages.iter().any(|m| matches!(m.body, Body::VoteReply { granted: true, .. }))
+    };
+    let restored = Restored {
+        entries: vec![Entry { index: 1, term: 1, payload: Payload::Membership(members()) }],
+        ..Restored::default()
+    };
+    let mut node = Node::new(config(), restored.clone(), Millis(0));
+    let out = node.receive(Millis(1_500), ask(1));
+    assert!(granted(&out));
+    let hard = out.records.iter().rev().find_map(|r| match r {
+        consensus::Record::HardState(h) => Some(h.clone()),
+        consensus::Record::Entry(_) => None,
+    });
+    assert!(!granted(&node.receive(Millis(1_501), ask(2))));
+    let restored = Restored { hard: hard.unwrap(), ..restored };
+    let mut node = Node::new(config(), restored, Millis(10_000));
+    assert!(!granted(&node.receive(Millis(12_000), ask(2))));
+    assert!(granted(&node.receive(Millis(12_001), ask(1))), "its candidate may ask again");
+}
+
+#[test]
+fn a_planned_hand_over_elects_another_at_once() {
+    let mut c = Cluster::new(7, 3, 0);
+    c.settle();
+    let leader = c.leader().unwrap();
+    let now = c.local_now(leader);
+    c.members[leader].replica.as_mut().unwrap().hand_over(now);
+    c.flush(leader);
+    run(&mut c, 300);
+    assert!(c.leader().is_some_and(|l| l != leader), "{}", c.describe());
+}
--- a/components/consensus/tests/schedules.rs
+++ b/components/consensus/tests/schedules.rs
@@ -46,7 +46,8 @@
             let j = c.rng.random_range(0..n);
             c.cut.insert((i, j));
         }
-        978..988 => c.cut.clear(),
+        978..980 if faults.cuts => isolate(c, i),
+        980..988 => c.cut.clear(),
         988..991 if faults.wipes => wipe_one(c, i),
         991..1000 if faults.compacts => c.compact(i),
         _ => {}
@@ -72,6 +73,13 @@
     }
 }
 
+fn isolate(c: &mut Cluster, i: usize) {
+    for j in 0..c.members.len() {
+        c.cut.insert((i, j));
+        c.cut.insert((j, i));
+    }
+}
+
 /// A disk may be lost only while the other disks are whole and the cell has recovered from the
 /// loss before; two lost disks of three are beyond what any quorum survives.
 fn wipe_one(c: &mut Cluster, i: usize) {
