--- a/components/bench/src/replay.rs
+++ b/components/bench/src/replay.rs
@@ -77,6 +77,8 @@
     due: BinaryHeap<Reverse<(Millis, Due)>>,
     /// Counts the starts of each task, so that an end of an earlier one is not taken for a later's.
     starts: BTreeMap<TaskId, u64>,
+    /// What checkpointed tasks have left to run.
+    left: BTreeMap<TaskId, Millis>,
     now: Millis,
 }
 
@@ -116,7 +118,7 @@
                 self.out.gang_waits.note(wait);
             }
         }
-        let really = self.really[&task.job];
+        let really = self.left.get(&task).copied().unwrap_or(self.really[&task.job]);
         if really < Millis::MAX {
             self.due.push(Reverse((self.now + really, Due::Ends(task, *count))));
         }
@@ -126,12 +128,15 @@
         match due {
             Due::Ends(task, start) if self.starts.get(&task) == Some(&start) => {
                 if let Some(placed) = self.planner.release(&task) {
-                    let ran = self.now.since(placed.since);
+                    let ran = self.really[&task.job];
                     self.planner.estimator.learn(&placed.spec, ran);
                 }
             }
             Due::Stopped(task, start) if self.starts.get(&task) == Some(&start) => {
                 if let Some(p) = self.planner.release(&task) {
+                    // A checkpoint keeps what the task has done.
+                    let left = self.left.entry(task.clone()).or_insert(self.really[&task.job]);
+                    *left = left.since(self.now.since(p.since)).max(Millis(1));
                     self.planner.submit(self.now, &p.spec, p.generation, [task.index]);
                 }
             }
@@ -220,6 +225,7 @@
         order: Vec::new(),
         due: BinaryHeap::new(),
         starts: BTreeMap::new(),
+        left: BTreeMap::new(),
         now: Millis::ZERO,
     };
     let mut events = events.into_iter().peekable();
--- a/scripts/bench-cell.sh
+++ b/scripts/bench-cell.sh
@@ -88,11 +88,20 @@
   figure "control_network_all_$1" "$((bytes / seconds))" bytes_per_s
 }
 
+all_processor_ms() {
+  local sum=0
+  for i in "${INSTANCES[@]}"; do sum=$((sum + $(processor_ms "${PIDS[$i]}"))); done
+  echo "$sum"
+}
+
 requests() {
+  local before
+  before=$(all_processor_ms)
   hv load --to "$CALLERS" --rate 1000 --seconds 8 --work-ms 5 --once-percent "$1" >"$WORK/load.txt"
   awk -v n="$1" '/goodput/ { print "figure request_goodput_at_1000_once_" n " " $2 " per_s" }
     / done in / { print "figure request_done_in_" $1 "_once_" n "_p50 " $5 " ms"
                   print "figure request_done_in_" $1 "_once_" n "_p99 " $9 " ms" }' "$WORK/load.txt"
+  figure "control_processor_per_request_once_$1" "$((($(all_processor_ms) - before) * 1000 / 8000))" us
 }
 
 allocator_of() { hv status 2>/dev/null | awk -v z="$1" '$3 == z && / allocates$/ { print $1 }'; }
@@ -127,6 +136,28 @@
   quantiles election_of_a_leader ms <"$WORK/elections.txt"
 }
 
+# The slope of an allocator's cost: the mean of the three that allocate, at two sizes of a zone.
+allocators_cost() {
+  local seconds=10 spent=0 holders=()
+  for zone in "${ZONES[@]}"; do holders+=("$(allocator_of "$zone")"); done
+  for h in "${holders[@]}"; do spent=$((spent - $(processor_ms "${PIDS[$h]}"))); done
+  sleep "$seconds"
+  for h in "${holders[@]}"; do spent=$((spent + $(processor_ms "${PIDS[$h]}"))); done
+  figure "allocator_processor_$1_workers" "$(awk -v s="$spent" -v t="$seconds" \
+    'BEGIN { printf "%.2f", s / 3 / t / 10 }')" percent_of_a_core
+}
+
+for size in 4 24; do
+  plan_cell "$size"
+  start_cell
+  wait_until 30 all_zones_allocated || exit 1
+  sleep 2
+  allocators_cost "$size"
+  [ "$size" = 4 ] || control_cost "with_$((size * 3))_workers"
+  end_cell
+  rm -rf "$WORK"/data-*
+done
+
 plan_cell 4
 start_cell
 wait_until 30 all_zones_allocated || exit 1
