--- a/components/consensus/src/log.rs
+++ b/components/consensus/src/log.rs
@@ -4,18 +4,26 @@
 
 use crate::{Entry, Membership, Payload, Snapshot};
 
-/// The entries behind a snapshot. An index below the snapshot has no entry.
+/// How many entries before the snapshot are kept for followers that are a little behind, so that they
+/// need not take in the whole state.
+const KEPT_BEFORE_SNAPSHOT: u64 = 1_000;
+
+/// A snapshot, the entries behind it and the last ones before it.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Log {
     base: Snapshot,
+    /// The index and term before the first kept entry.
+    start: u64,
+    start_term: u64,
     entries: VecDeque<Entry>,
-    /// The membership entries among `entries`, oldest first.
+    /// The membership entries behind the snapshot, oldest first.
     memberships: Vec<(u64, Membership)>,
 }
 
 impl Log {
     pub(crate) fn new(base: Snapshot, entries: Vec<Entry>) -> Log {
-        let mut log = Log { base, ..Log::default() };
+        let (start, start_term) = (base.last_index, base.last_term);
+        let mut log = Log { base, start, start_term, ..Log::default() };
         for entry in entries {
             log.push(entry);
         }
@@ -27,27 +35,33 @@
     }
 
     pub(crate) fn last_index(&self) -> u64 {
-        self.base.last_index + self.entries.len() as u64
+        self.start + self.entries.len() as u64
+    }
+
+    /// Gives the index before the first entry that followers can still be sent.
+    pub(crate) fn start(&self) -> u64 {
+        self.start
     }
 
     pub(crate) fn last_term(&self) -> u64 {
-        self.entries.back().map_or(self.base.last_term, |e| e.term)
+        self.entries.back().map_or(self.start_term, |e| e.term)
     }
 
+    /// Gives how many entries lie behind the snapshot.
     pub(crate) fn len(&self) -> usize {
-        self.entries.len()
+        (self.last_index() - self.base.last_index) as usize
     }
 
     /// Gives the term at `index`, or `None` if the log does not reach there.
     pub(crate) fn term_at(&self, index: u64) -> Option<u64> {
-        if index == self.base.last_index {
-            return Some(self.base.last_term);
+        if index == self.start {
+            return Some(self.start_term);
         }
         self.entry(index).map(|e| e.term)
     }
 
     pub(crate) fn entry(&self, index: u64) -> Option<&Entry> {
-        let place = index.checked_sub(self.base.last_index + 1)?;
+        let place = index.checked_sub(self.start + 1)?;
         self.entries.get(place as usize)
     }
 
@@ -78,7 +92,7 @@
     }
 
     fn truncate_from(&mut self, index: u64) {
-        let keep = index.saturating_sub(self.base.last_index + 1) as usize;
+        let keep = index.saturating_sub(self.start + 1) as usize;
         self.entries.truncate(keep);
         self.memberships.retain(|(i, _)| *i < index);
     }
@@ -97,12 +111,14 @@
         found.map_or(&self.base.membership, |(_, m)| m)
     }
 
-    /// Replaces the entries up to `index` by a snapshot of the state after it.
+    /// Takes a snapshot of the state after `index` and drops the entries that no follower needs.
     pub(crate) fn compact(&mut self, index: u64, data: std::sync::Arc<[u8]>) -> Option<&Snapshot> {
         let last_term = self.term_at(index)?;
         let membership = self.membership_at(index).clone();
-        let drop = (index - self.base.last_index) as usize;
-        self.entries.drain(..drop);
+        let start = index.saturating_sub(KEPT_BEFORE_SNAPSHOT).max(self.start);
+        self.start_term = self.term_at(start)?;
+        self.entries.drain(..(start - self.start) as usize);
+        self.start = start;
         self.memberships.retain(|(i, _)| *i > index);
         self.base = Snapshot { last_index: index, last_term, membership, data };
         Some(&self.base)
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -91,7 +91,7 @@
 
     fn send_next(&mut self, id: &InstanceId) {
         let Some(p) = self.progress.get(id) else { return };
-        if p.next <= self.log.base().last_index || p.snapshot.is_some() {
+        if p.next <= self.log.start() || p.snapshot.is_some() {
             self.send_chunk(id);
             return;
         }
@@ -102,7 +102,7 @@
     fn send_heartbeat(&mut self, id: &InstanceId) {
         let Some(p) = self.progress.get(id) else { return };
         // A heartbeat rests on an entry that the leader still has.
-        let prev = (p.next - 1).max(self.log.base().last_index);
+        let prev = (p.next - 1).max(self.log.start());
         self.send_append(id, prev, Vec::new());
     }
 
--- a/components/consensus/tests/rules.rs
+++ b/components/consensus/tests/rules.rs
@@ -152,6 +152,52 @@
     assert!(granted(&node.receive(Millis(12_001), ask(1))), "its candidate may ask again");
 }
 
+/// After a snapshot, a follower that is so many entries behind gets entries or the whole state.
+fn catches_up(behind: u64) -> (bool, bool) {
+    let mut c = Cluster::new(3, 3, 0);
+    c.settle();
+    let leader = c.leader().unwrap();
+    let late = (leader + 1) % 3;
+    cut(&mut c, leader, late);
+    cut(&mut c, (leader + 2) % 3, late);
+    for _ in 0..behind {
+        c.propose(leader);
+        let under_way = c.wire.len();
+        (0..under_way).for_each(|_| c.deliver(0));
+    }
+    run(&mut c, 200);
+    c.compact(leader);
+    c.cut.clear();
+    let (mut entries, mut chunks) = (false, false);
+    for _ in 0..200 {
+        c.now += 20;
+        (0..3).for_each(|i| c.tick(i));
+        let to_late = c.wire.iter().filter(|m| m.to == id(late));
+        for message in to_late {
+            match &message.body {
+                Body::Append { entries: sent, .. } => entries |= !sent.is_empty(),
+                Body::SnapshotChunk { .. } => chunks = true,
+                _ => {}
+            }
+        }
+        let under_way = c.wire.len();
+        (0..under_way).for_each(|_| c.deliver(0));
+    }
+    assert_eq!(c.members[late].applied, c.members[leader].applied, "it has caught up");
+    (entries, chunks)
+}
+
+#[test]
+fn a_follower_a_little_behind_needs_no_snapshot() {
+    assert_eq!(catches_up(300), (true, false));
+}
+
+#[test]
+fn a_follower_far_behind_gets_the_snapshot() {
+    let (_, chunks) = catches_up(1_500);
+    assert!(chunks);
+}
+
 #[test]
 fn a_planned_hand_over_elects_another_at_once() {
     let mut c = Cluster::new(7, 3, 0);
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -47,7 +47,7 @@
 /// How many inputs are taken in between two syncs at the most.
 const BATCH: usize = 4_096;
 /// How many entries the log may hold before it is replaced by a snapshot.
-const COMPACT_AFTER: usize = 5_000;
+const COMPACT_AFTER: usize = 2_000;
 
 /// A question about the core's state, answered on its thread.
 pub(crate) type Query = Box<dyn FnOnce(&Core) + Send>;
@@ -458,8 +458,10 @@
             self.send_to_mates(&ask);
         }
         let Some(leader) = self.leader() else { return };
-        let in_use = !self.shared.is_drained();
-        if let Some(ask) = self.role.ask(now, self.cell.applied).filter(|_| in_use) {
+        if let Some(release) = self.role.set_drained(self.shared.is_drained()) {
+            self.ask_for(now, release);
+        }
+        if let Some(ask) = self.role.ask(now, self.cell.applied) {
             self.send(&leader, Message::ZoneAsk(ask));
         }
     }
--- a/components/instance/src/zone_role.rs
+++ b/components/instance/src/zone_role.rs
@@ -28,6 +28,8 @@
     right: Right,
     list: PlatformList,
     stopping: bool,
+    /// Whether operators have taken this instance out of use.
+    drained: bool,
 }
 
 impl ZoneRole {
@@ -51,6 +53,7 @@
             right: Right::RenewOnly,
             list: PlatformList::default(),
             stopping: false,
+            drained: false,
         }
     }
 
@@ -69,7 +72,7 @@
 
     /// Gives what to tell the leader, if this instance takes part.
     pub(crate) fn ask(&self, now: Millis, applied: u64) -> Option<ZoneAsk> {
-        let takes_part = self.old_grants.is_some() && !self.stopping;
+        let takes_part = self.old_grants.is_some() && !self.stopping && !self.drained;
         takes_part.then(|| ZoneAsk {
             zone: self.zone.clone(),
             epoch: self.epoch(),
@@ -111,7 +114,7 @@
         let epoch = grant.map_or(Epoch(0), |g| g.epoch);
         let mine = grant.is_some_and(|g| g.holder.as_ref() == Some(&self.id));
         let fresh = self.old_grants.is_some_and(|old| epoch.0 > old);
-        if !mine || !fresh || self.stopping {
+        if !mine || !fresh || self.stopping || self.drained {
             self.allocator = None;
             self.broker = None;
             return;
@@ -210,9 +213,20 @@
         self.broker.as_mut()?.answer(now, demand, pool)
     }
 
-    /// Gives the zone back for a planned stop: nothing is told to workers from now on.
+    /// Takes in whether operators have taken this instance out of use; it gives the zone back then.
+    pub(crate) fn set_drained(&mut self, drained: bool) -> Option<Command> {
+        self.drained = drained;
+        if drained { self.give_back() } else { None }
+    }
+
+    /// Gives the zone back for a planned stop.
     pub(crate) fn release(&mut self) -> Option<Command> {
         self.stopping = true;
+        self.give_back()
+    }
+
+    /// Ends allocating at once: nothing is told to workers from now on.
+    fn give_back(&mut self) -> Option<Command> {
         let epoch = self.allocator.take()?.epoch();
         self.broker = None;
         Some(Command::ReleaseEpoch { zone: self.zone.clone(), epoch })
--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -13,6 +13,7 @@
 . scripts/cell.sh
 RESULT=1
 MOVED=0
+DAMAGED=0
 
 finish() {
   end_cell
@@ -71,6 +72,24 @@
   wait_until 40 members_whole || say "the members are not whole again"
 }
 
+# A synced byte is changed: the instance refuses to start, and is repaired from its peers.
+damage_disk() {
+  say "damage the log of $1"
+  wait_until 40 members_whole || { say "the members are not whole; skipped" && return; }
+  kill_logged "$1"
+  local log="$WORK/data-$1/cell.log"
+  printf '\xff' | dd of="$log" bs=1 seek=20 conv=notrunc 2>/dev/null
+  start_instance "$1"
+  wait "${PIDS[$1]}"
+  local code=$?
+  tail -20 "$WORK/$1.log" | grep -q 'is damaged at byte' && [ "$code" != 0 ] || {
+    say "a damaged log was not refused" && DAMAGED=1
+  }
+  rm -rf "$WORK/data-$1"
+  restart "$1"
+  wait_until 40 members_whole || say "the members are not whole again"
+}
+
 # Refuses all links between one zone's instances and the others'.
 cut_zone() {
   say "cut zone $1 for $2 s"
@@ -204,7 +223,7 @@
 for round in $(seq "$ROUNDS"); do
   name=$(pick "${INSTANCES[@]}")
   worker=$(pick "${WORKERS[@]}")
-  case $((RANDOM % 12)) in
+  case $((RANDOM % 13)) in
   0 | 1) kill_and_restart "$name" $((RANDOM % 3)) ;;
   2) freeze "$name" $((1 + RANDOM % 7)) ;;
   3 | 4) kill_and_restart "$worker" $((RANDOM % 5)) ;;
@@ -223,6 +242,7 @@
     [ "$other" = "$name" ] || restart "$other"
     ;;
   11) kill_and_restart "$worker" 1 && freeze "$name" 5 ;;
+  12) damage_disk "$(pick za1 zb1 zc1)" ;;
   esac
   sleep 1
 done
@@ -236,7 +256,7 @@
     END { exit n != 3 }'
 }
 services_run() { has_tasks_in service running 9 && has_tasks_in fixed running 6; }
-RESULT=$MOVED
+RESULT=$((MOVED | DAMAGED))
 wait_until 120 all_zones_allocated || { say "a zone has no allocator" && RESULT=1; }
 wait_until 120 all_ended || { say "not all jobs have ended" && hv list && RESULT=1; }
 wait_until 60 services_run || { say "not all services run" && RESULT=1; }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -285,6 +285,22 @@
     command.args(args).stderr(Stdio::null()).spawn().unwrap()
 }
 
+/// The lines that an instance logs in its life, from its start to its planned stop.
+pub fn logged(platform: &FakePlatform, format: &str) -> Vec<String> {
+    let mut instance = Instance::start(platform);
+    instance.child.kill().unwrap();
+    instance.child.wait().unwrap();
+    let path = instance.folder.path().join("log");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathvaled"));
+    command.args(&instance.args).args(["--log-level", "info", "--log-format", format]);
+    instance.child = command.stderr(std::fs::File::create(&path).unwrap()).spawn().unwrap();
+    instance.wait_ready();
+    let stop = Command::new("kill").arg(instance.child.id().to_string()).status().unwrap();
+    assert!(stop.success());
+    assert!(instance.child.wait().unwrap().success(), "a planned stop ends with code 0");
+    std::fs::read_to_string(&path).unwrap().lines().map(str::to_string).collect()
+}
+
 impl Drop for Instance {
     fn drop(&mut self) {
         // It may have ended already.
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 
-use common::{FakePlatform, FakeUpstream, Instance, cell, wait_until, whole_answer};
+use common::{FakePlatform, FakeUpstream, Instance, cell, logged, wait_until, whole_answer};
 use upstream::headers;
 
 #[test]
@@ -190,6 +190,64 @@
     });
 }
 
+#[test]
+fn a_drained_instance_gives_its_zone_back_and_tells_the_balancer() {
+    let (instance, _platform, _upstreams) = cell(&[whole_answer]);
+    let allocates = || instance.operate(&["status"]).1.contains(" allocates");
+    assert!(allocates());
+    assert_eq!(instance.operate(&["drain", "a"]).0, 0);
+    wait_until("it has given its zone back", || !allocates());
+    wait_until("the balancer is told", || instance.get("/health").unwrap().status() == 503);
+    assert_eq!(
+        instance.call("r", &[]).header(headers::OUTCOME),
+        "done",
+        "callers are still served"
+    );
+    assert_eq!(instance.operate(&["drain", "a", "--back"]).0, 0);
+    wait_until("it allocates again", allocates);
+    wait_until("the balancer is told", || instance.get("/health").unwrap().status() == 200);
+}
+
+#[test]
+fn a_drained_upstream_gets_nothing_new() {
+    let (instance, _platform, upstreams) = cell(&[whole_answer, whole_answer]);
+    assert_eq!(instance.operate(&["drain", "w0"]).0, 0);
+    wait_until("it is taken out", || {
+        instance.operate(&["status", "--upstreams"]).1.contains("w0 leaving")
+    });
+    let before = upstreams[0].runs();
+    for i in 0..20 {
+        assert_eq!(instance.call(&format!("r{i}"), &[]).header(headers::OUTCOME), "done");
+    }
+    assert_eq!(upstreams[0].runs(), before);
+}
+
+#[test]
+fn the_log_is_json_lines_with_the_events_of_the_catalogue() {
+    let upstream = FakeUpstream::start(whole_answer);
+    let platform = FakePlatform::start(&[&upstream]);
+    let lines = logged(&platform, "json");
+    let mut names = Vec::new();
+    for line in &lines {
+        let value: serde_json::Value = serde_json::from_str(line).unwrap();
+        let number = value["number"].as_u64().unwrap();
+        let kind = events::find(number as u32).unwrap();
+        assert_eq!(value["name"], kind.name);
+        names.push(kind.name);
+    }
+    for wanted in ["instance_started", "leader_elected", "instance_stopping", "instance_stopped"] {
+        assert!(names.contains(&wanted), "{wanted} is not in {names:?}");
+    }
+}
+
+#[test]
+fn the_log_is_text_with_the_events_numbers() {
+    let upstream = FakeUpstream::start(whole_answer);
+    let platform = FakePlatform::start(&[&upstream]);
+    let lines = logged(&platform, "text");
+    assert!(lines.iter().any(|l| l.contains(" E101 instance_started: ")), "{lines:?}");
+}
+
 #[test]
 fn help_is_complete_and_versions_are_told() {
     for program in [env!("CARGO_BIN_EXE_heathvale"), env!("CARGO_BIN_EXE_heathvaled")] {
