Tell a job that fails everywhere so in a small zone, too

Cause: a job's tasks were kept away from each worker on which one failed; in a zone of two workers both were out after two failures, which blames nobody, and the job waited for ever. The new test failed so.

--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -198,13 +198,23 @@
         Some(placed)
     }
 
-    /// Keeps a job's tasks away from a worker on which one of them failed.
+    /// Keeps a job's tasks away from a worker on which one of them failed, and gives from how many
+    /// they are kept away.
     pub fn avoid(&mut self, job: &JobName, worker: WorkerIndex) -> usize {
         let workers = self.avoid.entry(job.clone()).or_default();
         workers.insert(worker);
         workers.len()
     }
 
+    /// Lets a job's tasks go back to workers on which they failed.
+    pub fn forgive(&mut self, job: &JobName) {
+        self.avoid.remove(job);
+        self.settled_at = None;
+        if let Some(bundle) = self.queue.get_mut(job) {
+            bundle.stuck_at = None;
+        }
+    }
+
     /// Gives a placed task.
     pub fn placed(&self, task: &TaskId) -> Option<&Placed> {
         self.placed.get(task)
--- a/components/zone/src/reports.rs
+++ b/components/zone/src/reports.rs
@@ -220,7 +220,11 @@
                 self.refresh_open(ix);
             }
             Verdict::TryAgain => {
-                self.planner.avoid(&task.job, ix);
+                let avoided = self.planner.avoid(&task.job, ix);
+                if avoided >= self.links.len() {
+                    // It failed everywhere once: only more tries can tell whose fault that is.
+                    self.planner.forgive(&task.job);
+                }
             }
         }
         self.retry_or_end(now, task, true, "it failed");
--- a/components/zone/tests/rules.rs
+++ b/components/zone/tests/rules.rs
@@ -277,10 +277,19 @@
 
 #[test]
 fn a_job_that_fails_everywhere_is_told_so() {
-    let mut a = allocator(4);
+    told_that_it_fails(&["w0", "w1", "w2", "w3"]);
+}
+
+#[test]
+fn a_job_that_fails_is_told_so_in_a_zone_of_two_workers() {
+    told_that_it_fails(&["w0", "w1"]);
+}
+
+fn told_that_it_fails(workers: &[&str]) {
+    let mut a = allocator(workers.len());
     a.take_job(Millis(0), &job("bad", 20, 1, 1_000));
     let first = calls(&mut a, 1, Right::Full);
-    for w in ["w0", "w1", "w2", "w3"] {
+    for w in workers {
         answer(&mut a, 2, &first, w, report(&[], 0));
     }
     for now in (10..5_000u64).step_by(20) {
@@ -299,7 +308,7 @@
                 _ => None,
             })
             .collect();
-        for w in ["w0", "w1", "w2", "w3"] {
+        for w in workers {
             fail_all(&mut a, now, &made, w);
         }
     }
