--- a/components/bench/src/leases.rs
+++ b/components/bench/src/leases.rs
@@ -5,7 +5,7 @@
 
 use cell::{Job, JobState, Share};
 use clock::Millis;
-use model::{Class, Epoch, JobKind, JobSpec, Name, Profile, Size, Spread};
+use model::{Epoch, JobKind, JobSpec, Name, Profile, Size};
 use testkit::{Recorder, WorkerConfig, WorkerCore};
 use upstream::{ListedWorker, SyncReply, SyncRequest, WorkerState};
 use zone::{Action, Allocator, AllocatorConfig, Right};
@@ -45,19 +45,13 @@
 }
 
 fn job(number: u32, tasks: u32) -> Job {
-    let spec = JobSpec {
-        name: format!("job-with-a-usual-name-{number}").as_str().into(),
-        team: "team".into(),
-        kind: JobKind::Service,
+    let spec = JobSpec::new(
+        &format!("job-with-a-usual-name-{number}"),
+        "team",
+        JobKind::Service,
         tasks,
-        size: Size::new(1_500, 3_000, 0),
-        run_time: Millis::ZERO,
-        class: Class::Normal,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
-        may_move: true,
-        repeatable: true,
-    };
+        Size::new(1_500, 3_000, 0),
+    );
     Job {
         shares: vec![Share { zone: "zone-a".into(), first: 0, count: tasks }],
         spec,
--- a/components/bench/src/log.rs
+++ b/components/bench/src/log.rs
@@ -7,7 +7,7 @@
 use cell::{Cell, Claim, Command, Proposal, Share};
 use clock::Millis;
 use consensus::{Committed, FileDisk, Node, NodeConfig, Payload, Replica, Timing};
-use model::{CellConfig, Class, Incarnation, JobKind, JobSpec, Size, Spread};
+use model::{CellConfig, Incarnation, JobKind, JobSpec, Size};
 use storage::DataFolder;
 
 use crate::figure::figure;
@@ -21,17 +21,14 @@
 
 fn job(number: u32) -> JobSpec {
     JobSpec {
-        name: format!("job-with-a-usual-name-{number}").as_str().into(),
-        team: format!("team{}", number % 88).as_str().into(),
-        kind: JobKind::Batch,
-        tasks: TASKS_EACH,
-        size: Size::new(1_000, 2_000, 0),
         run_time: Millis(60_000),
-        class: Class::Normal,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
-        may_move: true,
-        repeatable: true,
+        ..JobSpec::new(
+            &format!("job-with-a-usual-name-{number}"),
+            &format!("team{}", number % 88),
+            JobKind::Batch,
+            TASKS_EACH,
+            Size::new(1_000, 2_000, 0),
+        )
     }
 }
 
--- a/components/bench/src/placing.rs
+++ b/components/bench/src/placing.rs
@@ -5,7 +5,7 @@
 
 use clock::Millis;
 use hdrhistogram::Histogram;
-use model::{Class, JobKind, JobSpec, Profile, Size, Spread, TaskId};
+use model::{JobKind, JobSpec, Profile, Size, Spread, TaskId};
 use placement::{Decision, Planner, Policy, WorkerInfo};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -26,17 +26,15 @@
 fn spec(number: u32, rng: &mut StdRng) -> JobSpec {
     let service = rng.random_range(0..5) == 0;
     JobSpec {
-        name: format!("job{number}").as_str().into(),
-        team: format!("team{}", number % 88).as_str().into(),
-        kind: if service { JobKind::Service } else { JobKind::Batch },
-        tasks: 1,
-        size: size(rng),
         run_time: if service { Millis::ZERO } else { Millis(60_000) },
-        class: Class::Normal,
-        deadline: Millis::ZERO,
         spread: if service { Spread::Rack } else { Spread::None },
-        may_move: true,
-        repeatable: true,
+        ..JobSpec::new(
+            &format!("job{number}"),
+            &format!("team{}", number % 88),
+            if service { JobKind::Service } else { JobKind::Batch },
+            1,
+            size(rng),
+        )
     }
 }
 
--- a/components/bench/src/trace.rs
+++ b/components/bench/src/trace.rs
@@ -120,17 +120,5 @@
 
 fn plain(name: String, kind: JobKind, tasks: u32, class: Class) -> JobSpec {
     let team = format!("team{}", name.len() as u32 + tasks % 7);
-    JobSpec {
-        name: name.as_str().into(),
-        team: team.as_str().into(),
-        kind,
-        tasks,
-        size: Size::ZERO,
-        run_time: Millis::ZERO,
-        class,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
-        may_move: true,
-        repeatable: true,
-    }
+    JobSpec { class, ..JobSpec::new(&name, &team, kind, tasks, Size::ZERO) }
 }
--- a/components/cell/tests/commands.rs
+++ b/components/cell/tests/commands.rs
@@ -7,7 +7,7 @@
     TaskEnd, TaskOutcome, ZoneRoom, assign, next_home,
 };
 use clock::Millis;
-use model::{CellConfig, Class, Epoch, JobKind, JobSpec, RequestKey, Size, Spread, TaskId, ZoneId};
+use model::{CellConfig, Epoch, JobKind, JobSpec, RequestKey, Size, Spread, TaskId, ZoneId};
 use proptest::prelude::*;
 
 const NOW: Millis = Millis(100_000_000);
@@ -23,17 +23,8 @@
 
 fn spec(name: &str, tasks: u32) -> JobSpec {
     JobSpec {
-        name: name.into(),
-        team: "team".into(),
-        kind: JobKind::Batch,
-        tasks,
-        size: Size::new(1_000, 1_000, 0),
         run_time: Millis(1_000),
-        class: Class::Normal,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
-        may_move: true,
-        repeatable: true,
+        ..JobSpec::new(name, "team", JobKind::Batch, tasks, Size::new(1_000, 1_000, 0))
     }
 }
 
--- a/components/instance/tests/keeper.rs
+++ b/components/instance/tests/keeper.rs
@@ -3,7 +3,7 @@
 use cell::{Cell, Command, Proposal, Share, ZoneRoom};
 use clock::Millis;
 use instance::{AskReply, ZoneAsk, ZoneKeeper};
-use model::{Class, Epoch, InstanceId, JobKind, JobSpec, Size, Spread};
+use model::{Epoch, InstanceId, JobKind, JobSpec, Size};
 use zone::{ZONE_LEASE, lease_bound, move_wait, takeover_wait};
 
 const START: Millis = Millis(1_000_000);
@@ -101,17 +101,8 @@
 
 fn job(name: &str, may_move: bool) -> Command {
     let spec = JobSpec {
-        name: name.into(),
-        team: "t".into(),
-        kind: JobKind::Service,
-        tasks: 2,
-        size: Size::new(1_000, 1_000, 0),
-        run_time: Millis::ZERO,
-        class: Class::Normal,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
         may_move,
-        repeatable: true,
+        ..JobSpec::new(name, "t", JobKind::Service, 2, Size::new(1_000, 1_000, 0))
     };
     let shares = vec![Share { zone: "za".into(), first: 0, count: 2 }];
     Command::CreateJob { spec, shares }
--- a/components/model/src/spec.rs
+++ b/components/model/src/spec.rs
@@ -98,6 +98,23 @@
     /// The longest name of a job or team, in bytes.
     pub const MAX_NAME: usize = 100;
 
+    /// Declares a job with the defaults that a job file has for what is left out.
+    pub fn new(name: &str, team: &str, kind: JobKind, tasks: u32, size: Size) -> JobSpec {
+        JobSpec {
+            name: name.into(),
+            team: team.into(),
+            kind,
+            tasks,
+            size,
+            run_time: Millis::ZERO,
+            class: Class::Normal,
+            deadline: Millis::ZERO,
+            spread: Spread::None,
+            may_move: true,
+            repeatable: true,
+        }
+    }
+
     /// Gives every fault of the spec as field and message.
     pub fn faults(&self) -> Vec<(&'static str, String)> {
         let mut faults = Vec::new();
--- a/components/placement/tests/differential.rs
+++ b/components/placement/tests/differential.rs
@@ -127,17 +127,8 @@
 
 fn spec(name: &str, kind: JobKind, tasks: u32, cpu: u64) -> JobSpec {
     JobSpec {
-        name: name.into(),
-        team: name.into(),
-        kind,
-        tasks,
-        size: Size::new(cpu, 100, 0),
         run_time: if kind == JobKind::Service { Millis::ZERO } else { Millis(10_000) },
-        class: Class::Normal,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
-        may_move: true,
-        repeatable: true,
+        ..JobSpec::new(name, name, kind, tasks, Size::new(cpu, 100, 0))
     }
 }
 
--- a/components/zone/tests/common/mod.rs
+++ b/components/zone/tests/common/mod.rs
@@ -6,7 +6,7 @@
 
 use cell::{Cell, Command, Proposal, Reply, Share};
 use clock::Millis;
-use model::{Class, Epoch, JobKind, JobSpec, Name, Profile, Size, Spread, TaskId, ZoneId};
+use model::{Epoch, JobKind, JobSpec, Name, Profile, Size, TaskId, ZoneId};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use testkit::{Recorder, WorkerConfig, WorkerCore};
@@ -86,17 +86,8 @@
 
 pub fn spec(name: &str, kind: JobKind, tasks: u32, cpu: u64) -> JobSpec {
     JobSpec {
-        name: name.into(),
-        team: "team".into(),
-        kind,
-        tasks,
-        size: Size::new(cpu, 500, 0),
         run_time: if kind == JobKind::Service { Millis::ZERO } else { Millis(2_000) },
-        class: Class::Normal,
-        deadline: Millis::ZERO,
-        spread: Spread::None,
-        may_move: true,
-        repeatable: true,
+        ..JobSpec::new(name, "team", kind, tasks, Size::new(cpu, 500, 0))
     }
 }
 
--- a/components/zone/tests/rules.rs
+++ b/components/zone/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use cell::{Command, Job, JobState, Share, TaskEnd, TaskOutcome};
 use clock::Millis;
-use model::{Class, Epoch, JobKind, JobSpec, Name, Profile, Size, Spread, TaskId};
+use model::{Epoch, JobKind, JobSpec, Name, Profile, Size, TaskId};
 use upstream::{
     Ended, ListedWorker, Report, RunningTask, SyncReply, SyncRequest, TaskEnding, WorkerState,
 };
@@ -36,17 +36,8 @@
 fn job(name: &str, version: u64, tasks: u32, cpu: u64) -> Job {
     Job {
         spec: JobSpec {
-            name: name.into(),
-            team: "t".into(),
-            kind: JobKind::Batch,
-            tasks,
-            size: Size::new(cpu, 100, 0),
             run_time: Millis(1_000),
-            class: Class::Normal,
-            deadline: Millis::ZERO,
-            spread: Spread::None,
-            may_move: true,
-            repeatable: true,
+            ..JobSpec::new(name, "t", JobKind::Batch, tasks, Size::new(cpu, 100, 0))
         },
         version,
         created: Millis::ZERO,
