Answer those who wait for a leader as soon as it is gone

Cause: a not repeatable request whose claim was under way when the leader was cut off was answered only at its deadline, though nothing could come any more.

--- a/components/instance/src/calls.rs
+++ b/components/instance/src/calls.rs
@@ -65,6 +65,14 @@
             self.waiting.iter().filter(|(_, w)| now >= w.1).map(|(t, _)| *t).collect();
         late.into_iter().for_each(|t| self.answer(t, Outcome::Unknown));
     }
+
+    /// Gives up on all outcomes at once, because the leader they were asked of is gone.
+    pub(crate) fn give_up(&mut self) {
+        for (tx, _) in std::mem::take(&mut self.waiting).into_values() {
+            // The caller may have gone.
+            let _ = tx.send(Outcome::Unknown);
+        }
+    }
 }
 
 /// Changes in this leader's log, by index.
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -119,6 +119,7 @@
     timers: Timers,
     to_self: Vec<Message>,
     handing_over: Option<oneshot::Sender<()>>,
+    last_leader: Option<InstanceId>,
     /// Counts what was synced, for figures.
     pub(crate) synced: u64,
 }
@@ -165,6 +166,7 @@
             timers: Timers::default(),
             to_self: Vec::new(),
             handing_over: None,
+            last_leader: None,
             synced: 0,
         };
         if let Some(in_force) = in_force {
@@ -393,6 +395,7 @@
         self.replica.tick(now);
         lock(&self.shared.plane).tick(now);
         self.forwarded.expire(now);
+        self.follow_leader();
         if self.reads.is_past_barrier(self.cell.applied) {
             self.become_ready();
         } else if is_due(now, &mut self.timers.barrier, BARRIER_EVERY) {
@@ -401,6 +404,26 @@
         if is_due(now, &mut self.timers.ask, ASK_EVERY) {
             self.ask_leader(now);
         }
+        self.talk_to_zone(now);
+        self.move_shares(now);
+        let (actions, change) = self.role.tick(now, &self.cell);
+        self.note_right(change);
+        for action in actions {
+            self.act(now, action);
+        }
+        self.reads.settle(now, self.cell.applied);
+    }
+
+    /// Whoever waits for a leader that is gone gets the final answer now.
+    fn follow_leader(&mut self) {
+        let leader = self.leader();
+        if leader != self.last_leader {
+            self.forwarded.give_up();
+            self.last_leader = leader;
+        }
+    }
+
+    fn talk_to_zone(&mut self, now: Millis) {
         if is_due(now, &mut self.timers.demand, DEMAND_EVERY) {
             let id = self.shared.id().clone();
             let epoch = self.cell.zones.epoch(self.shared.zone());
@@ -413,18 +436,15 @@
                 self.send_to_zone(&Message::Events(copies));
             }
         }
+    }
+
+    fn move_shares(&mut self, now: Millis) {
         let leads = self.certain_index(now) == Some(self.cell.applied);
         if leads && is_due(now, &mut self.timers.moves, MOVES_EVERY) {
             for command in self.keeper.moves(now, &self.cell) {
                 self.propose_zone_change(now, command);
             }
         }
-        let (actions, change) = self.role.tick(now, &self.cell);
-        self.note_right(change);
-        for action in actions {
-            self.act(now, action);
-        }
-        self.reads.settle(now, self.cell.applied);
     }
 
     /// Asks the leader how far the log is committed. Only an answer to this process's own question
