--- a/scripts/prove.sh
+++ b/scripts/prove.sh
@@ -266,5 +266,7 @@
 kill "$SAMPLER"
 wait "$SAMPLER" 2>/dev/null
 unset SAMPLER
+say "snapshots taken $(cat "$WORK"/z*.log | grep -c ' E206 '), installed $(cat "$WORK"/z*.log | grep -c ' E205 ')"
+say "shares moved $(cat "$WORK"/z*.log | grep -c ' E306 '), take-overs $(cat "$WORK"/z*.log | grep -c ' E401 ')"
 "$BIN/examples/verdict" --run "$WORK" --least 2 || RESULT=1
 exit "$RESULT"
