--- a/components/zone/tests/rules.rs
+++ b/components/zone/tests/rules.rs
@@ -66,13 +66,18 @@
     }
 }
 
-/// Lets time pass and gives the calls that are made, by worker.
-fn calls(a: &mut Allocator, now: u64, right: Right) -> BTreeMap<Name, SyncRequest> {
+/// Gives the calls among actions, by worker.
+fn calls_in(actions: Vec<Action>) -> BTreeMap<Name, SyncRequest> {
     let call = |action| match action {
         Action::Sync { worker, req, .. } => Some((worker, req)),
         _ => None,
     };
-    a.tick(Millis(now), right).into_iter().filter_map(call).collect()
+    actions.into_iter().filter_map(call).collect()
+}
+
+/// Lets time pass and gives the calls that are made.
+fn calls(a: &mut Allocator, now: u64, right: Right) -> BTreeMap<Name, SyncRequest> {
+    calls_in(a.tick(Millis(now), right))
 }
 
 /// Answers a worker's call with a report.
@@ -253,13 +258,7 @@
         aside |= actions.iter().any(|x| matches!(x, Action::Note(Note::WorkerAside { .. })));
         let ends = actions.iter().any(|x| matches!(x, Action::Propose(Command::EndTasks { .. })));
         assert!(!ends, "no job is blamed for a single worker");
-        let made: BTreeMap<Name, SyncRequest> = actions
-            .into_iter()
-            .filter_map(|x| match x {
-                Action::Sync { worker, req, .. } => Some((worker, req)),
-                _ => None,
-            })
-            .collect();
+        let made = calls_in(actions);
         failures += fail_all(&mut a, now, &made, "w0");
     }
     assert!(aside);
@@ -292,13 +291,7 @@
                 return;
             }
         }
-        let made: BTreeMap<Name, SyncRequest> = actions
-            .into_iter()
-            .filter_map(|x| match x {
-                Action::Sync { worker, req, .. } => Some((worker, req)),
-                _ => None,
-            })
-            .collect();
+        let made = calls_in(actions);
         for w in workers {
             fail_all(&mut a, now, &made, w);
         }
