--- a/components/bench/src/replay.rs
+++ b/components/bench/src/replay.rs
@@ -11,7 +11,7 @@
 use rand::rngs::StdRng;
 
 use crate::figure::{Waits, figure};
-use crate::trace::{Event, SPAN, USERS, User, make};
+use crate::trace::{Event, SPAN, TARGET_ZONE, USERS, User, make};
 
 /// How long a task takes to checkpoint and stop.
 const CHECKPOINT: Millis = Millis(800);
@@ -255,25 +255,32 @@
     }
 }
 
-/// Replays each user's work under each policy.
+fn measure(user: &User, entrant: &Entrant, seeds: u64) {
+    let mut out = Outcome::default();
+    for seed in 0..seeds {
+        replay(user, entrant, seed, &mut out);
+    }
+    let name = format!("{}_{}", user.name, entrant.name);
+    for (class, waits) in &out.waits {
+        waits.print(&format!("task_wait_{name}_{}", class.as_str()));
+    }
+    out.gang_waits.print(&format!("task_wait_{name}_gang"));
+    for (dimension, sum) in ["cpu", "memory"].iter().zip(out.packing) {
+        let part = sum as f64 / out.looks.max(1) as f64 / 10.0;
+        figure(&format!("packing_{name}_{dimension}"), part, "percent");
+    }
+    figure(&format!("tasks_started_{name}"), out.started as f64 / seeds as f64, "tasks");
+    figure(&format!("tasks_evicted_{name}"), out.evicted as f64 / seeds as f64, "tasks");
+}
+
+/// Replays each user's work under each policy, and a zone of the target under ours.
 pub fn run() {
     for user in &USERS {
         for entrant in &ENTRANTS {
-            let mut out = Outcome::default();
-            for seed in 0..SEEDS {
-                replay(user, entrant, seed, &mut out);
-            }
-            let name = format!("{}_{}", user.name, entrant.name);
-            for (class, waits) in &out.waits {
-                waits.print(&format!("task_wait_{name}_{}", class.as_str()));
-            }
-            out.gang_waits.print(&format!("task_wait_{name}_gang"));
-            for (dimension, sum) in ["cpu", "memory"].iter().zip(out.packing) {
-                let part = sum as f64 / out.looks.max(1) as f64 / 10.0;
-                figure(&format!("packing_{name}_{dimension}"), part, "percent");
-            }
-            figure(&format!("tasks_started_{name}"), out.started as f64 / SEEDS as f64, "tasks");
-            figure(&format!("tasks_evicted_{name}"), out.evicted as f64 / SEEDS as f64, "tasks");
+            measure(user, entrant, SEEDS);
         }
     }
+    for entrant in ENTRANTS.iter().filter(|e| e.baseline.is_none() && e.backfill) {
+        measure(&TARGET_ZONE, entrant, 1);
+    }
 }
--- a/components/bench/src/trace.rs
+++ b/components/bench/src/trace.rs
@@ -26,6 +26,10 @@
     User { name: "zapisnik", workers: 50, cpu: 32_000, memory: 64_000, large_percent: 20 },
 ];
 
+/// One zone of the target: an eighth of its workers, with work of the same shape.
+pub const TARGET_ZONE: User =
+    User { name: "target_zone", workers: 400, cpu: 32_000, memory: 64_000, large_percent: 10 };
+
 /// One thing that happens.
 #[derive(Clone, Debug)]
 pub enum Event {
