Give a restarted instance its zone's events back

Each kept copies of the other's events, but a restarted one did not get back what was copied before, so that the second restart lost them all. The demo now restarts both instances of that zone each time.

--- a/components/events/src/journal.rs
+++ b/components/events/src/journal.rs
@@ -1,6 +1,6 @@
 //! The last events of one process.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Mutex;
 
 use clock::{Millis, wall_now};
@@ -120,16 +120,17 @@
 
 #[derive(Debug, Default)]
 struct Kept {
-    events: VecDeque<Event>,
+    /// By order and instance, so that an event that comes twice is kept once.
+    events: BTreeMap<(u64, Name), Event>,
     /// Own events that no copy was made of yet.
     uncopied: VecDeque<EventCopy>,
 }
 
 impl Kept {
     fn push(&mut self, event: Event) {
-        self.events.push_back(event);
+        self.events.insert((event.order, event.instance.clone()), event);
         if self.events.len() > KEPT {
-            self.events.pop_front();
+            self.events.pop_first();
         }
     }
 }
@@ -179,15 +180,20 @@
         kept.uncopied.drain(..n).collect()
     }
 
+    /// Gives copies of all that is kept, for an instance that has lost its own.
+    pub fn all_copies(&self) -> Vec<EventCopy> {
+        self.lock().events.values().map(EventCopy::from).collect()
+    }
+
     /// Keeps copies of another instance's events.
     pub fn keep_copies(&self, copies: Vec<EventCopy>) {
         let mut kept = self.lock();
         copies.into_iter().filter_map(EventCopy::event).for_each(|e| kept.push(e));
     }
 
-    /// Gives the events that `filter` asks for.
+    /// Gives the events that `filter` asks for, in their order.
     pub fn read(&self, filter: &Filter) -> Vec<Event> {
-        self.lock().events.iter().filter(|e| filter.accepts(e)).cloned().collect()
+        self.lock().events.values().filter(|e| filter.accepts(e)).cloned().collect()
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Kept> {
--- a/components/events/tests/catalogue.rs
+++ b/components/events/tests/catalogue.rs
@@ -54,3 +54,18 @@
     let later = Filter { after: found[0].order, ..Filter::default() };
     assert!(a.read(&later).is_empty());
 }
+
+#[test]
+fn a_journal_that_was_lost_is_made_whole_from_another_once() {
+    let (a, b) = (Journal::new("a".into()), Journal::new("b".into()));
+    a.note(&kinds::JOB_CREATED, Subject::job(&"x"), "one");
+    b.note(&kinds::JOB_ENDED, Subject::job(&"x"), "two");
+    b.keep_copies(a.to_copy(10));
+    // The first process has died; the one after it gets back what both knew, however often it asks.
+    let again = Journal::new("a".into());
+    again.keep_copies(b.all_copies());
+    again.keep_copies(b.all_copies());
+    let texts: Vec<String> = again.read(&Filter::default()).into_iter().map(|e| e.text).collect();
+    assert_eq!(texts, ["one", "two"]);
+    assert!(again.to_copy(10).is_empty(), "copies are not copied on");
+}
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -40,6 +40,8 @@
 const BARRIER_EVERY: Millis = Millis(100);
 /// How often an instance's events are copied to the others of its zone.
 const COPIES_EVERY: Millis = Millis(200);
+/// How often a process that has started asks for the copies that the one before it kept.
+const COPY_ASKS: u32 = 20;
 /// How many events are copied at once.
 const MOST_COPIES: usize = 2_000;
 /// How often the leader looks for zones that are cut off.
@@ -91,6 +93,7 @@
     demand: Millis,
     moves: Millis,
     copies: Millis,
+    copy_ask: Millis,
     barrier: Millis,
 }
 
@@ -120,6 +123,8 @@
     to_self: Vec<Message>,
     handing_over: Option<oneshot::Sender<()>>,
     last_leader: Option<InstanceId>,
+    /// How often the zone's other instances are still asked for the events that they keep.
+    copy_asks_left: u32,
     /// Counts what was synced, for figures.
     pub(crate) synced: u64,
 }
@@ -167,6 +172,7 @@
             to_self: Vec::new(),
             handing_over: None,
             last_leader: None,
+            copy_asks_left: COPY_ASKS,
             synced: 0,
         };
         if let Some(in_force) = in_force {
@@ -269,6 +275,15 @@
                 self.shared.journal.keep_copies(copies);
             }
             Message::Events(_) => {}
+            Message::EventsAsk => {
+                for part in self.shared.journal.all_copies().chunks(MOST_COPIES) {
+                    self.send(&from, Message::EventsKept(part.to_vec()));
+                }
+            }
+            Message::EventsKept(copies) => {
+                self.shared.journal.keep_copies(copies);
+                self.copy_asks_left = 0;
+            }
         }
     }
 
@@ -430,6 +445,10 @@
             let demand = lock(&self.shared.plane).demand(now, epoch, &id);
             self.send_to_zone(&Message::Demand(demand));
         }
+        if self.copy_asks_left > 0 && is_due(now, &mut self.timers.copy_ask, ASK_EVERY) {
+            self.copy_asks_left -= 1;
+            self.send_to_mates(&Message::EventsAsk);
+        }
         if is_due(now, &mut self.timers.copies, COPIES_EVERY) {
             let copies = self.shared.journal.to_copy(MOST_COPIES);
             if !copies.is_empty() {
--- a/components/instance/src/message.rs
+++ b/components/instance/src/message.rs
@@ -72,6 +72,10 @@
     Leaving(Name),
     /// Copies of the sender's events, for the case that its process dies.
     Events(Vec<EventCopy>),
+    /// A process that has just started asks for the copies that the one before it kept.
+    EventsAsk,
+    /// Answers [`Message::EventsAsk`] with a part of what the sender keeps.
+    EventsKept(Vec<EventCopy>),
 }
 
 /// A zone's instance asks to allocate for it, or to go on.
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -97,6 +97,16 @@
 kill_now platform
 start_platform
 check "the service's 3 tasks run again" wait_until 20 has_tasks_in waitlist-watch running 3
+gang_zone=$(hv show transcript-gang | awk 'NR == 2 { print $2 }')
+for name in "${gang_zone}1" "${gang_zone}2"; do
+  kill_now "$name"
+  start_instance "$name"
+  check "$name, in whose zone the gang ran, is back" wait_until 15 bash -c \
+    "$BIN/heathvale timeline --job transcript-gang --on $name >/dev/null &&
+     $BIN/heathvale status | grep '^$name ' | grep -vq not-ready"
+  sleep 1
+done
+check "each zone has its allocator again" wait_until 30 all_zones_allocated
 check "the ended jobs are still known" job_is nightly-match ended
 check "200 requests answered whole, at least 190 done" load_is_served 2 190
 
