--- a/components/instance/src/callers.rs
+++ b/components/instance/src/callers.rs
@@ -14,7 +14,7 @@
 use ntex::http::StatusCode;
 use ntex::time::Millis as Wait;
 use ntex::util::Bytes;
-use ntex::web::{HttpRequest, HttpResponse, types::State};
+use ntex::web::{HttpRequest, HttpResponse, error::PayloadError, types::State};
 use routing::{Admission, Dispatch, Ending, RequestInfo};
 use tokio::sync::oneshot;
 use upstream::headers;
@@ -167,12 +167,17 @@
 }
 
 /// Serves one request.
-pub(crate) async fn run(front: State<Rc<Front>>, req: HttpRequest, body: Bytes) -> HttpResponse {
+pub(crate) async fn run(
+    front: State<Rc<Front>>,
+    req: HttpRequest,
+    body: Result<Bytes, PayloadError>,
+) -> HttpResponse {
     let shared = &front.shared;
     let _counted = Counted::new(shared);
     let started = Instant::now();
     let longest = shared.settings.longest_request;
-    let incoming = match read(&req, body, shared.now(), longest) {
+    let whole = body.map_err(|e| format!("the body cannot be read whole: {e}"));
+    let incoming = match whole.and_then(|body| read(&req, body, shared.now(), longest)) {
         Ok(incoming) => incoming,
         Err(fault) => {
             let id = text(&req, headers::REQUEST).unwrap_or_default();
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -107,11 +107,31 @@
     );
     let bytes = [head.into_bytes(), vec![b'x'; 6 << 20]].concat();
     let answer = String::from_utf8_lossy(&say(instance.callers, &bytes)).to_string();
-    assert!(!answer.starts_with("HTTP/1.1 200"), "{answer}");
+    assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    assert!(answer.contains("x-heathvale-outcome: refused"), "{answer}");
+    assert!(answer.contains("x-heathvale-reason: malformed"), "{answer}");
     assert_eq!(upstreams[0].runs(), 0);
     assert_eq!(instance.call("after", &[]).header(headers::OUTCOME), "done");
 }
 
+#[test]
+fn a_half_sent_request_gets_a_typed_answer_and_does_not_run() {
+    let (instance, _platform, upstreams) = cell(&[whole_answer]);
+    let mut stream = TcpStream::connect(instance.callers).unwrap();
+    let head = format!(
+        "POST /run HTTP/1.1\r\nhost: h\r\n{}: half\r\ncontent-length: 100\r\n\r\nonly this",
+        headers::REQUEST
+    );
+    stream.write_all(head.as_bytes()).unwrap();
+    stream.shutdown(std::net::Shutdown::Write).unwrap();
+    // The answer may be lost with the connection; what counts is that the request did not run.
+    let mut answer = String::new();
+    let _ = stream.read_to_string(&mut answer);
+    assert!(answer.is_empty() || answer.contains("x-heathvale-reason: malformed"), "{answer}");
+    assert_eq!(instance.call("after", &[]).header(headers::OUTCOME), "done");
+    assert_eq!(upstreams[0].runs(), 1);
+}
+
 #[test]
 fn faulty_settings_are_told_together_with_exit_code_2() {
     let output = Command::new(env!("CARGO_BIN_EXE_heathvaled"))
