Give each test instance and each cell a loopback address of its own

The tests chose ports by binding and freeing them, and anyone may take one before the instance binds it; the machine ran make prove beside. The instance's words were thrown away, so that this is inferred: started on an occupied port it ends at once with exit code 1 (tried), and the test then waits as it did. Ruled out: the bad bytes of that test, which are sent only after the instance is ready. Change: each instance of a test, and each cell of the scripts, has its own address in 127.0.0.0/8; a test whose instance has ended says so at once, with the instance's words.

--- a/scripts/cell.sh
+++ b/scripts/cell.sh
@@ -6,13 +6,16 @@
 declare -A PIDS=()
 ZONES=(za zb zc)
 
-# Finds $1 free ports, one a line. They are free when asked; nothing is fixed.
+# A loopback address of this run's own, so that nobody else takes a port between its choice and its use.
+HOST=127.$((2 + $$ / 65536 % 8)).$(($$ / 256 % 256)).$((2 + $$ % 250))
+
+# Finds $1 free ports, one a line; nothing is fixed.
 free_ports() {
-  python3 - "$1" <<'PY'
+  python3 - "$1" "$HOST" <<'PY'
 import socket, sys
 held = [socket.socket() for _ in range(int(sys.argv[1]))]
 for s in held:
-    s.bind(("127.0.0.1", 0))
+    s.bind((sys.argv[2], 0))
 for s in held:
     print(s.getsockname()[1])
 PY
@@ -39,7 +42,7 @@
       next=$((next + 3))
       local disk=""
       if [ "$n" = 1 ]; then disk="+disk"; HAS_DISK[$name]=1; fi
-      PEERS+="$name=$zone@127.0.0.1:${PEER_PORT[$name]}/127.0.0.1:${CALLER_PORT[$name]}$disk,"
+      PEERS+="$name=$zone@$HOST:${PEER_PORT[$name]}/$HOST:${CALLER_PORT[$name]}$disk,"
     done
     for n in $(seq "$workers_per_zone"); do
       local worker="$zone-w$n"
@@ -51,8 +54,8 @@
   done
   PLATFORM_PORT=${PORTS[next]}
   PEERS=${PEERS%,}
-  OPERATORS=$(for i in "${INSTANCES[@]}"; do printf '127.0.0.1:%s,' "${OPERATOR_PORT[$i]}"; done)
-  CALLERS=$(for i in "${INSTANCES[@]}"; do printf '127.0.0.1:%s,' "${CALLER_PORT[$i]}"; done)
+  OPERATORS=$(for i in "${INSTANCES[@]}"; do printf '%s:%s,' "$HOST" "${OPERATOR_PORT[$i]}"; done)
+  CALLERS=$(for i in "${INSTANCES[@]}"; do printf '%s:%s,' "$HOST" "${CALLER_PORT[$i]}"; done)
   OPERATORS=${OPERATORS%,}
   CALLERS=${CALLERS%,}
   export HEATHVALE_INSTANCES=$OPERATORS
@@ -69,9 +72,9 @@
       case " ${LEAVING:-} " in *" $worker "*) state=leaving ;; esac
       [ "$first" = 1 ] || printf ','
       first=0
-      printf '{"name":"%s","zone":"%s","rack":"%s-r%s","addr":"127.0.0.1:%s",' \
+      printf '{"name":"%s","zone":"%s","rack":"%s-r%s","addr":"%s:%s",' \
         "$worker" "${ZONE_OF[$worker]}" "${ZONE_OF[$worker]}" "$((${worker##*w} % 2))" \
-        "${WORKER_PORT[$worker]}"
+        "$HOST" "${WORKER_PORT[$worker]}"
       printf '"size":{"cpu_milli":16000,"memory_mb":32768,"accelerators":0},"state":"%s"}' "$state"
     done
     printf ']}'
@@ -80,14 +83,14 @@
 }
 
 start_platform() {
-  "$BIN/examples/platform" --listen "127.0.0.1:$PLATFORM_PORT" --list "$WORK/list.json" \
+  "$BIN/examples/platform" --listen "$HOST:$PLATFORM_PORT" --list "$WORK/list.json" \
     >>"$WORK/platform.log" 2>&1 &
   PIDS[platform]=$!
 }
 
 start_worker() {
   local worker=$1
-  "$BIN/examples/worker" --name "$worker" --listen "127.0.0.1:${WORKER_PORT[$worker]}" \
+  "$BIN/examples/worker" --name "$worker" --listen "$HOST:${WORKER_PORT[$worker]}" \
     --records "$WORK/$worker.records" "${@:2}" >>"$WORK/$worker.log" 2>&1 &
   PIDS[$worker]=$!
 }
@@ -96,8 +99,8 @@
   local name=$1
   local disk=()
   if [ -n "${HAS_DISK[$name]:-}" ]; then disk=(--data-folder "$WORK/data-$name"); fi
-  "$BIN/heathvaled" --name "$name" --peers "$PEERS" --platform "127.0.0.1:$PLATFORM_PORT" \
-    --operators "127.0.0.1:${OPERATOR_PORT[$name]}" --test-refuse-file "$WORK/refuse-$name" \
+  "$BIN/heathvaled" --name "$name" --peers "$PEERS" --platform "$HOST:$PLATFORM_PORT" \
+    --operators "$HOST:${OPERATOR_PORT[$name]}" --test-refuse-file "$WORK/refuse-$name" \
     "${disk[@]}" >>"$WORK/$name.log" 2>&1 &
   PIDS[$name]=$!
 }
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -113,7 +113,7 @@
 # Stops an instance while callers send to it, and checks that none of their requests broke off.
 stop_under_load() {
   local stopped=$1
-  hv load --to "127.0.0.1:${CALLER_PORT[$stopped]}" --rate 50 --seconds 2 --work-ms 200 \
+  hv load --to "$HOST:${CALLER_PORT[$stopped]}" --rate 50 --seconds 2 --work-ms 200 \
     >"$WORK/stop-$stopped.txt" &
   local load=$!
   sleep 1
@@ -135,7 +135,7 @@
 allocator=$(hv status | awk '/ allocates$/ { print $1 }' | head -1)
 stop_under_load "$allocator"
 others=$(for i in "${INSTANCES[@]}"; do
-  [ "$i" = "$allocator" ] || printf '127.0.0.1:%s,' "${CALLER_PORT[$i]}"
+  [ "$i" = "$allocator" ] || printf '%s:%s,' "$HOST" "${CALLER_PORT[$i]}"
 done)
 check "the rest goes on serving" bash -c \
   "$BIN/heathvale load --to ${others%,} --rate 50 --seconds 1 | grep -q 'request: 0'"
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -186,9 +186,15 @@
     }
 }
 
-fn free_ports() -> [u16; 3] {
-    let held = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0").unwrap());
-    held.map(|l| l.local_addr().unwrap().port())
+/// Gives three addresses for one instance. They stand on a loopback address of its own, which no other
+/// test or process uses, so that nobody takes a port between its choice and its use.
+fn own_addresses() -> [SocketAddr; 3] {
+    static INSTANCES: AtomicU32 = AtomicU32::new(2);
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    let number = INSTANCES.fetch_add(1, Ordering::SeqCst) as u8;
+    let ip = [127, 16 + (high << 4 | middle) % 200, low, number];
+    let held = [(); 3].map(|()| TcpListener::bind(SocketAddr::from((ip, 0))).unwrap());
+    held.map(|l| l.local_addr().unwrap())
 }
 
 /// A cell of one instance.
@@ -211,8 +217,7 @@
     /// Starts an instance of a cell whose other instances are not there, and does not wait.
     pub fn start_with_peers(platform: &FakePlatform, others: &str) -> Instance {
         let folder = tempfile::tempdir().unwrap();
-        let ports = free_ports();
-        let [peers, callers, operators] = ports.map(|p| SocketAddr::from(([127, 0, 0, 1], p)));
+        let [peers, callers, operators] = own_addresses();
         let args: Vec<String> = [
             ("--name", "a".to_string()),
             ("--peers", format!("a=za@{peers}/{callers}+disk{others}")),
@@ -225,12 +230,16 @@
         .into_iter()
         .flat_map(|(k, v)| [k.to_string(), v])
         .collect();
-        let child = spawn(&args);
+        let child = spawn(&args, &folder);
         Instance { child, callers, operators, peers, folder, args }
     }
 
     pub fn wait_ready(&mut self) {
         wait_until("the instance is ready", || {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                let told = std::fs::read_to_string(self.folder.path().join("told"));
+                panic!("the instance has ended: {status} {}", told.unwrap_or_default());
+            }
             self.get("/health").is_some_and(|w| w.status() == 200)
         });
     }
@@ -238,7 +247,7 @@
     pub fn kill_and_restart(&mut self) {
         self.child.kill().unwrap();
         self.child.wait().unwrap();
-        self.child = spawn(&self.args);
+        self.child = spawn(&self.args, &self.folder);
         self.wait_ready();
     }
 
@@ -280,9 +289,10 @@
     vec![("host", "h".to_string())]
 }
 
-fn spawn(args: &[String]) -> Child {
+fn spawn(args: &[String], folder: &TempDir) -> Child {
+    let told = std::fs::File::create(folder.path().join("told")).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathvaled"));
-    command.args(args).stderr(Stdio::null()).spawn().unwrap()
+    command.args(args).stderr(told).spawn().unwrap()
 }
 
 /// The lines that an instance logs in its life, from its start to its planned stop.
