--- a/tests/answers.rs
+++ b/tests/answers.rs
@@ -165,6 +165,21 @@
     }
 }
 
+#[test]
+fn a_refused_retry_does_not_hide_a_try_that_may_have_run() {
+    let (instance, _platform, upstreams) = cell(&[closed_at_once, full]);
+    let mut hidden = 0;
+    for i in 0..8 {
+        let before = upstreams[0].runs();
+        let answer = instance.call(&format!("r{i}"), REPEATABLE);
+        if upstreams[0].runs() > before {
+            assert_eq!(answer.header(headers::OUTCOME), "may-have-run", "{answer:?}");
+            hidden += 1;
+        }
+    }
+    assert!(hidden > 0, "no request met the upstream that closes");
+}
+
 #[test]
 fn a_doubled_answer_is_never_given_to_the_next_request() {
     let (instance, _platform, _upstreams) = cell(&[doubled]);
