Use the shared header names in load; drop a decision taken twice

Found on reading the whole change once more. load spelt the callers' headers that the upstream crate has as constants. A refused urgent request with nothing to shed was decided a second time by the router, on the same state; the first refusal is given now. The saved configuration had its fault written twice.

--- a/components/instance/src/plane.rs
+++ b/components/instance/src/plane.rs
@@ -108,13 +108,12 @@
         let (id, class) = (info.id, info.class);
         match self.router.arrive(now, info.clone()) {
             Admission::Wait => Arrival::Later(self.wait_for(id)),
-            Admission::Refuse { .. } if class == Class::Urgent => {
+            refusal @ Admission::Refuse { .. } if class == Class::Urgent => {
                 // Lower classes give way; the refusal stands if there are none.
-                let shed = self.router.shed_below(now, class);
-                if shed.is_none() {
-                    return Arrival::Decided(self.router.arrive(now, info));
-                }
-                self.tell(shed.into_iter().collect());
+                let Some(shed) = self.router.shed_below(now, class) else {
+                    return Arrival::Decided(refusal);
+                };
+                self.tell(vec![shed]);
                 match self.router.arrive(now, info) {
                     Admission::Wait => Arrival::Later(self.wait_for(id)),
                     decided => Arrival::Decided(decided),
--- a/components/instance/src/saved.rs
+++ b/components/instance/src/saved.rs
@@ -25,19 +25,14 @@
 impl InForce {
     pub(crate) fn load(path: &std::path::Path) -> Result<Option<InForce>> {
         let Some(bytes) = storage::load(path)? else { return Ok(None) };
-        let decoded = postcard::from_bytes(&bytes);
-        let fault = |e: postcard::Error| Error::Decode {
-            what: "the configuration in force",
-            reason: e.to_string(),
-        };
-        Ok(Some(decoded.map_err(fault)?))
+        Ok(Some(postcard::from_bytes(&bytes).map_err(fault)?))
     }
 
     pub(crate) fn save(&self, path: &std::path::Path) -> Result<()> {
-        let fault = |e: postcard::Error| Error::Decode {
-            what: "the configuration in force",
-            reason: e.to_string(),
-        };
         storage::save(path, &postcard::to_allocvec(self).map_err(fault)?)
     }
 }
+
+fn fault(e: postcard::Error) -> Error {
+    Error::Decode { what: "the configuration in force", reason: e.to_string() }
+}
--- a/src/cmd/load.rs
+++ b/src/cmd/load.rs
@@ -14,6 +14,7 @@
 use ntex::time::{Millis as Wait, sleep};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use upstream::headers;
 
 use crate::cli::{LoadOpts, parse_addresses};
 
@@ -179,15 +180,15 @@
     let mut req = client
         .post(format!("http://{target}/run"))
         .timeout(wait)
-        .header("x-heathvale-request", call.id.as_str())
-        .header("x-heathvale-class", call.class.as_str())
-        .header("x-heathvale-deadline-ms", call.deadline_ms.to_string())
-        .header("x-heathvale-work-ms", call.work_ms.to_string());
+        .header(headers::REQUEST, call.id.as_str())
+        .header(headers::CLASS, call.class.as_str())
+        .header(headers::DEADLINE, call.deadline_ms.to_string())
+        .header(headers::WORK, call.work_ms.to_string());
     if let Some(key) = key {
         req = req
-            .header("x-heathvale-repeatable", "no")
-            .header("x-heathvale-key", key)
-            .header("x-heathvale-issued-ms", clock::wall_now().0.to_string());
+            .header(headers::REPEATABLE, "no")
+            .header(headers::KEY, key)
+            .header(headers::ISSUED, clock::wall_now().0.to_string());
     }
     let Ok(response) = req.send_body(call.id.clone()).await else {
         return ("unreachable".into(), true);
@@ -196,7 +197,7 @@
         let value = response.headers().get(name).and_then(|v| v.to_str().ok());
         value.unwrap_or_default().to_string()
     };
-    let (outcome, id) = (header("x-heathvale-outcome"), header("x-heathvale-request"));
+    let (outcome, id) = (header(headers::OUTCOME), header(headers::REQUEST));
     let body = response.body().await.unwrap_or_default();
     let whole = outcome != "done" || (id == call.id && body == format!("ran:{}", call.id));
     (outcome, whole)
