Keep instances free for short calls for advice; name full workers; ask earlier for next steps

Where room was short, single workers were asked about as they got room, each for a call of its own. Advice on next steps came after the step before had ended. Ruled out: commits (accept to first action 1 to 10 ms), missing room on calm windows. Change: a third of the instances take no long calls; a short call is made again by another instance after 1.5 times its cost + 0.2 s, and a late answer still counts; an instance silent for 0.7 s is not asked; a short call names full workers too where room does not suffice; next steps are asked about half a ticket's time ahead.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -9,10 +9,21 @@
 use workload::{AdvicePolicy, OpenStep, StepKey, WorkerId};
 
 use crate::limits::{
-    ADVICE_CHEAP_MS, ADVICE_LEAST_WORKERS, ADVICE_MOST_WORKERS, ADVICE_PAUSE, ADVICE_ROOM_FACTOR,
-    ADVICE_SLACK, HELPER_REST, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_WORKERS, ADVICE_PAUSE, ADVICE_ROOM_FACTOR,
+    ADVICE_SHORT_MS, ADVICE_SLACK, HELPER_REST, HELPERS_A_RESERVED, NO_PROSPECTS_PAUSE,
+    TICKET_MARGIN,
 };
 
+/// Gives what a call that names so many workers takes, in milliseconds.
+pub(crate) fn cost_ms(policy: &AdvicePolicy, workers: usize) -> f64 {
+    policy.base_ms + policy.per_worker_ms * workers as f64
+}
+
+/// Tells whether calls under a policy are over quickly, so that they need not make way for others.
+fn is_short(policy: &AdvicePolicy) -> bool {
+    cost_ms(policy, ADVICE_LEAST_WORKERS) <= ADVICE_SHORT_MS
+}
+
 /// A call for advice that an instance is to make.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdviceAsk {
@@ -50,7 +61,10 @@
     queue: Name,
     helper: InstanceId,
     workers: Vec<WorkerId>,
+    /// When somebody else is asked.
     give_up_at: Millis,
+    /// Whether that has happened. An answer still counts.
+    overdue: bool,
 }
 
 /// How often workers were allowed, of those asked about.
@@ -97,15 +111,15 @@
         self.helpers = helpers;
     }
 
-    /// Gives an instance that is free to make a call.
-    fn free_helper(&self, now: Millis) -> Option<&InstanceId> {
+    /// Gives an instance that is free to make a call. The service takes the calls of an instance one
+    /// after the other, so some instances are kept free of calls that take long.
+    fn free_helper(&self, now: Millis, policy: &AdvicePolicy) -> Option<&InstanceId> {
         let rests = |h: &InstanceId| self.resting.get(h).is_some_and(|until| now < *until);
-        self.helpers.iter().find(|h| !self.busy.contains(*h) && !rests(h))
-    }
-
-    /// Tells whether some instance is free to make a call.
-    fn has_free_helper(&self, now: Millis) -> bool {
-        self.free_helper(now).is_some()
+        let mut free = self.helpers.iter().filter(|h| !self.busy.contains(*h) && !rests(h));
+        match is_short(policy) {
+            true => free.next(),
+            false => free.nth(self.helpers.len() / HELPERS_A_RESERVED),
+        }
     }
 
     /// Gives the workers that hold a usable ticket for a step.
@@ -162,9 +176,9 @@
     }
 
     /// Tells whether a call on a step could be made now, before anyone looks for prospects.
-    pub(crate) fn may_ask(&self, step: &StepKey, now: Millis) -> bool {
+    pub(crate) fn may_ask(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
         let waits = |s: &StepAdvice| s.asked.is_some() || now < s.next_at;
-        self.has_free_helper(now) && !self.steps.get(step).is_some_and(waits)
+        self.free_helper(now, policy).is_some() && !self.steps.get(step).is_some_and(waits)
     }
 
     /// Makes a call on a step if one is worth it and an instance is free.
@@ -174,7 +188,7 @@
         want: &Want<'_>,
         prospects: Vec<Prospect>,
     ) -> Option<AdviceAsk> {
-        let helper = self.free_helper(now)?.clone();
+        let helper = self.free_helper(now, &want.policy)?.clone();
         let known = self.steps.entry(want.step).or_default();
         if known.asked.is_some() || now < known.next_at {
             return None;
@@ -183,7 +197,11 @@
             |w: &WorkerId| known.tickets.get(w).is_some_and(|t| t.until > now + TICKET_MARGIN);
         let open: Vec<Prospect> = prospects
             .into_iter()
-            .filter(|p| p.fits > 0 && !known.barred.contains(&p.worker) && !fresh(&p.worker))
+            .filter(|p| {
+                (p.fits > 0 || is_short(&want.policy))
+                    && !known.barred.contains(&p.worker)
+                    && !fresh(&p.worker)
+            })
             .collect();
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let workers = choose(want, open, &known.allowed, rate);
@@ -191,7 +209,7 @@
             known.next_at = now + NO_PROSPECTS_PAUSE;
             return None;
         }
-        let cost = want.policy.base_ms + want.policy.per_worker_ms * workers.len() as f64;
+        let cost = cost_ms(&want.policy, workers.len());
         self.next_id += 1;
         let id = self.next_id;
         known.asked = Some(id);
@@ -202,7 +220,8 @@
             queue: want.queue.clone(),
             helper: helper.clone(),
             workers: workers.clone(),
-            give_up_at: now + Millis(cost as u64) + ADVICE_SLACK,
+            give_up_at: now + Millis((cost * ADVICE_LATE) as u64) + ADVICE_SLACK,
+            overdue: false,
         };
         self.calls.insert(id, asked);
         Some(AdviceAsk { id, helper, step: want.step, workers })
@@ -219,12 +238,15 @@
         let Some(call) = self.calls.remove(&id) else { return false };
         self.busy.remove(&call.helper);
         let known = self.steps.entry(call.step).or_default();
-        known.asked = None;
+        if known.asked == Some(id) {
+            known.asked = None;
+        }
         let Some(allowed) = allowed else {
             known.next_at = now + ADVICE_PAUSE;
             self.resting.insert(call.helper, now + HELPER_REST);
             return true;
         };
+        self.resting.remove(&call.helper);
         let rate = self.rates.entry(call.queue).or_insert(Rate { allowed: 1.0, asked: 2.0 });
         // The past fades, so that the rate follows a policy that changes.
         rate.allowed = rate.allowed * 0.9 + allowed.len() as f64;
@@ -239,33 +261,46 @@
         true
     }
 
-    /// Gives up calls that take too long, so that their instances are used again.
+    /// Has somebody else asked where a call takes too long, and drops it once no answer can come.
     pub(crate) fn expire(&mut self, now: Millis) {
-        let late: Vec<u64> =
-            self.calls.iter().filter(|(_, c)| now >= c.give_up_at).map(|(id, _)| *id).collect();
-        for id in late {
-            self.answered(now, id, None, None);
+        let mut gone = Vec::new();
+        for (id, call) in &mut self.calls {
+            if now >= call.give_up_at + HELPER_REST {
+                gone.push(*id);
+            } else if now >= call.give_up_at && !call.overdue {
+                call.overdue = true;
+                self.resting.insert(call.helper.clone(), call.give_up_at + HELPER_REST);
+                if let Some(known) = self.steps.get_mut(&call.step) {
+                    known.asked = None;
+                    known.next_at = now + ADVICE_PAUSE;
+                }
+            }
+        }
+        for id in gone {
+            if let Some(call) = self.calls.remove(&id) {
+                self.busy.remove(&call.helper);
+            }
         }
     }
 }
 
-/// Chooses whom to name: those known to be allowed first, then those with the most room, until the
-/// tasks probably find enough of it.
+/// Chooses whom to name: those with room, the ones known to be allowed first, until the tasks probably
+/// find enough of it; where they do not, also those that are full now.
 fn choose(
     want: &Want<'_>,
     mut open: Vec<Prospect>,
     allowed: &BTreeSet<WorkerId>,
     rate: f64,
 ) -> Vec<WorkerId> {
-    open.sort_by_key(|p| (!allowed.contains(&p.worker), std::cmp::Reverse(p.fits)));
-    let all_cost = want.policy.base_ms + want.policy.per_worker_ms * open.len() as f64;
-    let cheap = all_cost <= ADVICE_CHEAP_MS;
+    open.sort_by_key(|p| (p.fits == 0, !allowed.contains(&p.worker), std::cmp::Reverse(p.fits)));
+    let all_short = cost_ms(&want.policy, open.len()) <= ADVICE_SHORT_MS;
     let needed = want.tasks as f64 * ADVICE_ROOM_FACTOR;
     let mut workers = Vec::new();
     let mut expected = 0.0;
     for p in open.into_iter().take(ADVICE_MOST_WORKERS) {
         let known = allowed.contains(&p.worker);
-        if !cheap && expected >= needed && (known || workers.len() >= ADVICE_LEAST_WORKERS) {
+        let named_enough = known || workers.len() >= ADVICE_LEAST_WORKERS;
+        if expected >= needed && (p.fits == 0 || (!all_short && named_enough)) {
             break;
         }
         expected += p.fits.min(want.tasks) as f64 * if known { 1.0 } else { rate };
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -71,14 +71,19 @@
 /// How many steps may be looked at in a millisecond, on average: a quarter of what the leader's
 /// processor can do, so that a backlog never keeps it from taking in answers.
 pub(crate) const STEPS_A_MS: u64 = 3;
-/// How long a call for advice may take beyond what it costs before it is given up.
-pub(crate) const ADVICE_SLACK: Millis = Millis(500);
+/// How many times longer than it costs a call for advice may take before somebody else is asked.
+pub(crate) const ADVICE_LATE: f64 = 1.5;
+/// How much longer still: the ways there and back, and a wait for a processor share at either end.
+pub(crate) const ADVICE_SLACK: Millis = Millis(200);
+/// One of so many instances is kept free of calls for advice that take long.
+pub(crate) const HELPERS_A_RESERVED: usize = 3;
 /// For how long an instance makes no calls for advice after one of its calls got no answer.
 pub(crate) const HELPER_REST: Millis = Millis(1_500);
 /// The most workers that one call for advice may name; the service takes no more.
 pub(crate) const ADVICE_MOST_WORKERS: usize = 100;
-/// A call for advice that costs less than this names all workers with room.
-pub(crate) const ADVICE_CHEAP_MS: f64 = 60.0;
+/// A call for advice that takes no longer than this is short: it names all workers with room, since a
+/// second call would cost more than they do.
+pub(crate) const ADVICE_SHORT_MS: f64 = 60.0;
 /// How much more room is asked for than is needed, as advice may be gone stale when it comes.
 pub(crate) const ADVICE_ROOM_FACTOR: f64 = 1.5;
 /// How many workers a first call names at least.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -7,7 +7,7 @@
 use model::{Name, Size};
 use workload::{AdvicePolicy, Command, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
-use crate::advice::{Prospect, Want};
+use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
 use crate::view::{Order, Stage};
 
@@ -20,8 +20,10 @@
 const FAIL_PENALTY: f64 = 3.0;
 /// What a worker far from the task's data is worse by.
 const FAR_PENALTY: f64 = 5.0;
-/// How long before a step's likely start its advice is asked for, beyond what the call costs.
-const ADVICE_LEAD: Millis = Millis(100);
+/// For what part of a ticket's time advice on a step may come before the step is likely to open.
+/// Declared run times are often too long, and advice that comes too early costs another call, while
+/// advice that comes too late costs its whole time.
+const ADVICE_LEAD: f64 = 0.5;
 
 /// A worker that could take tasks of a step.
 #[derive(Clone)]
@@ -294,8 +296,9 @@
                 continue;
             }
             let estimate = spec.steps[entry.key.step as usize].estimate;
-            let cost = policy.base_ms + policy.per_worker_ms * f64::from(s.count.min(30));
-            let at = (m.now + estimate).since(Millis(cost as u64) + ADVICE_LEAD);
+            let cost = cost_ms(&policy, s.count.min(30) as usize);
+            let lead = policy.valid.0 as f64 * ADVICE_LEAD;
+            let at = (m.now + estimate).since(Millis((cost + lead) as u64));
             ahead.push((at, OpenStep { key: StepKey { step, ..entry.key }, ..entry }));
         }
         for (at, entry) in ahead {
@@ -308,7 +311,7 @@
         let Some(job) = self.book.job(key.job) else { return };
         let (queue, spec) = (job.queue.clone(), job.spec.clone());
         let Some(policy) = self.advice_of.get(&queue).copied() else { return };
-        if !self.desk.may_ask(&key, m.now) {
+        if !self.desk.may_ask(&key, &policy, m.now) {
             return;
         }
         let spec = &spec.steps[key.step as usize];
@@ -326,7 +329,7 @@
         spec: &StepSpec,
         tasks: u64,
     ) {
-        if !self.desk.may_ask(key, m.now) {
+        if !self.desk.may_ask(key, &policy, m.now) {
             return;
         }
         let prospects: Vec<Prospect> = self
--- /dev/null
+++ b/components/dispatch/tests/advice.rs
@@ -0,0 +1,86 @@
+//! When advice is asked for, about whom, and by which instance.
+
+mod common;
+
+use clock::Millis;
+use common::{Bench, end, row, spec, step, task};
+use workload::{EndKind, StepSpec};
+
+#[test]
+fn calls_that_take_long_leave_instances_free_for_short_ones() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1", "e2", "e3"]);
+    b.join("w1", 16);
+    for id in 1..=5 {
+        b.submit_bulk(id, spec(vec![step(1)]));
+    }
+    assert_eq!(b.asks(None).len(), 2, "one of three instances stays free");
+    b.submit(9, spec(vec![step(1)]));
+    b.pass(Millis(10));
+    assert_eq!(b.asks(Some(9)).len(), 1);
+}
+
+#[test]
+fn a_single_instance_makes_long_calls_too() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1"]);
+    b.join("w1", 16);
+    b.submit_bulk(1, spec(vec![step(1)]));
+    assert_eq!(b.asks(None).len(), 1);
+}
+
+#[test]
+fn where_room_is_short_one_short_call_names_the_full_workers_too() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1", "e2", "e3"]);
+    b.join("w1", 1);
+    b.join("w2", 1);
+    b.submit(1, spec(vec![step(1)]));
+    let ask = b.asks(Some(1)).remove(0);
+    b.advise(&ask, &["w1"]);
+    assert_eq!(b.starts().len(), 1, "w1 is full now");
+    b.submit(2, spec(vec![step(2)]));
+    let ask = b.asks(Some(2)).remove(0);
+    assert_eq!(ask.workers.len(), 2);
+    b.advise(&ask, &["w1", "w2"]);
+    b.pass(Millis(500));
+    b.report("w1", vec![], vec![end(1, task(1, 0, 0), 1, EndKind::Done)]);
+    b.commit();
+    assert_eq!(b.starts().len(), 3, "room that comes is used without another call");
+    assert_eq!(b.asks(Some(2)).len(), 1);
+}
+
+#[test]
+fn advice_on_the_next_step_is_asked_for_long_before_it_opens() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1", "e2", "e3"]);
+    b.join("w1", 8);
+    let second = StepSpec { depends_on: vec![0], ..step(2) };
+    b.submit(1, spec(vec![step(1), second]));
+    let ask = b.asks(Some(1)).remove(0);
+    b.advise(&ask, &["w1"]);
+    b.started("w1", task(1, 0, 0), 1, Ok(()));
+    // Declared run times are often too long, so half of the declared time may be all there is.
+    b.pass(Millis(300));
+    b.report("w1", vec![row(task(1, 0, 0), 1)], vec![]);
+    let asks = b.asks(Some(1));
+    assert_eq!(asks.len(), 2, "the step runs for 800 ms by what was declared");
+    b.advise(&asks[1], &["w1"]);
+    b.report("w1", vec![], vec![end(1, task(1, 0, 0), 1, EndKind::Done)]);
+    b.commit();
+    assert_eq!(b.starts().len(), 3, "the second step starts in the commit that opens it");
+}
+
+#[test]
+fn a_short_call_without_an_answer_is_soon_made_by_another_instance() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1", "e2", "e3"]);
+    b.join("w1", 8);
+    b.submit(1, spec(vec![step(1)]));
+    assert_eq!(b.asks(Some(1)).len(), 1);
+    b.pass(Millis(300));
+    b.pass(Millis(100));
+    let helpers: Vec<String> = b.asks(Some(1)).iter().map(|a| a.helper.to_string()).collect();
+    assert_eq!(helpers.len(), 2);
+    assert_ne!(helpers[0], helpers[1]);
+}
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -19,6 +19,9 @@
 const READY_FOR: Millis = Millis(900);
 /// Within what time voters that can be reached have answered a hello.
 const HEARD_WITHIN: Millis = Millis(700);
+/// After what silence an instance is not asked to call for advice: two hellos and a little. A call that
+/// a cut-off instance is to make costs a job more than the wait for another instance.
+const HELPS_WITHIN: Millis = Millis(700);
 /// After what silence a link is opened anew.
 const RECONNECT_AFTER: Millis = Millis(1_000);
 /// After what silence an instance that no settings name is forgotten.
@@ -181,12 +184,8 @@
 
     /// Gives the instances that can call for advice.
     pub fn helpers(&self, now: Millis) -> BTreeSet<InstanceId> {
-        self.present(now).filter(|(_, p)| p.helps).map(|(id, _)| id.clone()).collect()
-    }
-
-    fn present(&self, now: Millis) -> impl Iterator<Item = (&InstanceId, &Peer)> {
-        let there = move |p: &Peer| p.heard_at.is_some_and(|t| now.since(t) < AWAY_AFTER);
-        self.peers.iter().filter(move |(_, p)| there(p))
+        let there = |p: &Peer| p.heard_at.is_some_and(|t| now.since(t) < HELPS_WITHIN);
+        self.peers.iter().filter(|(_, p)| p.helps && there(p)).map(|(id, _)| id.clone()).collect()
     }
 
     /// Gives every instance that a link is needed to.
