Keep the tasks of a job in one availability zone

Cause: in the cut of a zone nine in ten quick jobs under way lost a task, as six tasks were spread over all zones; a job is late if one of its tasks is. Change: tasks go to the zone where their job runs already, else to the one with most room; as a preference of half the weight of a full worker. Tasks that last go anywhere. The seats of a step get a file of their own.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod place;
 mod renewals;
+mod seats;
 mod speed;
 mod stragglers;
 mod view;
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -1,6 +1,6 @@
 //! Choosing workers for the tasks that wait.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use clock::Millis;
 use events::kinds;
@@ -9,62 +9,17 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::seats::fits;
 use crate::view::{Order, Stage};
 
 /// The most open steps that are looked at in one go, the most urgent first. It bounds the time that
 /// a decision takes when far more waits than can run.
 const MOST_STEPS: usize = 200;
-/// What a worker on which a task has failed is worse by than one that is filled to the brim.
-const AVOID_PENALTY: f64 = 10.0;
-/// What a worker is worse by for each run that has just failed there.
-const FAIL_PENALTY: f64 = 3.0;
-/// What a worker far from the task's data is worse by.
-const FAR_PENALTY: f64 = 5.0;
 /// For what part of a ticket's time advice on a step may come before the step is likely to open.
 /// Declared run times are often too long, and advice that comes too early costs another call, while
 /// advice that comes too late costs its whole time.
 const ADVICE_LEAD: f64 = 0.5;
 
-/// A worker that could take tasks of a step.
-#[derive(Clone)]
-struct Seat {
-    worker: WorkerId,
-    capacity: Size,
-    free: Size,
-    /// How many tasks of the step are there.
-    here: u32,
-    near: bool,
-    rack: Option<Name>,
-    ticket: Option<Name>,
-    /// How many runs have failed there since the last one that was done.
-    fails: u32,
-}
-
-impl Seat {
-    fn fits(&self, room: &Size, spec: &StepSpec) -> bool {
-        let crowded = spec.max_per_worker > 0 && self.here >= spec.max_per_worker;
-        !crowded && room.fits(&self.free)
-    }
-
-    /// Gives how badly a task sits here: how full the worker would be. Tasks use more than they
-    /// declare, so crowded ones hold each other up, and a lost worker takes less with it.
-    fn cost(&self, room: &Size, spec: &StepSpec, avoided: bool) -> f64 {
-        let left = self.free.minus(room);
-        let part = |left: u64, of: u64| left as f64 / of.max(1) as f64;
-        let mut cost = 2.0
-            - part(left.cpu_milli, self.capacity.cpu_milli)
-            - part(left.memory_mb, self.capacity.memory_mb);
-        cost += FAIL_PENALTY * f64::from(self.fails);
-        if avoided {
-            cost += AVOID_PENALTY;
-        }
-        if spec.rack.is_some() && !self.near {
-            cost += FAR_PENALTY;
-        }
-        cost
-    }
-}
-
 impl Dispatcher {
     /// Gives out what can be given out, and asks for the advice that is missing. Gives how many steps
     /// were looked at.
@@ -109,33 +64,8 @@
         }
     }
 
-    /// Gives the workers that may take tasks of a step now.
-    fn seats(&self, m: Moment, key: &StepKey, spec: &StepSpec, by_ticket: bool) -> Vec<Seat> {
-        let seat = |id: &WorkerId, ticket: Option<Name>| {
-            let worker = self.suitable(m, key, spec, id)?;
-            let near = spec.rack.as_ref().is_some_and(|r| worker.info.labels.contains(r));
-            Some(Seat {
-                worker: id.clone(),
-                capacity: worker.info.capacity,
-                free: self.room_for(spec, worker),
-                here: worker.runs.keys().filter(|k| k.step == *key).count() as u32,
-                near,
-                rack: worker.info.labels.last().cloned(),
-                ticket,
-                fails: self.views.get(id).map_or(0, |v| v.record.recent_fails()),
-            })
-        };
-        match by_ticket {
-            true => {
-                let tickets = self.desk.tickets(key, m.now);
-                tickets.filter_map(|(id, text)| seat(id, Some(text.clone()))).collect()
-            }
-            false => self.views.keys().filter_map(|id| seat(id, None)).collect(),
-        }
-    }
-
     /// Gives a worker if tasks of a step may run there at all.
-    fn suitable(
+    pub(crate) fn suitable(
         &self,
         m: Moment,
         key: &StepKey,
@@ -181,7 +111,7 @@
 
     /// Gives the room that counts for a step. A filler takes no processor time from others, but is
     /// placed only where some is left for it.
-    fn room_for(&self, spec: &StepSpec, worker: &Worker) -> Size {
+    pub(crate) fn room_for(&self, spec: &StepSpec, worker: &Worker) -> Size {
         let free = worker.free();
         if !spec.filler {
             return free;
@@ -191,66 +121,6 @@
         Size { cpu_milli: free.cpu_milli.saturating_sub(taken), ..free }
     }
 
-    fn seat_each(
-        &self,
-        key: &StepKey,
-        spec: &StepSpec,
-        waiting: &[u32],
-        seats: &mut [Seat],
-    ) -> Vec<(u32, WorkerId, Option<Name>)> {
-        let mut placed = Vec::new();
-        for index in waiting {
-            let task = TaskKey { step: *key, index: *index };
-            let Some(seat) = self.best_seat(&task, spec, seats) else { break };
-            placed.push((*index, seat.worker.clone(), seat.ticket.clone()));
-        }
-        placed
-    }
-
-    /// Takes the best seat for a task.
-    fn best_seat<'a>(
-        &self,
-        task: &TaskKey,
-        spec: &StepSpec,
-        seats: &'a mut [Seat],
-    ) -> Option<&'a Seat> {
-        // A filler, too, looks for processor time where it is placed.
-        let room = spec.size;
-        let avoid = self.avoid.get(task);
-        let avoided = |s: &Seat| avoid.is_some_and(|a| a.contains(&s.worker));
-        let fitting = seats.iter_mut().filter(|s| s.fits(&room, spec));
-        let best = fitting.min_by(|a, b| {
-            let (a, b) = (a.cost(&room, spec, avoided(a)), b.cost(&room, spec, avoided(b)));
-            a.total_cmp(&b)
-        })?;
-        best.free = best.free.minus(&room);
-        best.here += 1;
-        Some(best)
-    }
-
-    /// Seats a whole gang or nobody, on one rack where that matters and can be had.
-    fn seat_gang(
-        &self,
-        key: &StepKey,
-        spec: &StepSpec,
-        waiting: &[u32],
-        seats: &mut [Seat],
-    ) -> Vec<(u32, WorkerId, Option<Name>)> {
-        if spec.same_rack {
-            let racks: BTreeSet<Name> = seats.iter().filter_map(|s| s.rack.clone()).collect();
-            for rack in racks {
-                let on_rack = |s: &&Seat| s.rack.as_ref() == Some(&rack);
-                let mut some: Vec<Seat> = seats.iter().filter(on_rack).cloned().collect();
-                let placed = self.seat_each(key, spec, waiting, &mut some);
-                if placed.len() == waiting.len() {
-                    return placed;
-                }
-            }
-        }
-        let placed = self.seat_each(key, spec, waiting, seats);
-        if placed.len() == waiting.len() { placed } else { Vec::new() }
-    }
-
     fn give_out(
         &mut self,
         m: Moment,
@@ -355,10 +225,7 @@
     ) -> Option<Prospect> {
         let worker = self.suitable(m, key, spec, id)?;
         let free = self.room_for(spec, worker);
-        let per = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
-        let mut fits = per(free.cpu_milli, spec.size.cpu_milli)
-            .min(per(free.memory_mb, spec.size.memory_mb))
-            .min(per(free.accelerators, spec.size.accelerators));
+        let mut fits = fits(spec, &free);
         if spec.max_per_worker > 0 {
             let here = worker.runs.keys().filter(|k| k.step == *key).count() as u64;
             fits = fits.min(u64::from(spec.max_per_worker).saturating_sub(here));
--- /dev/null
+++ b/components/dispatch/src/seats.rs
@@ -0,0 +1,194 @@
+//! The workers that could take tasks of a step, and the best of them for each task.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use model::{Name, Size};
+use workload::{StepKey, StepSpec, TaskKey, WorkerId};
+
+use crate::dispatcher::{Dispatcher, Moment};
+
+/// What a worker on which a task has failed is worse by than one that is filled to the brim.
+const AVOID_PENALTY: f64 = 10.0;
+/// What a worker is worse by for each run that has just failed there.
+const FAIL_PENALTY: f64 = 3.0;
+/// What a worker far from the task's data is worse by.
+const FAR_PENALTY: f64 = 5.0;
+/// What a worker in another availability zone than the rest of the job is worse by: half of the
+/// difference between an empty worker and a full one.
+const OTHER_ZONE_PENALTY: f64 = 1.0;
+
+/// Gives how many tasks of a step fit into some room.
+pub(crate) fn fits(spec: &StepSpec, free: &Size) -> u64 {
+    let per = |free: u64, need: u64| free.checked_div(need).unwrap_or(u64::MAX);
+    per(free.cpu_milli, spec.size.cpu_milli)
+        .min(per(free.memory_mb, spec.size.memory_mb))
+        .min(per(free.accelerators, spec.size.accelerators))
+}
+
+/// A worker that could take tasks of a step.
+#[derive(Clone)]
+pub(crate) struct Seat {
+    worker: WorkerId,
+    capacity: Size,
+    free: Size,
+    zone: Name,
+    /// How many tasks of the step are there.
+    here: u32,
+    near: bool,
+    rack: Option<Name>,
+    ticket: Option<Name>,
+    /// How many runs have failed there since the last one that was done.
+    fails: u32,
+}
+
+impl Seat {
+    fn fits(&self, room: &Size, spec: &StepSpec) -> bool {
+        let crowded = spec.max_per_worker > 0 && self.here >= spec.max_per_worker;
+        !crowded && room.fits(&self.free)
+    }
+
+    /// Gives how badly a task sits here: how full the worker would be. Tasks use more than they
+    /// declare, so crowded ones hold each other up, and a lost worker takes less with it.
+    fn cost(&self, room: &Size, spec: &StepSpec, avoided: bool, home: &BTreeSet<Name>) -> f64 {
+        let left = self.free.minus(room);
+        let part = |left: u64, of: u64| left as f64 / of.max(1) as f64;
+        let mut cost = 2.0
+            - part(left.cpu_milli, self.capacity.cpu_milli)
+            - part(left.memory_mb, self.capacity.memory_mb);
+        cost += FAIL_PENALTY * f64::from(self.fails);
+        if avoided {
+            cost += AVOID_PENALTY;
+        }
+        if !home.is_empty() && !home.contains(&self.zone) {
+            cost += OTHER_ZONE_PENALTY;
+        }
+        if spec.rack.is_some() && !self.near {
+            cost += FAR_PENALTY;
+        }
+        cost
+    }
+}
+
+impl Dispatcher {
+    /// Gives the workers that may take tasks of a step now.
+    pub(crate) fn seats(
+        &self,
+        m: Moment,
+        key: &StepKey,
+        spec: &StepSpec,
+        by_ticket: bool,
+    ) -> Vec<Seat> {
+        let seat = |id: &WorkerId, ticket: Option<Name>| {
+            let worker = self.suitable(m, key, spec, id)?;
+            let near = spec.rack.as_ref().is_some_and(|r| worker.info.labels.contains(r));
+            Some(Seat {
+                worker: id.clone(),
+                capacity: worker.info.capacity,
+                free: self.room_for(spec, worker),
+                here: worker.runs.keys().filter(|k| k.step == *key).count() as u32,
+                near,
+                zone: worker.info.zone.clone(),
+                rack: worker.info.labels.last().cloned(),
+                ticket,
+                fails: self.views.get(id).map_or(0, |v| v.record.recent_fails()),
+            })
+        };
+        match by_ticket {
+            true => {
+                let tickets = self.desk.tickets(key, m.now);
+                tickets.filter_map(|(id, text)| seat(id, Some(text.clone()))).collect()
+            }
+            false => self.views.keys().filter_map(|id| seat(id, None)).collect(),
+        }
+    }
+
+    pub(crate) fn seat_each(
+        &self,
+        key: &StepKey,
+        spec: &StepSpec,
+        waiting: &[u32],
+        seats: &mut [Seat],
+    ) -> Vec<(u32, WorkerId, Option<Name>)> {
+        let mut placed = Vec::new();
+        let home = self.home(key, spec, waiting.len(), seats);
+        for index in waiting {
+            let task = TaskKey { step: *key, index: *index };
+            let Some(seat) = self.best_seat(&task, spec, seats, &home) else { break };
+            placed.push((*index, seat.worker.clone(), seat.ticket.clone()));
+        }
+        placed
+    }
+
+    /// Gives the availability zones that the tasks of a step should go to: those where its job runs
+    /// already, or the one with the most room. A job is late if one of its tasks is, so the fewer
+    /// zones it is spread over, the fewer jobs does the cut of a zone hit. Tasks that last count each
+    /// by itself and may go anywhere.
+    fn home(&self, key: &StepKey, spec: &StepSpec, tasks: usize, seats: &[Seat]) -> BTreeSet<Name> {
+        if spec.long_running {
+            return BTreeSet::new();
+        }
+        let running = self.zones_of(key);
+        if !running.is_empty() {
+            return running;
+        }
+        let mut room: BTreeMap<&Name, u64> = BTreeMap::new();
+        for seat in seats {
+            *room.entry(&seat.zone).or_default() += fits(spec, &seat.free).min(tasks as u64);
+        }
+        let best = room.into_iter().max_by_key(|(_, fits)| *fits);
+        best.map(|(zone, _)| zone.clone()).into_iter().collect()
+    }
+
+    /// Gives the zones of the workers that a job runs on.
+    fn zones_of(&self, key: &StepKey) -> BTreeSet<Name> {
+        let Some(job) = self.book.job(key.job) else { return BTreeSet::new() };
+        let tasks = job.rounds.iter().flat_map(|r| &r.steps).flat_map(|s| &s.tasks);
+        let workers = tasks.filter_map(|t| t.at.as_ref()).filter_map(|id| self.book.worker(id));
+        workers.map(|w| w.info.zone.clone()).collect()
+    }
+
+    /// Takes the best seat for a task.
+    fn best_seat<'a>(
+        &self,
+        task: &TaskKey,
+        spec: &StepSpec,
+        seats: &'a mut [Seat],
+        home: &BTreeSet<Name>,
+    ) -> Option<&'a Seat> {
+        // A filler, too, looks for processor time where it is placed.
+        let room = spec.size;
+        let avoid = self.avoid.get(task);
+        let avoided = |s: &Seat| avoid.is_some_and(|a| a.contains(&s.worker));
+        let fitting = seats.iter_mut().filter(|s| s.fits(&room, spec));
+        let best = fitting.min_by(|a, b| {
+            let cost = |s: &Seat| s.cost(&room, spec, avoided(s), home);
+            cost(a).total_cmp(&cost(b))
+        })?;
+        best.free = best.free.minus(&room);
+        best.here += 1;
+        Some(best)
+    }
+
+    /// Seats a whole gang or nobody, on one rack where that matters and can be had.
+    pub(crate) fn seat_gang(
+        &self,
+        key: &StepKey,
+        spec: &StepSpec,
+        waiting: &[u32],
+        seats: &mut [Seat],
+    ) -> Vec<(u32, WorkerId, Option<Name>)> {
+        if spec.same_rack {
+            let racks: BTreeSet<Name> = seats.iter().filter_map(|s| s.rack.clone()).collect();
+            for rack in racks {
+                let on_rack = |s: &&Seat| s.rack.as_ref() == Some(&rack);
+                let mut some: Vec<Seat> = seats.iter().filter(on_rack).cloned().collect();
+                let placed = self.seat_each(key, spec, waiting, &mut some);
+                if placed.len() == waiting.len() {
+                    return placed;
+                }
+            }
+        }
+        let placed = self.seat_each(key, spec, waiting, seats);
+        if placed.len() == waiting.len() { placed } else { Vec::new() }
+    }
+}
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -221,7 +221,14 @@
 
     /// Lets a worker join and answer its first renewal.
     pub fn join(&mut self, name: &str, cores: u64) {
-        self.feed(Input::News(news(name, cores)));
+        self.join_in("z", name, cores);
+    }
+
+    /// The same in an availability zone.
+    pub fn join_in(&mut self, zone: &str, name: &str, cores: u64) {
+        let mut news = news(name, cores);
+        news.info.zone = zone.into();
+        self.feed(Input::News(news));
         self.commit();
         self.pass(Millis(1));
         self.report(name, vec![], vec![]);
