Have tickets at hand for work that waits for room

Ruled out: fragmentation alone (the idle share fell when tickets were there), missing instances for the calls. Change: a call names full workers too where room does not suffice, and tickets are renewed before they run out.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -9,9 +9,9 @@
 use workload::{AdvicePolicy, OpenStep, StepKey, WorkerId};
 
 use crate::limits::{
-    ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_WORKERS, ADVICE_PAUSE, ADVICE_ROOM_FACTOR,
-    ADVICE_SHORT_MS, ADVICE_SLACK, HELPER_REST, HELPERS_A_RESERVED, NO_PROSPECTS_PAUSE,
-    TICKET_MARGIN,
+    ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_PAUSE,
+    ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SLACK, HELPER_REST, HELPERS_A_RESERVED,
+    NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
 
 /// Gives what a call that names so many workers takes, in milliseconds.
@@ -193,20 +193,19 @@
         if known.asked.is_some() || now < known.next_at {
             return None;
         }
-        let fresh =
-            |w: &WorkerId| known.tickets.get(w).is_some_and(|t| t.until > now + TICKET_MARGIN);
+        // Tickets are renewed while they hold, so that room that comes is used at once.
+        let renewal = Millis(cost_ms(&want.policy, known.allowed.len()) as u64) + TICKET_MARGIN;
+        let fresh = |w: &WorkerId| known.tickets.get(w).is_some_and(|t| t.until > now + renewal);
         let open: Vec<Prospect> = prospects
             .into_iter()
-            .filter(|p| {
-                (p.fits > 0 || is_short(&want.policy))
-                    && !known.barred.contains(&p.worker)
-                    && !fresh(&p.worker)
-            })
+            .filter(|p| !known.barred.contains(&p.worker) && !fresh(&p.worker))
             .collect();
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let workers = choose(want, open, &known.allowed, rate);
         if workers.is_empty() {
-            known.next_at = now + NO_PROSPECTS_PAUSE;
+            let first_out = known.tickets.values().map(|t| t.until.since(renewal)).min();
+            let pause = now + NO_PROSPECTS_PAUSE;
+            known.next_at = first_out.unwrap_or(pause).min(pause).max(now + ADVICE_PAUSE);
             return None;
         }
         let cost = cost_ms(&want.policy, workers.len());
@@ -295,14 +294,20 @@
     open.sort_by_key(|p| (p.fits == 0, !allowed.contains(&p.worker), std::cmp::Reverse(p.fits)));
     let all_short = cost_ms(&want.policy, open.len()) <= ADVICE_SHORT_MS;
     let needed = want.tasks as f64 * ADVICE_ROOM_FACTOR;
+    let most_full = if is_short(&want.policy) { ADVICE_MOST_WORKERS } else { ADVICE_MOST_FULL };
     let mut workers = Vec::new();
     let mut expected = 0.0;
+    let mut full = 0;
     for p in open.into_iter().take(ADVICE_MOST_WORKERS) {
         let known = allowed.contains(&p.worker);
         let named_enough = known || workers.len() >= ADVICE_LEAST_WORKERS;
         if expected >= needed && (p.fits == 0 || (!all_short && named_enough)) {
             break;
         }
+        full += usize::from(p.fits == 0);
+        if full > most_full {
+            break;
+        }
         expected += p.fits.min(want.tasks) as f64 * if known { 1.0 } else { rate };
         workers.push(p.worker);
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -5,9 +5,9 @@
 
 use clock::Millis;
 use events::{Kind, kinds};
-use model::{InstanceId, Name};
+use model::{InstanceId, Name, Size};
 use workload::{
-    AdvicePolicy, Book, Command, JobId, Policy, PolicyReader, StepKey, TaskKey, WorkerId,
+    AdvicePolicy, Book, Command, JobId, Policy, PolicyReader, StepKey, TaskKey, Worker, WorkerId,
 };
 
 use crate::advice::{AdviceAsk, Desk};
@@ -167,6 +167,10 @@
     pub workers: u64,
     /// Those of them that answer.
     pub workers_in_contact: u64,
+    /// What those have.
+    pub capacity: Size,
+    /// What was given out of it.
+    pub used: Size,
 }
 
 /// What a dispatcher begins with.
@@ -335,13 +339,18 @@
     pub fn figures(&self) -> Figures {
         let settled = |o: &Order| matches!(o.stage, Stage::Confirmed { .. });
         let orders = self.views.values().flat_map(|v| v.orders.values());
+        let reached = self.views.iter().filter(|(_, v)| v.in_contact);
+        let reached: Vec<&Worker> = reached.filter_map(|(id, _)| self.book.worker(id)).collect();
+        let sum = |a: Size, b: &Size| a.plus(b);
         Figures {
             jobs: self.book.jobs().len() as u64,
             open_steps: self.book.open().len() as u64,
             runs: self.book.workers().values().map(|w| w.runs.len() as u64).sum(),
             orders_unsettled: orders.filter(|o| !settled(o)).count() as u64,
             workers: self.views.len() as u64,
-            workers_in_contact: self.views.values().filter(|v| v.in_contact).count() as u64,
+            workers_in_contact: reached.len() as u64,
+            capacity: reached.iter().map(|w| &w.info.capacity).fold(Size::ZERO, sum),
+            used: reached.iter().map(|w| &w.used).fold(Size::ZERO, sum),
         }
     }
 
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -81,6 +81,10 @@
 pub(crate) const HELPER_REST: Millis = Millis(1_500);
 /// The most workers that one call for advice may name; the service takes no more.
 pub(crate) const ADVICE_MOST_WORKERS: usize = 100;
+/// How many workers without room a call for advice that takes long names at most. Work that waits for
+/// room needs tickets at hand when it comes: a call takes a tenth of the time that a batch task runs,
+/// and the room would be idle for so long.
+pub(crate) const ADVICE_MOST_FULL: usize = 30;
 /// A call for advice that takes no longer than this is short: it names all workers with room, since a
 /// second call would cost more than they do.
 pub(crate) const ADVICE_SHORT_MS: f64 = 60.0;
--- a/components/dispatch/tests/advice.rs
+++ b/components/dispatch/tests/advice.rs
@@ -84,3 +84,36 @@
     assert_eq!(helpers.len(), 2);
     assert_ne!(helpers[0], helpers[1]);
 }
+
+#[test]
+fn a_long_call_names_full_workers_too_where_room_is_short() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1"]);
+    b.join("w1", 1);
+    b.join("w2", 1);
+    b.submit_bulk(1, spec(vec![step(3)]));
+    let ask = b.asks(Some(1)).remove(0);
+    b.advise(&ask, &["w1", "w2"]);
+    assert_eq!(b.starts().len(), 2, "both are full now");
+    b.submit_bulk(2, spec(vec![step(1)]));
+    b.pass(Millis(100));
+    let ask = b.asks(Some(2)).remove(0);
+    assert_eq!(ask.workers.len(), 2);
+}
+
+#[test]
+fn tickets_of_a_step_that_waits_are_renewed_before_they_run_out() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1"]);
+    b.join("w1", 1);
+    b.submit_bulk(1, spec(vec![step(2)]));
+    let ask = b.asks(Some(1)).remove(0);
+    b.advise(&ask, &["w1"]);
+    assert_eq!(b.starts().len(), 1);
+    // A ticket holds for 2 s and a call takes 0.4 s.
+    b.pass(Millis(1_300));
+    assert_eq!(b.asks(Some(1)).len(), 1);
+    b.pass(Millis(300));
+    b.pass(Millis(10));
+    assert_eq!(b.asks(Some(1)).len(), 2);
+}
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -90,6 +90,7 @@
         TERM_ENDED = 914 Warn "term_ended" "This instance leads no more; what its dispatcher had not committed is dropped.";
         VOTERS_CHANGED = 915 Info "voters_changed" "The voters or learners changed.";
         LINK_FAILED = 916 Warn "link_failed" "No link to another instance can be opened.";
+        LOAD_TOLD = 917 Info "load_told" "What the leader has to do with, once a second.";
         CONFIG_TAKEN = 921 Info "config_taken" "A configuration with a higher version was proposed.";
         CONFIG_FAULTY = 922 Warn "config_faulty" "A configuration was refused or cannot be read.";
         JOB_ACCEPTED = 931 Info "job_accepted" "A job was proposed; its caller hears of it once that is committed.";
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -71,6 +71,23 @@
         self.metrics.set("heathvale_orders_unsettled", figures.orders_unsettled);
         self.metrics.set("heathvale_workers", figures.workers);
         self.metrics.set("heathvale_workers_in_contact", figures.workers_in_contact);
+        self.metrics.set("heathvale_cpu_millis_capacity", figures.capacity.cpu_milli);
+        self.metrics.set("heathvale_cpu_millis_used", figures.used.cpu_milli);
+        self.metrics.set("heathvale_memory_megabytes_capacity", figures.capacity.memory_mb);
+        self.metrics.set("heathvale_memory_megabytes_used", figures.used.memory_mb);
+        let details = format!(
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{}",
+            figures.used.cpu_milli,
+            figures.capacity.cpu_milli,
+            figures.used.memory_mb,
+            figures.capacity.memory_mb,
+            figures.runs,
+            figures.open_steps,
+            figures.orders_unsettled,
+            figures.workers_in_contact,
+            figures.workers,
+        );
+        tell(&kinds::LOAD_TOLD, &self.settings.name, &details);
     }
 
     pub(crate) fn on_call(&mut self, from: InstanceId, token: u64, call: dispatch::Call) {
