--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -15,6 +15,7 @@
 mod order;
 mod orders;
 mod place;
+mod preempt;
 mod renewals;
 mod seats;
 mod speed;
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -9,6 +9,7 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::preempt::ComingRoom;
 use crate::seats::fits;
 use crate::view::{Order, Stage};
 
@@ -26,8 +27,12 @@
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
         let open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
         let looked_at = open.len() as u64;
+        let mut coming = ComingRoom::default();
         for entry in open {
-            self.plan_step(m, entry);
+            let left = self.plan_step(m, entry);
+            if left > 0 {
+                self.make_room(m, &entry, left, &mut coming);
+            }
         }
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
@@ -35,16 +40,17 @@
         looked_at
     }
 
-    fn plan_step(&mut self, m: Moment, entry: OpenStep) {
+    /// Gives out tasks of a step. Gives how many found no worker.
+    fn plan_step(&mut self, m: Moment, entry: OpenStep) -> usize {
         let key = entry.key;
-        let Some(job) = self.book.job(key.job) else { return };
+        let Some(job) = self.book.job(key.job) else { return 0 };
         if m.wall < job.spec.due(key.round) {
-            return;
+            return 0;
         }
         self.desk.forget_ahead(&key);
         let (queue, spec) = (job.queue.clone(), job.spec.clone());
         let spec = &spec.steps[key.step as usize];
-        let Some(step) = self.book.step(&key) else { return };
+        let Some(step) = self.book.step(&key) else { return 0 };
         let waiting: Vec<u32> = step.waiting().collect();
         let next_run = step.last_run() + 1;
         let advice = self.advice_of.get(&queue).copied();
@@ -62,6 +68,7 @@
             _ if left == 0 => self.look_ahead(m, entry),
             _ => {}
         }
+        left
     }
 
     /// Gives a worker if tasks of a step may run there at all.
@@ -134,8 +141,7 @@
             let task = TaskKey { step: *key, index };
             let own_next = self.book.task(&task).map_or(1, |t| t.run + 1);
             let run = if spec.gang { next_run } else { own_next };
-            let order =
-                Order { run, stage: Stage::Held, retry_at: None, tries: 0, since: m.now, ticket };
+            let order = Order { ticket, ..Order::new(run, Stage::Held, m.now) };
             if let Some(view) = self.views.get_mut(&worker) {
                 view.orders.insert(task, order);
             }
