--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -204,8 +204,6 @@
     pub(crate) placed_at: BTreeMap<StepKey, Millis>,
     /// How fast the tasks of steps come on.
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
-    /// How often runs of a task were stopped to make room.
-    pub(crate) preemptions: BTreeMap<TaskKey, u32>,
     batch: Vec<Command>,
     /// The number of the batch that is being gathered.
     batch_number: u64,
@@ -239,7 +237,6 @@
             avoid: BTreeMap::new(),
             placed_at: BTreeMap::new(),
             speeds: BTreeMap::new(),
-            preemptions: BTreeMap::new(),
             batch: Vec::new(),
             batch_number: 1,
             committed: 0,
@@ -271,7 +268,14 @@
         for (id, worker) in self.book.workers() {
             let mut view = View::new(m.now, lapses_at);
             for (task, run) in &worker.runs {
-                let order = Order::new(*run, Stage::Inherited, m.now);
+                let order = Order {
+                    run: *run,
+                    stage: Stage::Inherited,
+                    retry_at: None,
+                    tries: 0,
+                    since: m.now,
+                    ticket: None,
+                };
                 view.orders.insert(*task, order);
             }
             self.views.insert(id.clone(), view);
@@ -454,7 +458,6 @@
         let goes_on = |id: &JobId| book.job(*id).is_some_and(|j| !j.state.is_final());
         self.desk.retain(|k| goes_on(&k.job));
         self.avoid.retain(|k, _| goes_on(&k.step.job));
-        self.preemptions.retain(|k, _| goes_on(&k.step.job));
         self.placed_at.retain(|k, _| goes_on(&k.job));
         self.speeds.retain(|k, _| goes_on(&k.job));
     }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -15,7 +15,6 @@
 mod order;
 mod orders;
 mod place;
-mod preempt;
 mod renewals;
 mod seats;
 mod speed;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -118,14 +118,6 @@
 pub(crate) const SLOW_SHARE: f64 = 0.4;
 /// For how long a slow worker gets nothing new.
 pub(crate) const SLOW_REST: Millis = Millis(2_500);
-/// How often a task is stopped at most to make room for urgent ones: it has to be done at some time.
-pub(crate) const MOST_PREEMPTIONS: u32 = 2;
-/// From what share of its work on, in percent, a run is not stopped any more: it is over about as soon
-/// as a stop would be.
-pub(crate) const NEARLY_DONE_PERCENT: u32 = 80;
-/// How much of its work a run loses that keeps its progress: workers save it every half second and at
-/// a stop, and reading it back takes a quarter to half of a second.
-pub(crate) const SAVED_WORK: Millis = Millis(500);
 /// After what silence a worker that runs nothing is forgotten.
 pub(crate) const FORGET_WORKER: Millis = Millis(20_000);
 /// How often jobs that ended long ago are dropped.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -9,7 +9,6 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::preempt::ComingRoom;
 use crate::seats::fits;
 use crate::view::{Order, Stage};
 
@@ -27,12 +26,8 @@
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
         let open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
         let looked_at = open.len() as u64;
-        let mut coming = ComingRoom::default();
         for entry in open {
-            let left = self.plan_step(m, entry);
-            if left > 0 {
-                self.make_room(m, &entry, left, &mut coming);
-            }
+            self.plan_step(m, entry);
         }
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
@@ -40,17 +35,16 @@
         looked_at
     }
 
-    /// Gives out tasks of a step. Gives how many found no worker.
-    fn plan_step(&mut self, m: Moment, entry: OpenStep) -> usize {
+    fn plan_step(&mut self, m: Moment, entry: OpenStep) {
         let key = entry.key;
-        let Some(job) = self.book.job(key.job) else { return 0 };
+        let Some(job) = self.book.job(key.job) else { return };
         if m.wall < job.spec.due(key.round) {
-            return 0;
+            return;
         }
         self.desk.forget_ahead(&key);
         let (queue, spec) = (job.queue.clone(), job.spec.clone());
         let spec = &spec.steps[key.step as usize];
-        let Some(step) = self.book.step(&key) else { return 0 };
+        let Some(step) = self.book.step(&key) else { return };
         let waiting: Vec<u32> = step.waiting().collect();
         let next_run = step.last_run() + 1;
         let advice = self.advice_of.get(&queue).copied();
@@ -68,7 +62,6 @@
             _ if left == 0 => self.look_ahead(m, entry),
             _ => {}
         }
-        left
     }
 
     /// Gives a worker if tasks of a step may run there at all.
@@ -141,7 +134,8 @@
             let task = TaskKey { step: *key, index };
             let own_next = self.book.task(&task).map_or(1, |t| t.run + 1);
             let run = if spec.gang { next_run } else { own_next };
-            let order = Order { ticket, ..Order::new(run, Stage::Held, m.now) };
+            let order =
+                Order { run, stage: Stage::Held, retry_at: None, tries: 0, since: m.now, ticket };
             if let Some(view) = self.views.get_mut(&worker) {
                 view.orders.insert(task, order);
             }
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -28,7 +28,7 @@
 /// A worker that could take tasks of a step.
 #[derive(Clone)]
 pub(crate) struct Seat {
-    pub(crate) worker: WorkerId,
+    worker: WorkerId,
     capacity: Size,
     free: Size,
     zone: Name,
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -44,15 +44,6 @@
     /// When the run was first ordered.
     pub(crate) since: Millis,
     pub(crate) ticket: Option<model::Name>,
-    /// Whether a stop is decided that makes room for others.
-    pub(crate) preempted: bool,
-}
-
-impl Order {
-    pub(crate) fn new(run: u32, stage: Stage, now: Millis) -> Order {
-        let (retry_at, ticket) = (None, None);
-        Order { run, stage, retry_at, tries: 0, since: now, ticket, preempted: false }
-    }
 }
 
 /// How a worker's last runs ended.
