--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod seats;
 mod speed;
 mod stragglers;
+mod urgency;
 mod view;
 mod workers;
 
