--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -19,7 +19,6 @@
 mod seats;
 mod speed;
 mod stragglers;
-mod urgency;
 mod view;
 mod workers;
 
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -96,9 +96,6 @@
 pub(crate) const FAILS_IN_A_ROW: u32 = 2;
 /// For how long a worker is set aside first; doubled each time it happens again.
 pub(crate) const SET_ASIDE: Millis = Millis(4_000);
-/// How often that is doubled at most. Without a try nobody learns that a worker is well again, and a
-/// job may be able to run nowhere else.
-pub(crate) const MOST_DOUBLINGS: u32 = 2;
 /// For how long an unhealthy or full worker gets nothing.
 pub(crate) const REST: Millis = Millis(700);
 /// The least time over which the speed of a run is measured.
@@ -121,8 +118,6 @@
 pub(crate) const SLOW_SHARE: f64 = 0.4;
 /// For how long a slow worker gets nothing new.
 pub(crate) const SLOW_REST: Millis = Millis(2_500);
-/// After how many times its target a job is worth nothing to its caller any more: so the users count.
-pub(crate) const WORTHLESS_AFTER: f64 = 3.0;
 /// After what silence a worker that runs nothing is forgotten.
 pub(crate) const FORGET_WORKER: Millis = Millis(20_000);
 /// How often jobs that ended long ago are dropped.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -24,8 +24,7 @@
     /// Gives out what can be given out, and asks for the advice that is missing. Gives how many steps
     /// were looked at.
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
-        let mut open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
-        self.sort_by_urgency(m, &mut open);
+        let open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
         let looked_at = open.len() as u64;
         for entry in open {
             self.plan_step(m, entry);
--- a/components/workload/src/spec.rs
+++ b/components/workload/src/spec.rs
@@ -92,21 +92,6 @@
         self.steps.iter().any(|s| s.long_running)
     }
 
-    /// Gives for each step the longest declared time from its start to the end of a round, along the
-    /// steps that wait for it.
-    pub fn times_to_end(&self) -> Vec<Millis> {
-        let mut times: Vec<Millis> = self.steps.iter().map(|s| s.estimate).collect();
-        // A step depends on earlier ones only, so what comes behind a step is known before it.
-        for i in (0..self.steps.len()).rev() {
-            for d in &self.steps[i].depends_on {
-                let before = *d as usize;
-                let through = self.steps[before].estimate + times[i];
-                times[before] = times[before].max(through);
-            }
-        }
-        times
-    }
-
     /// Checks what the types leave open.
     ///
     /// # Errors
