--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -96,6 +96,9 @@
 pub(crate) const FAILS_IN_A_ROW: u32 = 2;
 /// For how long a worker is set aside first; doubled each time it happens again.
 pub(crate) const SET_ASIDE: Millis = Millis(4_000);
+/// How often that is doubled at most. Without a try nobody learns that a worker is well again, and a
+/// job may be able to run nowhere else.
+pub(crate) const MOST_DOUBLINGS: u32 = 2;
 /// For how long an unhealthy or full worker gets nothing.
 pub(crate) const REST: Millis = Millis(700);
 /// The least time over which the speed of a run is measured.
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -6,7 +6,7 @@
 use workload::{JobId, TaskKey};
 
 use crate::lease::Reading;
-use crate::limits::{FAILS_IN_A_ROW, SET_ASIDE};
+use crate::limits::{FAILS_IN_A_ROW, MOST_DOUBLINGS, SET_ASIDE};
 use crate::order::RunRow;
 use crate::speed::Progress;
 
@@ -69,7 +69,7 @@
         if self.fails < FAILS_IN_A_ROW || self.failed_jobs.len() < 2 {
             return None;
         }
-        let span = Millis(SET_ASIDE.0 << self.times.min(4));
+        let span = Millis(SET_ASIDE.0 << self.times.min(MOST_DOUBLINGS));
         self.times += 1;
         self.fails = FAILS_IN_A_ROW - 1;
         self.aside_until = now + span;
--- a/components/dispatch/tests/rules.rs
+++ b/components/dispatch/tests/rules.rs
@@ -414,3 +414,29 @@
     assert_eq!(b.answer(pending), Some(&Answer::Pending(1)));
     assert_eq!(b.answer(state), Some(&Answer::State(JobState::Queued)));
 }
+
+/// A worker that failed for long may be the only one that a job can run on.
+#[test]
+fn a_worker_that_failed_again_and_again_is_tried_again_within_a_while() {
+    let mut b = Bench::new("");
+    b.join("w1", 8);
+    let mut failed = 0;
+    for id in 1..=70 {
+        b.submit(id, spec(vec![step(1)]));
+        b.commit();
+        // Whatever it is given fails.
+        while failed < b.starts().len() {
+            let (key, run) = (b.starts()[failed].1.task, b.starts()[failed].1.run);
+            failed += 1;
+            b.started("w1", key, run, DONE);
+            b.report("w1", vec![], vec![end(failed as u64, key, run, EndKind::Failed)]);
+            b.commit();
+        }
+        b.pass(Millis(1_000));
+        b.report("w1", vec![], vec![]);
+    }
+    b.pass(Millis(16_000));
+    b.report("w1", vec![], vec![]);
+    b.pass(Millis(10));
+    assert!(b.starts().len() > failed, "it gets something within 16 s");
+}
