Send callers on sooner from instances that reach too few voters, and keep them while voters start

Cause: from handing in to the first start one job in twenty took over 2 s. In a cut zone the balancer sent callers elsewhere only 3 s after the cut, as instances noticed it after 0.7 s and the balancer looks once a second, twice; calls that may have been taken were kept for their caller's whole patience (2.9 s) though no answer could come. While all voters started anew, entry instances took that for a cut and sent callers away for a second; callers count whole seconds of what we tell them (700 ms arrive as 1) and only with a refusal, not with an unsure answer. Change: hellos every 0.2 s, a cut is noticed after 0.5 s; without enough voters nothing is sent to a leader that cannot answer, and a call that may have been taken is answered after 0.2 s more; an instance that hears no voter, or only such as were silent before, keeps a call for 0.3 s and sends its caller on at once. The two places that call for advice share one piece of code; a task that found a worker has a type of its own.

--- a/components/dispatch/src/call.rs
+++ b/components/dispatch/src/call.rs
@@ -67,6 +67,9 @@
         /// When to come back.
         retry_after: Millis,
     },
-    /// It may or may not have been done.
-    Unsure,
+    /// It may or may not have been done; asking again is safe.
+    Unsure {
+        /// When to ask again.
+        retry_after: Millis,
+    },
 }
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -9,7 +9,7 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::seats::fits;
+use crate::seats::{Seated, fits};
 use crate::view::{Order, Stage};
 
 /// The most open steps that are looked at in one go, the most urgent first. It bounds the time that
@@ -126,11 +126,11 @@
         m: Moment,
         key: &StepKey,
         spec: &StepSpec,
-        placed: Vec<(u32, WorkerId, Option<Name>)>,
+        placed: Vec<Seated>,
         next_run: u32,
     ) {
         let mut by_worker: BTreeMap<WorkerId, Vec<(TaskKey, u32)>> = BTreeMap::new();
-        for (index, worker, ticket) in placed {
+        for Seated { index, worker, ticket } in placed {
             let task = TaskKey { step: *key, index };
             let own_next = self.book.task(&task).map_or(1, |t| t.run + 1);
             let run = if spec.gang { next_run } else { own_next };
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -25,6 +25,14 @@
         .min(per(free.accelerators, spec.size.accelerators))
 }
 
+/// A task that has found a worker.
+pub(crate) struct Seated {
+    /// The task's place in its step.
+    pub(crate) index: u32,
+    pub(crate) worker: WorkerId,
+    pub(crate) ticket: Option<Name>,
+}
+
 /// A worker that could take tasks of a step.
 #[derive(Clone)]
 pub(crate) struct Seat {
@@ -108,13 +116,14 @@
         spec: &StepSpec,
         waiting: &[u32],
         seats: &mut [Seat],
-    ) -> Vec<(u32, WorkerId, Option<Name>)> {
+    ) -> Vec<Seated> {
         let mut placed = Vec::new();
         let home = self.home(key, spec, waiting.len(), seats);
         for index in waiting {
             let task = TaskKey { step: *key, index: *index };
             let Some(seat) = self.best_seat(&task, spec, seats, &home) else { break };
-            placed.push((*index, seat.worker.clone(), seat.ticket.clone()));
+            let (worker, ticket) = (seat.worker.clone(), seat.ticket.clone());
+            placed.push(Seated { index: *index, worker, ticket });
         }
         placed
     }
@@ -176,7 +185,7 @@
         spec: &StepSpec,
         waiting: &[u32],
         seats: &mut [Seat],
-    ) -> Vec<(u32, WorkerId, Option<Name>)> {
+    ) -> Vec<Seated> {
         if spec.same_rack {
             let racks: BTreeSet<Name> = seats.iter().filter_map(|s| s.rack.clone()).collect();
             for rack in racks {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -15,7 +15,7 @@
 use transport::{Links, Packet};
 use workload::PolicyReader;
 
-use crate::entry::advised;
+use crate::advising::{AdviceCall, spawn_advice};
 use crate::gate::{Arrival, Gate, Signal};
 use crate::leading::Leading;
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
@@ -357,13 +357,11 @@
             Message::News(news) => self.on_news(news, false),
             Message::Left(worker) => self.feed(Input::Left(worker)),
             Message::Ask { id, step, workers } => {
-                let asked = self.ports.advice.ask(step, workers);
-                let (events, to) = (self.events.clone(), from);
-                ntex::rt::spawn(async move {
-                    let message = advised(id, asked.await);
-                    // The process ends soon if nobody listens.
-                    let _ = events.send(Event::Advised { to, message });
-                });
+                let events = self.events.clone();
+                let call = AdviceCall { leader: from, id, step, workers };
+                // The process ends soon if nobody listens.
+                let hand_on = move |to, message| drop(events.send(Event::Advised { to, message }));
+                spawn_advice(&self.ports, call, hand_on);
             }
             Message::Advised { id, valid, allowed } => {
                 self.feed(Input::Advised { id, valid, allowed });
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -11,11 +11,12 @@
 use tokio::time::{sleep, timeout};
 use transport::{Links, Packet};
 
+use crate::advising::{AdviceCall, spawn_advice};
 use crate::control::{LAST_ANSWERS, READ_SETTINGS_EVERY};
 use crate::gate::{Arrival, Gate, Signal};
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
 use crate::message::Message;
-use crate::peers::{Peers, PeersConfig};
+use crate::peers::{Peers, PeersConfig, Reach};
 use crate::ports::Ports;
 use crate::relay::{Relay, RelayAction};
 use crate::settings::NodeSettings;
@@ -174,13 +175,11 @@
                 self.perform(action.into_iter().collect());
             }
             Message::Ask { id, step, workers } => {
-                let asked = self.ports.advice.ask(step, workers);
-                let (events, to) = (self.events.clone(), packet.from);
-                ntex::rt::spawn(async move {
-                    let message = advised(id, asked.await);
-                    // The process ends soon if nobody listens.
-                    let _ = events.send(Event::Advised { to, message });
-                });
+                let events = self.events.clone();
+                let call = AdviceCall { leader: packet.from, id, step, workers };
+                // The process ends soon if nobody listens.
+                let hand_on = move |to, message| drop(events.send(Event::Advised { to, message }));
+                spawn_advice(&self.ports, call, hand_on);
             }
             // Meant for control instances.
             Message::Log(_)
@@ -202,8 +201,8 @@
         for (to, hello) in self.peers.hellos(now) {
             self.links.send(&to, 0, hello);
         }
-        let cut_off = self.peers.is_cut_off(now);
-        let connected = self.peers.is_connected(now) && !cut_off;
+        let reach = self.peers.reach(now);
+        let connected = self.peers.is_connected(now) && reach == Reach::Most;
         if connected != self.connected {
             self.connected = connected;
             let term = self.peers.term();
@@ -211,10 +210,10 @@
             tell(kind, &self.settings.name, &format!("term={term}"));
         }
         self.gate.set_ready(connected);
-        if cut_off {
-            self.relay.hurry(now);
-        }
-        let actions = self.relay.tend(now, self.peers.leader(now));
+        self.relay.set_reach(now, reach);
+        // What is sent without reach is lost, and its caller would not know what became of it.
+        let leader = self.peers.leader(now).filter(|_| reach == Reach::Most);
+        let actions = self.relay.tend(now, leader);
         self.perform(actions);
     }
 
@@ -229,9 +228,3 @@
         }
     }
 }
-
-/// Makes the message for what the advice service said.
-pub(crate) fn advised(id: u64, advice: Option<crate::ports::Advice>) -> Message {
-    let valid = advice.as_ref().and_then(|a| a.valid);
-    Message::Advised { id, valid, allowed: advice.map(|a| a.allowed) }
-}
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -62,7 +62,7 @@
             return Answer::NotDone { retry_after: patience };
         }
         // The process drops a call only when it ends, when nobody knows what became of it.
-        rx.await.unwrap_or(Answer::Unsure)
+        rx.await.unwrap_or(Answer::Unsure { retry_after: Millis::ZERO })
     }
 
     /// Takes in a worker's announcement.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -4,6 +4,7 @@
 //! The leader's [`dispatch::Dispatcher`] decides; this crate joins it to clocks, disks, links and
 //! the outside, which it knows only through [`ports`]. docs/design/platform.md has the picture.
 
+mod advising;
 mod control;
 mod entry;
 mod gate;
@@ -21,6 +22,6 @@
 pub use entry::run_entry;
 pub use gate::{Gate, Signal, watch_signals};
 pub use message::Message;
-pub use peers::{Peers, PeersConfig};
+pub use peers::{Peers, PeersConfig, Reach};
 pub use relay::{Relay, RelayAction};
 pub use settings::{NodeSettings, Role};
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -9,16 +9,17 @@
 
 /// How often an instance says hello. Short enough that a new leader is known, and a lost one
 /// noticed, well within an election.
-const HELLO_EVERY: Millis = Millis(300);
+const HELLO_EVERY: Millis = Millis(200);
 /// How often it does while it knows no leader.
 const SEEK_EVERY: Millis = Millis(100);
 /// After what silence an instance counts as away.
 const AWAY_AFTER: Millis = Millis(1_500);
 /// After what silence about a leader an entry instance asks not to be sent callers. The balancer
 /// takes two seconds more to act on it, and callers are better served in another zone.
-const READY_FOR: Millis = Millis(900);
-/// Within what time voters that can be reached have answered a hello.
-const HEARD_WITHIN: Millis = Millis(700);
+const READY_FOR: Millis = Millis(600);
+/// Within what time voters that can be reached have answered a hello: two and a half of them. The
+/// balancer looks once a second, so each tenth of a second counts.
+const HEARD_WITHIN: Millis = Millis(500);
 /// After what silence an instance is not asked to call for advice: two hellos and a little. A call that
 /// a cut-off instance is to make costs a job more than the wait for another instance.
 const HELPS_WITHIN: Millis = Millis(700);
@@ -45,12 +46,26 @@
 #[derive(Clone, Debug, Default)]
 struct Peer {
     heard_at: Option<Millis>,
+    /// Since when there was no longer silence.
+    heard_since: Millis,
     reconnected_at: Millis,
     first_at: Millis,
     helps: bool,
     entry: bool,
 }
 
+/// How many of the voters an instance hears.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reach {
+    /// More than half, as far as is known: one of them leads or will soon.
+    Most,
+    /// Half or fewer: they cannot lead, and others may, whom this instance does not reach.
+    Few,
+    /// None, or only such as were silent until now: either all of them are starting anew, or this
+    /// instance alone is cut off.
+    Nobody,
+}
+
 /// The other instances, as this one knows them.
 #[derive(Clone, Debug)]
 pub struct Peers {
@@ -99,7 +114,10 @@
     pub fn heard(&mut self, id: &InstanceId, now: Millis) {
         self.learn(id, now);
         if let Some(peer) = self.peers.get_mut(id) {
-            peer.heard_at = Some(now);
+            let before = peer.heard_at.replace(now);
+            if before.is_none_or(|t| now.since(t) >= HEARD_WITHIN) {
+                peer.heard_since = now;
+            }
         }
     }
 
@@ -170,16 +188,22 @@
         }
     }
 
-    /// Tells whether half of the voters or more are silent. The others, if any, cannot lead, so
-    /// nobody here can be served until that ends.
-    pub fn is_cut_off(&self, now: Millis) -> bool {
-        let heard = |id: &&InstanceId| {
-            let Some(peer) = self.peers.get(*id) else { return false };
-            let lately = peer.heard_at.is_some_and(|t| now.since(t) < HEARD_WITHIN);
-            lately || now.since(peer.first_at) < STARTING_UP
-        };
+    /// Tells how many of the voters can be reached.
+    pub fn reach(&self, now: Millis) -> Reach {
         let voters = &self.voters.1;
-        !voters.is_empty() && voters.iter().filter(heard).count() * 2 <= voters.len()
+        let known = || voters.iter().filter_map(|id| self.peers.get(id));
+        let heard = |p: &&Peer| p.heard_at.is_some_and(|t| now.since(t) < HEARD_WITHIN);
+        let starting = |p: &&Peer| now.since(p.first_at) < STARTING_UP;
+        let back = |p: &Peer| now.since(p.heard_since) < STARTING_UP;
+        let present = known().filter(|p| heard(p) || starting(p)).count();
+        if voters.is_empty() || present * 2 > voters.len() {
+            return Reach::Most;
+        }
+        // Whoever was cut off with this instance was heard all along.
+        match known().filter(heard).any(|p| !back(p)) {
+            true => Reach::Few,
+            false => Reach::Nobody,
+        }
     }
 
     /// Tells whether a leader was spoken of just now.
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -11,6 +11,7 @@
 use model::InstanceId;
 
 use crate::message::Message;
+use crate::peers::Reach;
 
 /// After what silence a call is sent again. A commit takes a few syncs of two disks.
 const RESEND_AFTER: Millis = Millis(600);
@@ -18,9 +19,15 @@
 const RETRY_PAUSE: Millis = Millis(120);
 /// How long a call is kept that surely no leader has taken: an election.
 const NOT_TAKEN_LIMIT: Millis = Millis(1_400);
-/// When callers come back that found no leader. Four tries at this distance last as long as the balancer
-/// takes to send them to another zone.
+/// When callers come back that found no leader, rounded up to a second on their way. Four tries at this
+/// distance last as long as the balancer takes to send them to another zone.
 const COME_BACK: Millis = Millis(700);
+/// How long an instance that hears no voter keeps a call. If all of them are starting anew, they are
+/// back within four such tries; if this instance alone is cut off, another one of its zone serves the
+/// next try.
+const ALONE_LIMIT: Millis = Millis(300);
+/// How long an instance that is cut off still waits for an answer that may be on its way.
+const LAST_WAIT: Millis = Millis(200);
 
 /// What a relay wants done.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +41,13 @@
 #[derive(Clone, Debug)]
 struct Pending {
     call: Call,
+    taken_at: Millis,
+    /// How long its caller waits.
+    patience: Millis,
+    /// Since when this instance has not reached enough voters.
+    without_reach: Option<Millis>,
+    /// When its caller is to come back if it is given up.
+    come_back: Millis,
     /// When it is given up if surely no leader has taken it.
     give_up_at: Millis,
     /// When it is given up in any case: its caller waits no longer.
@@ -69,13 +83,17 @@
         Relay { pending: BTreeMap::new(), last_token: seed << 20 }
     }
 
-    /// Takes in a call and gives its token. Its caller waits for `limit`.
-    pub fn take(&mut self, now: Millis, call: Call, limit: Millis) -> u64 {
+    /// Takes in a call and gives its token. Its caller waits for `patience`.
+    pub fn take(&mut self, now: Millis, call: Call, patience: Millis) -> u64 {
         self.last_token += 1;
         let pending = Pending {
             call,
-            give_up_at: now + limit.min(NOT_TAKEN_LIMIT),
-            limit_at: now + limit,
+            taken_at: now,
+            patience,
+            without_reach: None,
+            come_back: COME_BACK,
+            give_up_at: now + patience.min(NOT_TAKEN_LIMIT),
+            limit_at: now + patience,
             next_at: now,
             maybe_taken: false,
             awaited: false,
@@ -96,11 +114,25 @@
         }
     }
 
-    /// Gives up at once on calls that surely no leader has taken: this instance is cut off, and
-    /// their callers can still be served elsewhere.
-    pub fn hurry(&mut self, now: Millis) {
+    /// Takes in how many voters are reached. Without enough of them calls are given up soon, as their
+    /// callers can still be served elsewhere.
+    pub fn set_reach(&mut self, now: Millis, reach: Reach) {
         for pending in self.pending.values_mut() {
-            pending.give_up_at = pending.give_up_at.min(now);
+            let without_reach = match reach {
+                Reach::Most => None,
+                _ => Some(pending.without_reach.unwrap_or(now)),
+            };
+            pending.without_reach = without_reach;
+            let taken_at = pending.taken_at;
+            let give_up_at = match reach {
+                Reach::Most => taken_at + NOT_TAKEN_LIMIT,
+                Reach::Few => now,
+                Reach::Nobody => taken_at + ALONE_LIMIT,
+            };
+            let ends_at = taken_at + pending.patience;
+            pending.give_up_at = give_up_at.min(ends_at);
+            pending.limit_at = without_reach.map_or(ends_at, |at| ends_at.min(at + LAST_WAIT));
+            pending.come_back = if reach == Reach::Nobody { Millis::ZERO } else { COME_BACK };
         }
     }
 
@@ -140,7 +172,7 @@
 fn last_word(pending: &Pending) -> Answer {
     let changes = !matches!(pending.call, Call::Read | Call::Job { verb: Verb::Look, .. });
     match changes && (pending.maybe_taken || pending.awaited) {
-        true => Answer::Unsure,
-        false => Answer::NotDone { retry_after: COME_BACK },
+        true => Answer::Unsure { retry_after: pending.come_back },
+        false => Answer::NotDone { retry_after: pending.come_back },
     }
 }
--- a/components/node/src/waiters.rs
+++ b/components/node/src/waiters.rs
@@ -49,13 +49,16 @@
         let waited = now.since(waiter.since).0;
         self.metrics.note_ms("heathvale_call_seconds", waited);
         self.metrics.add("heathvale_answers_total", answer_name(&answer), 1);
-        let details = || format!("verb={} waited_ms={waited}", waiter.verb);
+        let details = |retry_after: &Millis| {
+            format!("verb={} waited_ms={waited} retry_after_ms={}", waiter.verb, retry_after.0)
+        };
         match &answer {
             Answer::NotDone { retry_after } => {
-                let details = format!("{} retry_after_ms={}", details(), retry_after.0);
-                tell(&kinds::CALL_REFUSED, &waiter.about, &details);
+                tell(&kinds::CALL_REFUSED, &waiter.about, &details(retry_after));
+            }
+            Answer::Unsure { retry_after } => {
+                tell(&kinds::CALL_UNSURE, &waiter.about, &details(retry_after));
             }
-            Answer::Unsure => tell(&kinds::CALL_UNSURE, &waiter.about, &details()),
             _ => {}
         }
         // A caller that has left needs no answer.
@@ -84,6 +87,6 @@
         Answer::Published => "published",
         Answer::Document(_) => "document",
         Answer::NotDone { .. } => "not_done",
-        Answer::Unsure => "unsure",
+        Answer::Unsure { .. } => "unsure",
     }
 }
