--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -23,9 +23,12 @@
 /// distance last as long as the balancer takes to send them to another zone.
 const COME_BACK: Millis = Millis(700);
 /// How long an instance that hears no voter keeps a call. If all of them are starting anew, they are
-/// back within four such tries; if this instance alone is cut off, another one of its zone serves the
-/// next try.
+/// mostly back within four such tries; if this instance alone is cut off, another one of its zone serves
+/// the next try.
 const ALONE_LIMIT: Millis = Millis(300);
+/// For how long such an instance sends its callers on without a pause. After that the balancer soon
+/// stops sending any, and four tries must last through a longer loss of all voters.
+const AT_ONCE_FOR: Millis = Millis(1_000);
 /// How long an instance that is cut off still waits for an answer that may be on its way.
 const LAST_WAIT: Millis = Millis(200);
 
@@ -44,8 +47,6 @@
     taken_at: Millis,
     /// How long its caller waits.
     patience: Millis,
-    /// Since when this instance has not reached enough voters.
-    without_reach: Option<Millis>,
     /// When its caller is to come back if it is given up.
     come_back: Millis,
     /// When it is given up if surely no leader has taken it.
@@ -75,12 +76,14 @@
 pub struct Relay {
     pending: BTreeMap<u64, Pending>,
     last_token: u64,
+    /// Since when this instance has not reached enough voters.
+    without_reach: Option<Millis>,
 }
 
 impl Relay {
     /// Makes a relay whose tokens differ from those of earlier lives of the process.
     pub fn new(seed: u64) -> Relay {
-        Relay { pending: BTreeMap::new(), last_token: seed << 20 }
+        Relay { last_token: seed << 20, ..Relay::default() }
     }
 
     /// Takes in a call and gives its token. Its caller waits for `patience`.
@@ -90,7 +93,6 @@
             call,
             taken_at: now,
             patience,
-            without_reach: None,
             come_back: COME_BACK,
             give_up_at: now + patience.min(NOT_TAKEN_LIMIT),
             limit_at: now + patience,
@@ -117,12 +119,12 @@
     /// Takes in how many voters are reached. Without enough of them calls are given up soon, as their
     /// callers can still be served elsewhere.
     pub fn set_reach(&mut self, now: Millis, reach: Reach) {
+        self.without_reach = match reach {
+            Reach::Most => None,
+            _ => Some(self.without_reach.unwrap_or(now)),
+        };
+        let just_lost = self.without_reach.is_some_and(|at| now.since(at) < AT_ONCE_FOR);
         for pending in self.pending.values_mut() {
-            let without_reach = match reach {
-                Reach::Most => None,
-                _ => Some(pending.without_reach.unwrap_or(now)),
-            };
-            pending.without_reach = without_reach;
             let taken_at = pending.taken_at;
             let give_up_at = match reach {
                 Reach::Most => taken_at + NOT_TAKEN_LIMIT,
@@ -131,8 +133,11 @@
             };
             let ends_at = taken_at + pending.patience;
             pending.give_up_at = give_up_at.min(ends_at);
-            pending.limit_at = without_reach.map_or(ends_at, |at| ends_at.min(at + LAST_WAIT));
-            pending.come_back = if reach == Reach::Nobody { Millis::ZERO } else { COME_BACK };
+            pending.limit_at = self.without_reach.map_or(ends_at, |at| ends_at.min(at + LAST_WAIT));
+            pending.come_back = match reach {
+                Reach::Nobody if just_lost => Millis::ZERO,
+                _ => COME_BACK,
+            };
         }
     }
 
--- a/components/node/tests/relay.rs
+++ b/components/node/tests/relay.rs
@@ -139,6 +139,11 @@
     assert_eq!(relay.tend(Millis(250), None), vec![]);
     let word = last_word(relay.tend(Millis(300), None));
     assert_eq!(word, Some(Answer::NotDone { retry_after: Millis::ZERO }));
+    // A longer loss of all voters must not use up the tries of callers within a second.
+    relay.take(Millis(1_500), submit(), PATIENCE);
+    relay.set_reach(Millis(1_500), Reach::Nobody);
+    let word = last_word(relay.tend(Millis(1_800), None));
+    assert_eq!(word, Some(Answer::NotDone { retry_after: Millis(700) }));
 }
 
 #[test]
