Look for workers to ask about at a bounded rate, and not for those that are gone

A ticket for a worker that had fallen silent was overdue for ever, so its step looked again every 60 ms since tickets are renewed ahead. Change: only tickets that still hold set the time of the next look; a plan looks for ten steps at most; full workers are passed over before anything else is worked out for them. The figure scans is told in load_told and as a gauge.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -203,9 +203,11 @@
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let workers = choose(want, open, &known.allowed, rate);
         if workers.is_empty() {
-            let first_out = known.tickets.values().map(|t| t.until.since(renewal)).min();
+            // A ticket that was not renewed by now is one for a worker that is not usable.
+            let due = known.tickets.values().map(|t| t.until.since(renewal));
+            let first_due = due.filter(|t| *t > now).min();
             let pause = now + NO_PROSPECTS_PAUSE;
-            known.next_at = first_out.unwrap_or(pause).min(pause).max(now + ADVICE_PAUSE);
+            known.next_at = first_due.unwrap_or(pause).min(pause).max(now + ADVICE_PAUSE);
             return None;
         }
         let cost = cost_ms(&want.policy, workers.len());
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -171,6 +171,8 @@
     pub capacity: Size,
     /// What was given out of it.
     pub used: Size,
+    /// For how many steps the last plan looked through all workers for some to ask about.
+    pub scans: u32,
 }
 
 /// What a dispatcher begins with.
@@ -218,6 +220,8 @@
     pub(crate) plan_due: bool,
     /// When the next plan may be made at the earliest: the longer the last one took, the later.
     plan_at: Millis,
+    /// For how many steps the last plan looked through all workers for some to ask about.
+    pub(crate) scans: u32,
 }
 
 impl Dispatcher {
@@ -246,6 +250,7 @@
             moment: m,
             plan_due: true,
             plan_at: m.now,
+            scans: 0,
         };
         d.inherit(m);
         d
@@ -351,6 +356,7 @@
             workers_in_contact: reached.len() as u64,
             capacity: reached.iter().map(|w| &w.info.capacity).fold(Size::ZERO, sum),
             used: reached.iter().map(|w| &w.used).fold(Size::ZERO, sum),
+            scans: self.scans,
         }
     }
 
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -71,6 +71,9 @@
 /// How many steps may be looked at in a millisecond, on average: a quarter of what the leader's
 /// processor can do, so that a backlog never keeps it from taking in answers.
 pub(crate) const STEPS_A_MS: u64 = 3;
+/// For how many steps a plan looks through all workers for some to ask about. At 350 workers that takes
+/// most of a millisecond of a whole processor each time, and a backlog has hundreds of steps.
+pub(crate) const MOST_SCANS: u32 = 10;
 /// How many times longer than it costs a call for advice may take before somebody else is asked.
 pub(crate) const ADVICE_LATE: f64 = 1.5;
 /// How much longer still: the ways there and back, and a wait for a processor share at either end.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -9,6 +9,7 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::limits::MOST_SCANS;
 use crate::seats::{Seated, fits};
 use crate::view::{Order, Stage};
 
@@ -26,6 +27,7 @@
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
         let open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
         let looked_at = open.len() as u64;
+        self.scans = 0;
         for entry in open {
             self.plan_step(m, entry);
         }
@@ -199,9 +201,10 @@
         spec: &StepSpec,
         tasks: u64,
     ) {
-        if !self.desk.may_ask(key, &policy, m.now) {
+        if self.scans >= MOST_SCANS || !self.desk.may_ask(key, &policy, m.now) {
             return;
         }
+        self.scans += 1;
         let prospects: Vec<Prospect> = self
             .views
             .keys()
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -87,7 +87,9 @@
         by_ticket: bool,
     ) -> Vec<Seat> {
         let seat = |id: &WorkerId, ticket: Option<Name>| {
-            let worker = self.suitable(m, key, spec, id)?;
+            // Most workers are full when much waits, and this tells at once.
+            let worker = self.book.worker(id).filter(|w| spec.room().fits(&w.free()))?;
+            self.suitable(m, key, spec, id)?;
             let near = spec.rack.as_ref().is_some_and(|r| worker.info.labels.contains(r));
             Some(Seat {
                 worker: id.clone(),
--- a/components/dispatch/tests/advice.rs
+++ b/components/dispatch/tests/advice.rs
@@ -117,3 +117,40 @@
     b.pass(Millis(10));
     assert_eq!(b.asks(Some(1)).len(), 2);
 }
+
+/// Looking through all workers takes the leader's processor, which answers need.
+#[test]
+fn a_ticket_for_a_worker_that_fell_silent_has_nobody_looked_for_all_the_time() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1", "e2", "e3"]);
+    b.join("w1", 1);
+    b.submit(1, spec(vec![step(2)]));
+    let ask = b.asks(Some(1)).remove(0);
+    b.advise(&ask, &["w1"]);
+    b.renewal_fails("w1", common::SILENT());
+    // By now the ticket has run out, and its worker cannot be asked about.
+    b.pass(Millis(2_500));
+    let scans: u32 = (0..40)
+        .map(|_| {
+            b.pass(Millis(50));
+            b.dispatcher.figures().scans
+        })
+        .sum();
+    assert!(scans <= 6, "{scans} times in two seconds");
+}
+
+#[test]
+fn a_plan_looks_through_all_workers_for_a_few_steps_only() {
+    let mut b = Bench::new("advice");
+    let helpers: Vec<String> = (0..40).map(|i| format!("e{i}")).collect();
+    b.helpers(&helpers.iter().map(String::as_str).collect::<Vec<_>>());
+    b.join("w1", 8);
+    for id in 1..=30 {
+        b.submit(id, spec(vec![step(9)]));
+    }
+    b.pass(Millis(100));
+    let asked = |b: &Bench| (1..=30).filter(|id| !b.asks(Some(*id)).is_empty()).count();
+    assert!(asked(&b) < 30, "not all at once");
+    (0..10).for_each(|_| b.pass(Millis(20)));
+    assert_eq!(asked(&b), 30, "but soon");
+}
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -75,8 +75,9 @@
         self.metrics.set("heathvale_cpu_millis_used", figures.used.cpu_milli);
         self.metrics.set("heathvale_memory_megabytes_capacity", figures.capacity.memory_mb);
         self.metrics.set("heathvale_memory_megabytes_used", figures.used.memory_mb);
+        self.metrics.set("heathvale_plan_scans", u64::from(figures.scans));
         let details = format!(
-            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{}",
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={}",
             figures.used.cpu_milli,
             figures.capacity.cpu_milli,
             figures.used.memory_mb,
@@ -86,6 +87,7 @@
             figures.orders_unsettled,
             figures.workers_in_contact,
             figures.workers,
+            figures.scans,
         );
         tell(&kinds::LOAD_TOLD, &self.settings.name, &details);
     }
