--- a/components/events/src/lib.rs
+++ b/components/events/src/lib.rs
@@ -6,10 +6,12 @@
 mod journal;
 mod lines;
 mod logging;
+mod merge;
 mod order;
 
 pub use catalogue::{CATALOGUE, Kind, Level, find, kinds};
 pub use journal::{Event, EventCopy, Filter, Journal, Subject};
 pub use lines::LineQueue;
 pub use logging::{LogFormat, end_on_panic, start_logging, start_logging_to_stdout, tell};
+pub use merge::{Gap, Line, gaps, is_about, merge, read_lines};
 pub use order::LogicalClock;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -202,6 +202,13 @@
     /// Until when.
     #[options(no_short, help = "only events up to this time, in ms since 1970")]
     pub to: u64,
+    /// Log files.
+    #[options(
+        no_short,
+        meta = "LIST",
+        help = "log files of processes, separated by commas, to read in place of asking instances"
+    )]
+    pub logs: Option<String>,
 }
 
 /// Flags of `load`.
--- a/src/main.rs
+++ b/src/main.rs
@@ -43,6 +43,11 @@
 }
 
 async fn run(cli: Cli, command: Command) -> errors::Result<()> {
+    if let Command::Timeline(opts) = &command
+        && let Some(files) = &opts.logs
+    {
+        return cmd::timeline::run_on_files(files, opts);
+    }
     let instances = cli.instances()?;
     match command {
         Command::Create(opts) => cmd::create::run(&instances, &opts).await,
