--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -54,6 +54,18 @@
     next_at: Millis,
 }
 
+impl StepAdvice {
+    /// Gives when it is worth looking for workers to ask about again, if there were none just now: when
+    /// the first ticket is due to be renewed, or after a while.
+    fn next_look(&self, now: Millis, renewal: Millis) -> Millis {
+        let due = self.tickets.values().map(|t| t.until.since(renewal));
+        // A ticket that was not renewed in time is one for a worker that is not usable.
+        let first_due = due.filter(|t| *t > now).min();
+        let pause = now + NO_PROSPECTS_PAUSE;
+        first_due.unwrap_or(pause).min(pause).max(now + ADVICE_PAUSE)
+    }
+}
+
 /// A call under way.
 #[derive(Clone, Debug)]
 struct Asked {
@@ -203,11 +215,7 @@
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let workers = choose(want, open, &known.allowed, rate);
         if workers.is_empty() {
-            // A ticket that was not renewed by now is one for a worker that is not usable.
-            let due = known.tickets.values().map(|t| t.until.since(renewal));
-            let first_due = due.filter(|t| *t > now).min();
-            let pause = now + NO_PROSPECTS_PAUSE;
-            known.next_at = first_due.unwrap_or(pause).min(pause).max(now + ADVICE_PAUSE);
+            known.next_at = known.next_look(now, renewal);
             return None;
         }
         let cost = cost_ms(&want.policy, workers.len());
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -183,7 +183,7 @@
         let Some(job) = self.book.job(key.job) else { return };
         let (queue, spec) = (job.queue.clone(), job.spec.clone());
         let Some(policy) = self.advice_of.get(&queue).copied() else { return };
-        if !self.desk.may_ask(&key, &policy, m.now) {
+        if !self.may_scan(m, &key, &policy) {
             return;
         }
         let spec = &spec.steps[key.step as usize];
@@ -191,6 +191,11 @@
         self.desk.forget_ahead(&key);
     }
 
+    /// Tells whether this plan may still look through all workers for some to ask about.
+    fn may_scan(&self, m: Moment, key: &StepKey, policy: &AdvicePolicy) -> bool {
+        self.scans < MOST_SCANS && self.desk.may_ask(key, policy, m.now)
+    }
+
     /// Asks which workers may run a step, if some with room are not known yet.
     fn ask(
         &mut self,
@@ -201,7 +206,7 @@
         spec: &StepSpec,
         tasks: u64,
     ) {
-        if self.scans >= MOST_SCANS || !self.desk.may_ask(key, &policy, m.now) {
+        if !self.may_scan(m, key, &policy) {
             return;
         }
         self.scans += 1;
--- a/components/dispatch/tests/advice.rs
+++ b/components/dispatch/tests/advice.rs
@@ -154,3 +154,24 @@
     (0..10).for_each(|_| b.pass(Millis(20)));
     assert_eq!(asked(&b), 30, "but soon");
 }
+
+/// A plan that has looked for as many steps as it may must not drop the steps that it was to ask about
+/// ahead of need.
+#[test]
+fn advice_ahead_is_asked_for_later_if_a_plan_has_looked_for_many_steps() {
+    let mut b = Bench::new("advice");
+    let helpers: Vec<String> = (0..40).map(|i| format!("e{i}")).collect();
+    b.helpers(&helpers.iter().map(String::as_str).collect::<Vec<_>>());
+    b.join("w1", 8);
+    let second = StepSpec { depends_on: vec![0], ..step(1) };
+    b.submit(1, spec(vec![step(1), second]));
+    let ask = b.asks(Some(1)).remove(0);
+    // The answer and a backlog are planned for together.
+    for id in 2..=30 {
+        b.submit(id, spec(vec![step(9)]));
+    }
+    b.advise(&ask, &["w1"]);
+    (0..20).for_each(|_| b.pass(Millis(20)));
+    let steps: Vec<u32> = b.asks(Some(1)).iter().map(|a| a.step.step).collect();
+    assert!(steps.contains(&1), "{steps:?}");
+}
