Choose a test's addresses while no process is being spawned

A process that is being spawned holds all open sockets of its parent until its program begins; on a busy machine that lasts long enough for a port that another thread has just chosen and let go. Ruled out: two tests on one address (each has its own), processes left over. Change: addresses are chosen and processes spawned one at a time within a test program.

--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,9 +2,9 @@
 #![allow(dead_code)]
 
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command};
+use std::process::{Child, Command, Output, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -129,6 +129,25 @@
     }
 }
 
+/// Keeps other threads from spawning processes. A process that is being spawned holds every open socket
+/// of its parent until its program begins, so a port that was chosen meanwhile would stay in use.
+fn no_spawn_meanwhile() -> MutexGuard<'static, ()> {
+    static SPAWNING: Mutex<()> = Mutex::new(());
+    SPAWNING.lock().unwrap_or_else(|e| e.into_inner())
+}
+
+/// Starts a process, but not while another thread chooses addresses.
+pub fn spawn_process(command: &mut Command) -> Child {
+    let _alone = no_spawn_meanwhile();
+    command.spawn().unwrap()
+}
+
+/// Runs a process to its end and gives what it wrote.
+pub fn run_process(command: &mut Command) -> Output {
+    command.stdin(Stdio::null()).stdout(Stdio::piped()).stderr(Stdio::piped());
+    spawn_process(command).wait_with_output().unwrap()
+}
+
 /// Gives three addresses for one instance. They stand on a loopback address of its own, which no other
 /// test or process uses, so that nobody takes a port between its choice and its use.
 fn own_addresses() -> [SocketAddr; 3] {
@@ -136,6 +155,7 @@
     let [_, high, middle, low] = std::process::id().to_be_bytes();
     let number = INSTANCES.fetch_add(1, Ordering::SeqCst) as u8;
     let ip = [127, 16 + (high << 4 | middle) % 200, low, number];
+    let _alone = no_spawn_meanwhile();
     let held = [(); 3].map(|()| TcpListener::bind(SocketAddr::from((ip, 0))).unwrap());
     held.map(|l| l.local_addr().unwrap())
 }
@@ -212,11 +232,9 @@
 
     /// Runs the command line against this instance and gives its exit code and output.
     pub fn operate(&self, args: &[&str]) -> (i32, String) {
-        let output = Command::new(env!("CARGO_BIN_EXE_heathvale"))
-            .args(args)
-            .env("HEATHVALE_INSTANCES", self.operators.to_string())
-            .output()
-            .unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_heathvale"));
+        command.args(args).env("HEATHVALE_INSTANCES", self.operators.to_string());
+        let output = run_process(&mut command);
         let text = [output.stdout, output.stderr].concat();
         (output.status.code().unwrap_or(-1), String::from_utf8_lossy(&text).to_string())
     }
@@ -235,7 +253,7 @@
 fn spawn(args: &[String], folder: &TempDir) -> Child {
     let told = std::fs::File::create(folder.path().join("told")).unwrap();
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathvaled"));
-    command.args(args).stderr(told).spawn().unwrap()
+    spawn_process(command.args(args).stderr(told))
 }
 
 /// The lines that an instance logs in its life, from its start to its planned stop.
@@ -246,9 +264,9 @@
     let path = instance.folder.path().join("log");
     let mut command = Command::new(env!("CARGO_BIN_EXE_heathvaled"));
     command.args(&instance.args).args(["--log-level", "info", "--log-format", format]);
-    instance.child = command.stderr(std::fs::File::create(&path).unwrap()).spawn().unwrap();
+    instance.child = spawn_process(command.stderr(std::fs::File::create(&path).unwrap()));
     instance.wait_ready();
-    let stop = Command::new("kill").arg(instance.child.id().to_string()).status().unwrap();
+    let stop = run_process(Command::new("kill").arg(instance.child.id().to_string())).status;
     assert!(stop.success());
     assert!(instance.child.wait().unwrap().success(), "a planned stop ends with code 0");
     std::fs::read_to_string(&path).unwrap().lines().map(str::to_string).collect()
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -7,7 +7,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::process::Command;
 
-use common::{FakePlatform, FakeUpstream, Instance, cell, logged, wait_until, whole_answer};
+use common::{
+    FakePlatform, FakeUpstream, Instance, cell, logged, run_process, wait_until, whole_answer,
+};
 use upstream::headers;
 
 #[test]
@@ -134,11 +136,9 @@
 
 #[test]
 fn faulty_settings_are_told_together_with_exit_code_2() {
-    let output = Command::new(env!("CARGO_BIN_EXE_heathvaled"))
-        .args(["--name", "x", "--log-level", "loud", "--seed", "z"])
-        .env("HEATHVALE_OPERATORS", "nowhere")
-        .output()
-        .unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_heathvaled"));
+    command.args(["--name", "x", "--log-level", "loud", "--seed", "z"]);
+    let output = run_process(command.env("HEATHVALE_OPERATORS", "nowhere"));
     let text = String::from_utf8_lossy(&output.stderr).to_string();
     assert_eq!(output.status.code(), Some(2), "{text}");
     for place in ["--peers", "--platform", "--log-level", "--seed", "$HEATHVALE_OPERATORS"] {
@@ -271,10 +271,10 @@
 #[test]
 fn help_is_complete_and_versions_are_told() {
     for program in [env!("CARGO_BIN_EXE_heathvale"), env!("CARGO_BIN_EXE_heathvaled")] {
-        let help = Command::new(program).arg("--help").output().unwrap();
+        let help = run_process(Command::new(program).arg("--help"));
         assert!(help.status.success());
         assert!(String::from_utf8_lossy(&help.stdout).contains("--help"));
-        let version = Command::new(program).arg("--version").output().unwrap();
+        let version = run_process(Command::new(program).arg("--version"));
         assert!(String::from_utf8_lossy(&version.stdout).contains(env!("CARGO_PKG_VERSION")));
     }
 }
