Drop a time that nothing reads, count a worker's runs of a step in one place, look for no home without seats

Read in the whole change: placed_at was written and never read; the count stood twice; with a backlog each plan went through all tasks of every waiting job for its zone though no worker had room. Behaviour is the same.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -202,8 +202,6 @@
     pub(crate) sweep: BTreeSet<JobId>,
     /// Where runs of a task have failed.
     pub(crate) avoid: BTreeMap<TaskKey, BTreeSet<WorkerId>>,
-    /// When the last task of a step was given out.
-    pub(crate) placed_at: BTreeMap<StepKey, Millis>,
     /// How fast the tasks of steps come on.
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
     batch: Vec<Command>,
@@ -239,7 +237,6 @@
             desk: Desk::default(),
             sweep: BTreeSet::new(),
             avoid: BTreeMap::new(),
-            placed_at: BTreeMap::new(),
             speeds: BTreeMap::new(),
             batch: Vec::new(),
             batch_number: 1,
@@ -464,7 +461,6 @@
         let goes_on = |id: &JobId| book.job(*id).is_some_and(|j| !j.state.is_final());
         self.desk.retain(|k| goes_on(&k.job));
         self.avoid.retain(|k, _| goes_on(&k.step.job));
-        self.placed_at.retain(|k, _| goes_on(&k.job));
         self.speeds.retain(|k, _| goes_on(&k.job));
     }
 }
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -10,7 +10,7 @@
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
 use crate::limits::MOST_SCANS;
-use crate::seats::{Seated, fits};
+use crate::seats::{Seated, fits, runs_of};
 use crate::view::{Order, Stage};
 
 /// The most open steps that are looked at in one go, the most urgent first. It bounds the time that
@@ -152,7 +152,6 @@
                 self.start_when_committed(worker.clone(), task, run);
             }
         }
-        self.placed_at.insert(*key, m.now);
     }
 
     /// Notes when advice on the steps behind one that is fully placed will be needed.
@@ -235,7 +234,7 @@
         let free = self.room_for(spec, worker);
         let mut fits = fits(spec, &free);
         if spec.max_per_worker > 0 {
-            let here = worker.runs.keys().filter(|k| k.step == *key).count() as u64;
+            let here = u64::from(runs_of(key, worker));
             fits = fits.min(u64::from(spec.max_per_worker).saturating_sub(here));
         }
         Some(Prospect { worker: id.clone(), fits })
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use model::{Name, Size};
-use workload::{StepKey, StepSpec, TaskKey, WorkerId};
+use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
 use crate::dispatcher::{Dispatcher, Moment};
 
@@ -25,6 +25,11 @@
         .min(per(free.accelerators, spec.size.accelerators))
 }
 
+/// Gives how many tasks of a step a worker runs.
+pub(crate) fn runs_of(key: &StepKey, worker: &Worker) -> u32 {
+    worker.runs.keys().filter(|k| k.step == *key).count() as u32
+}
+
 /// A task that has found a worker.
 pub(crate) struct Seated {
     /// The task's place in its step.
@@ -95,7 +100,7 @@
                 worker: id.clone(),
                 capacity: worker.info.capacity,
                 free: self.room_for(spec, worker),
-                here: worker.runs.keys().filter(|k| k.step == *key).count() as u32,
+                here: runs_of(key, worker),
                 near,
                 zone: worker.info.zone.clone(),
                 rack: worker.info.labels.last().cloned(),
@@ -120,6 +125,10 @@
         seats: &mut [Seat],
     ) -> Vec<Seated> {
         let mut placed = Vec::new();
+        // With a backlog most steps find every worker full, and need no home.
+        if seats.is_empty() {
+            return placed;
+        }
         let home = self.home(key, spec, waiting.len(), seats);
         for index in waiting {
             let task = TaskKey { step: *key, index: *index };
