Keep room for gangs and large tasks that wait, and stop runs for them that can afford it

Change: accelerators are packed; room is kept free for gangs and tasks of a quarter of a worker or more where they find none; runs that keep their progress and have 9 s to spare are stopped for them; what must start within 2 s to be in time goes before what has time, but never before the most urgent priority. Each part has a switch.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -220,6 +220,10 @@
     plan_at: Millis,
     /// For how many steps the last plan looked through all workers for some to ask about.
     pub(crate) scans: u32,
+    /// What the plan under way keeps free on workers for large tasks that wait.
+    pub(crate) kept_free: BTreeMap<WorkerId, Size>,
+    /// For how many steps the plan under way has looked for room to be kept free.
+    pub(crate) rooms_made: u32,
 }
 
 impl Dispatcher {
@@ -248,6 +252,8 @@
             plan_due: true,
             plan_at: m.now,
             scans: 0,
+            kept_free: BTreeMap::new(),
+            rooms_made: 0,
         };
         d.inherit(m);
         d
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -16,7 +16,9 @@
 mod orders;
 mod place;
 mod renewals;
+mod room;
 mod seats;
+mod slack;
 mod speed;
 mod stragglers;
 mod view;
@@ -25,7 +27,7 @@
 pub use advice::AdviceAsk;
 pub use call::{Answer, Call, Verb};
 pub use dispatcher::{Action, Dispatcher, Figures, Input, Moment, Setup, Token};
-pub use limits::Limits;
+pub use limits::{Limits, Mechanisms};
 pub use order::{
     CallError, Refusal, RenewOrder, Report, RunRow, StartOrder, StopOrder, WorkerNews,
 };
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -16,6 +16,45 @@
     pub stop_takes: Millis,
     /// For how long a worker that is leaving surely stays if it does not say so.
     pub leaving_notice: Millis,
+    /// Which parts of the decision are in use.
+    pub mechanisms: Mechanisms,
+}
+
+/// Parts of the decision that can be switched off each by itself, to measure what it is worth. Not a
+/// setting for operators: all are in use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Mechanisms {
+    /// Tasks that take accelerators share workers.
+    pub packs_accelerators: bool,
+    /// Room is kept free for gangs and large tasks that wait.
+    pub keeps_room: bool,
+    /// Runs that can afford it are stopped for those.
+    pub preempts: bool,
+    /// A job that must start soon to be in time goes before more urgent ones that have time.
+    pub heeds_slack: bool,
+    /// The tasks of a job keep to one availability zone.
+    pub keeps_zones: bool,
+    /// Stragglers are moved, and slow workers spared.
+    pub moves_stragglers: bool,
+    /// Workers that fail task after task are set aside.
+    pub sets_aside: bool,
+    /// Advice on later steps is asked for before they open.
+    pub asks_ahead: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Mechanisms {
+            packs_accelerators: true,
+            keeps_room: true,
+            preempts: true,
+            heeds_slack: true,
+            keeps_zones: true,
+            moves_stragglers: true,
+            sets_aside: true,
+            asks_ahead: true,
+        }
+    }
 }
 
 impl Default for Limits {
@@ -26,6 +65,7 @@
             remember: Millis(150_000),
             stop_takes: Millis(200),
             leaving_notice: Millis(2_000),
+            mechanisms: Mechanisms::default(),
         }
     }
 }
@@ -102,6 +142,18 @@
 /// How often that is doubled at most. Without a try nobody learns that a worker is well again, and a
 /// job may be able to run nowhere else.
 pub(crate) const MOST_DOUBLINGS: u32 = 2;
+/// From what part of the largest worker on a task counts as large, so that room is kept free for it:
+/// as one in so many. A smaller one fits into what any end leaves.
+pub(crate) const LARGE_PART: u64 = 4;
+/// For how many steps a plan keeps room free. Each looks through all workers, and later ones rarely find
+/// one that is not waited for already.
+pub(crate) const MOST_ROOMS_MADE: u32 = 20;
+/// How much time a job must have to spare for one of its runs to be stopped for another: the stop, a call
+/// for advice, the restart from its progress, and a wait for room as long as a batch task runs.
+pub(crate) const PREEMPT_SLACK: Millis = Millis(9_000);
+/// With how little time to spare a job that waits goes before more urgent ones that have more: a call for
+/// advice, a commit and the wait for a stop.
+pub(crate) const LAST_CALL: Millis = Millis(2_000);
 /// For how long an unhealthy or full worker gets nothing.
 pub(crate) const REST: Millis = Millis(700);
 /// The least time over which the speed of a run is measured.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -25,9 +25,12 @@
     /// Gives out what can be given out, and asks for the advice that is missing. Gives how many steps
     /// were looked at.
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
-        let open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
+        let mut open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
         let looked_at = open.len() as u64;
+        open.sort_by_cached_key(|e| self.urgency(m, e));
         self.scans = 0;
+        self.kept_free.clear();
+        self.rooms_made = 0;
         for entry in open {
             self.plan_step(m, entry);
         }
@@ -56,6 +59,9 @@
             false => self.seat_each(&key, spec, &waiting, &mut seats),
         };
         let left = waiting.len() - placed.len();
+        if left > 0 {
+            self.make_room(m, &key, spec, left, advice.is_some());
+        }
         if !placed.is_empty() {
             self.give_out(m, &key, spec, placed, next_run);
         }
@@ -111,10 +117,11 @@
         others.next().is_none()
     }
 
-    /// Gives the room that counts for a step. A filler takes no processor time from others, but is
-    /// placed only where some is left for it.
+    /// Gives the room that counts for a step, less what is kept free for more urgent tasks. A filler
+    /// takes no processor time from others, but is placed only where some is left for it.
     pub(crate) fn room_for(&self, spec: &StepSpec, worker: &Worker) -> Size {
-        let free = worker.free();
+        let kept_free = self.kept_free.get(&worker.info.id).copied().unwrap_or_default();
+        let free = worker.free().minus(&kept_free);
         if !spec.filler {
             return free;
         }
@@ -156,6 +163,9 @@
 
     /// Notes when advice on the steps behind one that is fully placed will be needed.
     fn look_ahead(&mut self, m: Moment, entry: OpenStep) {
+        if !self.limits.mechanisms.asks_ahead {
+            return;
+        }
         let Some(job) = self.book.job(entry.key.job) else { return };
         let Some(policy) = self.advice_of.get(&job.queue).copied() else { return };
         let spec = job.spec.clone();
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -136,7 +136,10 @@
                 }
             }
             EndKind::Failed => {
-                let aside = view.record.note_failed(m.now, end.task.step.job);
+                let aside = match self.limits.mechanisms.sets_aside {
+                    true => view.record.note_failed(m.now, end.task.step.job),
+                    false => None,
+                };
                 self.avoid.entry(end.task).or_default().insert(id.clone());
                 if let Some(until) = aside {
                     let ms = until.since(m.now).0;
--- /dev/null
+++ b/components/dispatch/src/room.rs
@@ -0,0 +1,206 @@
+//! Room for gangs and large tasks that wait. A gang starts only where all of its tasks find room at once,
+//! and a large task only where much comes free on one worker; smaller tasks would take each part of that
+//! as it comes. So room is kept free for them on the workers where it will be there first, and made
+//! there by stopping runs that can afford it.
+
+use std::collections::BTreeSet;
+
+use events::kinds;
+use model::{Dimension, Size};
+use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId};
+
+use crate::dispatcher::{Dispatcher, Moment};
+use crate::limits::{LARGE_PART, MOST_ROOMS_MADE, PREEMPT_SLACK};
+use crate::seats::runs_of;
+use crate::view::{Stage, View};
+
+/// A run that may be stopped for another.
+struct Victim {
+    task: TaskKey,
+    run: u32,
+    size: Size,
+}
+
+/// A worker that tasks of a step may wait for.
+struct Place {
+    worker: WorkerId,
+    capacity: Size,
+    /// What is free or will be once runs that are being stopped are gone, less what is kept free.
+    free: Size,
+    /// The runs that may be stopped, those that free the most first.
+    victims: Vec<Victim>,
+    /// What everything else on the worker takes that ends by itself.
+    ending: Size,
+    /// How many more tasks of the step the worker may take.
+    most: u32,
+    /// For how many tasks of the step room is set aside here.
+    taken: u32,
+    /// The runs to stop for them.
+    stopped: Vec<Victim>,
+}
+
+/// What one more task has to wait for on a worker, the cheapest first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Wait {
+    /// There is room, or there will be in a moment.
+    None,
+    /// So many runs have to be stopped.
+    Stops(usize),
+    /// Runs have to end by themselves that take so many accelerators and so much processor time.
+    Ends(u64, u64),
+}
+
+/// Tells whether a task takes so much of a worker that it does not fit into what any end leaves.
+fn is_large(size: &Size, capacity: &Size) -> bool {
+    let large = |d: &Dimension| size.get(*d) * LARGE_PART >= capacity.get(*d) && size.get(*d) > 0;
+    Dimension::ALL.iter().any(large)
+}
+
+impl Place {
+    /// Gives what one more task would have to wait for here.
+    fn wait(&self, size: &Size) -> Option<Wait> {
+        if self.taken >= self.most {
+            return None;
+        }
+        let mut room = self.free;
+        for stops in 0..=self.victims.len() {
+            if size.fits(&room) {
+                return Some(if stops == 0 { Wait::None } else { Wait::Stops(stops) });
+            }
+            room = self.victims.get(stops).map_or(room, |v| room.plus(&v.size));
+        }
+        let fits = size.fits(&room.plus(&self.ending));
+        fits.then_some(Wait::Ends(self.ending.accelerators, self.ending.cpu_milli))
+    }
+
+    /// Sets room aside for one more task.
+    fn take(&mut self, size: &Size, wait: Wait) {
+        if let Wait::Stops(stops) = wait {
+            for victim in self.victims.drain(..stops) {
+                self.free = self.free.plus(&victim.size);
+                self.stopped.push(victim);
+            }
+        }
+        if matches!(wait, Wait::Ends(..)) {
+            self.free = self.free.plus(&self.ending);
+            self.ending = Size::ZERO;
+        }
+        self.free = self.free.minus(size);
+        self.taken += 1;
+    }
+}
+
+impl Dispatcher {
+    /// Keeps room free for those tasks of a step that could not be placed, and stops runs for them that
+    /// are less urgent, keep their progress and have time to spare. Does nothing for small tasks, or for a
+    /// gang where the workers that are known to be allowed would not do for all of it.
+    pub(crate) fn make_room(
+        &mut self,
+        m: Moment,
+        key: &StepKey,
+        spec: &StepSpec,
+        tasks: usize,
+        by_advice: bool,
+    ) {
+        let off = !self.limits.mechanisms.keeps_room;
+        if off || spec.filler || self.rooms_made >= MOST_ROOMS_MADE {
+            return;
+        }
+        let allowed = |id: &&WorkerId| !by_advice || self.desk.is_allowed(key, id);
+        let places =
+            self.views.keys().filter(allowed).filter_map(|id| self.place(m, key, spec, id));
+        let mut places: Vec<Place> = places.collect();
+        if !spec.gang && !places.iter().any(|p| is_large(&spec.size, &p.capacity)) {
+            return;
+        }
+        self.rooms_made += 1;
+        for _ in 0..tasks {
+            let waits = places.iter_mut().filter_map(|p| Some((p.wait(&spec.size)?, p)));
+            match waits.min_by_key(|(wait, _)| *wait) {
+                Some((wait, place)) => place.take(&spec.size, wait),
+                None if spec.gang => return,
+                None => break,
+            }
+        }
+        for place in places.into_iter().filter(|p| p.taken > 0) {
+            let wanted = spec.size.times(u64::from(place.taken));
+            let kept = self.kept_free.entry(place.worker.clone()).or_default();
+            *kept = kept.plus(&wanted);
+            for victim in place.stopped {
+                self.preempt(&place.worker, key, &victim);
+            }
+        }
+    }
+
+    fn preempt(&mut self, worker: &WorkerId, wanted_for: &StepKey, victim: &Victim) {
+        let details = format!("run={} worker={worker} for={wanted_for}", victim.run);
+        self.note(&kinds::RUN_PREEMPTED, victim.task, details);
+        self.send_stop(worker, &victim.task, victim.run);
+    }
+
+    fn place(&self, m: Moment, key: &StepKey, spec: &StepSpec, id: &WorkerId) -> Option<Place> {
+        let worker = self.suitable(m, key, spec, id)?;
+        let view = self.views.get(id)?;
+        let kept = self.kept_free.get(id).copied().unwrap_or_default();
+        let most = match spec.max_per_worker {
+            0 => u32::MAX,
+            most => most.saturating_sub(runs_of(key, worker)),
+        };
+        let (victims, coming, ending) = self.sort_runs(m, key, worker, view);
+        let free = worker.free().plus(&coming).minus(&kept);
+        Some(Place {
+            worker: id.clone(),
+            capacity: worker.info.capacity,
+            free,
+            victims,
+            ending,
+            most,
+            taken: 0,
+            stopped: Vec::new(),
+        })
+    }
+
+    /// Sorts what runs on a worker into what may be stopped for a step, the room of what is being
+    /// stopped, and the room of what ends by itself.
+    fn sort_runs(
+        &self,
+        m: Moment,
+        key: &StepKey,
+        worker: &Worker,
+        view: &View,
+    ) -> (Vec<Victim>, Size, Size) {
+        let (mut victims, mut coming, mut ending) = (Vec::new(), Size::ZERO, Size::ZERO);
+        let priority = self.book.job(key.job).map_or(0, |j| j.priority);
+        let mut spare: BTreeSet<StepKey> = BTreeSet::new();
+        for (task, run) in &worker.runs {
+            let Some(spec) = self.book.step_spec(&task.step) else { continue };
+            let Some(order) = view.orders.get(task) else { continue };
+            let size = spec.room();
+            if matches!(order.stage, Stage::Stopping | Stage::Stopped { .. }) {
+                coming = coming.plus(&size);
+                continue;
+            }
+            if spec.long_running {
+                continue;
+            }
+            let confirmed = matches!(order.stage, Stage::Confirmed { .. });
+            let may_stop = confirmed && spec.checkpointing && !spec.gang;
+            let later = self.book.job(task.step.job).is_some_and(|j| j.priority > priority);
+            if may_stop
+                && later
+                && (spare.contains(&task.step) || self.has_time_to_spare(m, &task.step))
+            {
+                spare.insert(task.step);
+                victims.push(Victim { task: *task, run: *run, size });
+            } else {
+                ending = ending.plus(&size);
+            }
+        }
+        victims.sort_by_key(|v| std::cmp::Reverse((v.size.accelerators, v.size.cpu_milli)));
+        (victims, coming, ending)
+    }
+
+    fn has_time_to_spare(&self, m: Moment, key: &StepKey) -> bool {
+        self.limits.mechanisms.preempts && self.slack(m, key) >= PREEMPT_SLACK
+    }
+}
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -16,6 +16,11 @@
 /// What a worker in another availability zone than the rest of the job is worse by: half of the
 /// difference between an empty worker and a full one.
 const OTHER_ZONE_PENALTY: f64 = 1.0;
+/// What a worker is worse by for a task that takes accelerators if it keeps all of its own free, against
+/// one that keeps none: more than the rest of the cost can make up for, so that such tasks share workers
+/// and others stay whole for those that take all accelerators of one. Spread evenly, tasks with one
+/// accelerator made 14% of the jobs that need whole workers late at 80% load.
+const FREE_ACCELERATORS_PENALTY: f64 = 4.0;
 
 /// Gives how many tasks of a step fit into some room.
 pub(crate) fn fits(spec: &StepSpec, free: &Size) -> u64 {
@@ -54,6 +59,13 @@
     fails: u32,
 }
 
+/// What the seats of a step are chosen by, besides their room.
+struct Wishes<'a> {
+    /// The availability zones that the tasks should go to; empty for any.
+    home: &'a BTreeSet<Name>,
+    packs_accelerators: bool,
+}
+
 impl Seat {
     fn fits(&self, room: &Size, spec: &StepSpec) -> bool {
         let crowded = spec.max_per_worker > 0 && self.here >= spec.max_per_worker;
@@ -62,17 +74,21 @@
 
     /// Gives how badly a task sits here: how full the worker would be. Tasks use more than they
     /// declare, so crowded ones hold each other up, and a lost worker takes less with it.
-    fn cost(&self, room: &Size, spec: &StepSpec, avoided: bool, home: &BTreeSet<Name>) -> f64 {
+    fn cost(&self, room: &Size, spec: &StepSpec, wishes: &Wishes<'_>, avoided: bool) -> f64 {
         let left = self.free.minus(room);
         let part = |left: u64, of: u64| left as f64 / of.max(1) as f64;
         let mut cost = 2.0
             - part(left.cpu_milli, self.capacity.cpu_milli)
             - part(left.memory_mb, self.capacity.memory_mb);
+        if spec.size.accelerators > 0 && wishes.packs_accelerators {
+            let free = part(left.accelerators, self.capacity.accelerators);
+            cost += FREE_ACCELERATORS_PENALTY * free;
+        }
         cost += FAIL_PENALTY * f64::from(self.fails);
         if avoided {
             cost += AVOID_PENALTY;
         }
-        if !home.is_empty() && !home.contains(&self.zone) {
+        if !wishes.home.is_empty() && !wishes.home.contains(&self.zone) {
             cost += OTHER_ZONE_PENALTY;
         }
         if spec.rack.is_some() && !self.near {
@@ -144,7 +160,7 @@
     /// zones it is spread over, the fewer jobs does the cut of a zone hit. Tasks that last count each
     /// by itself and may go anywhere.
     fn home(&self, key: &StepKey, spec: &StepSpec, tasks: usize, seats: &[Seat]) -> BTreeSet<Name> {
-        if spec.long_running {
+        if spec.long_running || !self.limits.mechanisms.keeps_zones {
             return BTreeSet::new();
         }
         let running = self.zones_of(key);
@@ -179,9 +195,11 @@
         let room = spec.size;
         let avoid = self.avoid.get(task);
         let avoided = |s: &Seat| avoid.is_some_and(|a| a.contains(&s.worker));
+        let packs_accelerators = self.limits.mechanisms.packs_accelerators;
+        let wishes = Wishes { home, packs_accelerators };
         let fitting = seats.iter_mut().filter(|s| s.fits(&room, spec));
         let best = fitting.min_by(|a, b| {
-            let cost = |s: &Seat| s.cost(&room, spec, avoided(s), home);
+            let cost = |s: &Seat| s.cost(&room, spec, &wishes, avoided(s));
             cost(a).total_cmp(&cost(b))
         })?;
         best.free = best.free.minus(&room);
--- /dev/null
+++ b/components/dispatch/src/slack.rs
@@ -0,0 +1,43 @@
+//! How much time a job has to spare before it is late.
+
+use clock::Millis;
+use workload::{Job, OpenStep, StepKey};
+
+use crate::dispatcher::{Dispatcher, Moment};
+use crate::limits::LAST_CALL;
+
+impl Dispatcher {
+    /// Gives for how long a job's round may yet stand still and be in time, by declared run times. Steps
+    /// that are under way count whole, since their progress may be lost. A job whose queue is not
+    /// configured any more has nothing to spare.
+    pub(crate) fn slack(&self, m: Moment, key: &StepKey) -> Millis {
+        let Some(job) = self.book.job(key.job) else { return Millis::ZERO };
+        let Some(due) = self.due(job, key.round) else { return Millis::ZERO };
+        let Some(round) = job.rounds.get(key.round as usize) else { return Millis::ZERO };
+        let left = job.spec.longest_chain(|i| !round.steps[i].is_done());
+        due.since(m.wall + left)
+    }
+
+    /// Gives the place of a step among those that wait, the first to be served the least: the most urgent
+    /// priority by itself, then what must start soon to be in time, then the rest by priority.
+    pub(crate) fn urgency(&self, m: Moment, entry: &OpenStep) -> (u8, Millis, u64) {
+        if entry.priority == 0 || !self.limits.mechanisms.heeds_slack {
+            return (entry.priority, Millis::ZERO, entry.order);
+        }
+        let slack = self.slack(m, &entry.key);
+        match slack > Millis::ZERO && slack < LAST_CALL {
+            true => (1, slack, entry.order),
+            false => (entry.priority.saturating_add(1), Millis::ZERO, entry.order),
+        }
+    }
+
+    /// Gives when a job's round is late, by the wall clock: what its queue allows it to take, from when
+    /// it was accepted or became due.
+    fn due(&self, job: &Job, round: u32) -> Option<Millis> {
+        let queue = self.policy.as_ref()?.queue(&job.queue)?;
+        let from = job.accepted_at.max(job.spec.due(round));
+        let chain = job.spec.longest_chain(|_| true);
+        let allowed = Millis((chain.0 as f64 * queue.stretch) as u64) + queue.target_latency;
+        Some(from + allowed)
+    }
+}
--- a/components/dispatch/src/stragglers.rs
+++ b/components/dispatch/src/stragglers.rs
@@ -13,6 +13,9 @@
     /// Measures how fast runs come on, moves those that would sooner be done elsewhere, and spares a
     /// worker that is slow altogether.
     pub(crate) fn watch_speed(&mut self, m: Moment, id: &WorkerId, running: &[RunRow]) {
+        if !self.limits.mechanisms.moves_stragglers {
+            return;
+        }
         let stop_takes = self.limits.stop_takes;
         let mut shares = Vec::new();
         let mut stragglers = Vec::new();
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -15,11 +15,11 @@
     Queue, Service, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
 };
 
-/// Reads any text as two queues at host `h`: `/q/` for quick jobs, which come first, and `/bulk/`. Both
-/// have advice if the text says so, and that on bulk jobs takes long.
-struct TwoQueues;
+/// Reads any text as three queues at host `h`: `/q/` for quick jobs, which come first, `/mid/`, and `/bulk/`.
+/// All have advice if the text says so, and that on bulk jobs takes long.
+struct ThreeQueues;
 
-impl PolicyReader for TwoQueues {
+impl PolicyReader for ThreeQueues {
     fn read(&self, text: &str) -> Result<Policy> {
         if text == "faulty" {
             return Err(errors::Error::Refused("faulty".into()));
@@ -45,8 +45,10 @@
             advice: text.contains("advice").then_some(long),
             ..queue.clone()
         };
+        let mid =
+            Queue { name: "mid".into(), path_prefix: "/mid/".into(), priority: 1, ..queue.clone() };
         let service = Service { name: "s".into(), checks_room: false, max_connections: 64 };
-        Ok(Policy { queues: vec![queue, bulk], services: vec![service], max_body: 1_000 })
+        Ok(Policy { queues: vec![queue, mid, bulk], services: vec![service], max_body: 1_000 })
     }
 }
 
@@ -116,7 +118,7 @@
 pub const SILENT: fn() -> CallError = || CallError::Silent("no answer".into());
 
 impl Bench {
-    /// Begins with an empty book and a configuration of two queues.
+    /// Begins with an empty book and a configuration of three queues.
     pub fn new(config: &str) -> Bench {
         let mut book = Book::default();
         book.apply(&Command::Configure(Document { version: 1, text: config.into() }));
@@ -129,7 +131,7 @@
         let setup = Setup {
             limits: Limits::default(),
             term,
-            reader: Arc::new(TwoQueues),
+            reader: Arc::new(ThreeQueues),
             book: book.clone(),
         };
         Bench {
@@ -192,6 +194,10 @@
         self.call_path(&format!("/q/{}", JobId(id)), Verb::Submit(spec))
     }
 
+    pub fn submit_mid(&mut self, id: u64, spec: Arc<JobSpec>) -> u64 {
+        self.call_path(&format!("/mid/{}", JobId(id)), Verb::Submit(spec))
+    }
+
     pub fn submit_bulk(&mut self, id: u64, spec: Arc<JobSpec>) -> u64 {
         self.call_path(&format!("/bulk/{}", JobId(id)), Verb::Submit(spec))
     }
--- a/components/dispatch/tests/placing.rs
+++ b/components/dispatch/tests/placing.rs
@@ -8,6 +8,7 @@
 use clock::Millis;
 use common::{Bench, end, news, spec, step, task, worker};
 use dispatch::Input;
+use model::Size;
 use workload::{EndKind, JobSpec, StepSpec, WorkerId};
 
 /// Lets a worker with labels join.
@@ -138,10 +139,40 @@
 fn a_step_that_needs_more_than_any_worker_has_leaves_others_alone() {
     let mut b = Bench::new("");
     b.join("w1", 4);
-    let huge = StepSpec { size: model::Size::new(64_000, 1_000, 0), ..step(1) };
+    let huge = StepSpec { size: Size::new(64_000, 1_000, 0), ..step(1) };
     b.submit(1, spec(vec![huge]));
     b.submit(2, spec(vec![step(1)]));
     b.commit();
     assert_eq!(b.starts().len(), 1);
     assert_eq!(b.starts()[0].1.task, task(2, 0, 0));
 }
+
+/// Lets a worker with accelerators join.
+fn join_with_accelerators(b: &mut Bench, name: &str, accelerators: u64) {
+    let mut news = news(name, 32);
+    news.info.capacity.accelerators = accelerators;
+    b.feed(Input::News(news));
+    b.commit();
+    b.pass(Millis(1));
+    b.report(name, vec![], vec![]);
+}
+
+fn accelerated(count: u32, accelerators: u64) -> StepSpec {
+    StepSpec { size: Size::new(1_000, 1_000, accelerators), ..step(count) }
+}
+
+#[test]
+fn tasks_with_one_accelerator_share_a_worker_so_that_others_stay_whole() {
+    let mut b = Bench::new("");
+    for name in ["w1", "w2", "w3"] {
+        join_with_accelerators(&mut b, name, 8);
+    }
+    for id in 1..=4 {
+        b.submit(id, spec(vec![accelerated(2, 1)]));
+        b.commit();
+    }
+    assert_eq!(count_by_worker(&b).len(), 1, "eight tasks fill one worker's accelerators");
+    b.submit(5, spec(vec![StepSpec { gang: true, ..accelerated(2, 8) }]));
+    b.commit();
+    assert_eq!(b.starts().len(), 10, "the gang has its two whole workers");
+}
--- a/components/workload/src/spec.rs
+++ b/components/workload/src/spec.rs
@@ -87,6 +87,18 @@
         }
     }
 
+    /// Gives how long the longest chain of steps takes by the declared times, of those steps that
+    /// count.
+    pub fn longest_chain(&self, counts: impl Fn(usize) -> bool) -> Millis {
+        let mut ends: Vec<Millis> = Vec::with_capacity(self.steps.len());
+        for (i, step) in self.steps.iter().enumerate() {
+            let before = step.depends_on.iter().filter_map(|d| ends.get(*d as usize)).max();
+            let own = if counts(i) { step.estimate } else { Millis::ZERO };
+            ends.push(before.copied().unwrap_or_default() + own);
+        }
+        ends.into_iter().max().unwrap_or_default()
+    }
+
     /// Tells whether any step runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|s| s.long_running)
