Bound the starts under way and what a plan looks at, so that a backlog does not take the leader's processor

Ruled out: commits (no election after 1.8 s), advice. Change: at most 200 starts are on their way to workers that answer; a plan is charged by what it looks at; room is looked for among the workers known to be allowed instead of all.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -154,6 +154,11 @@
         self.steps.get(step).is_some_and(|s| s.allowed.contains(worker))
     }
 
+    /// Gives the workers that are known to be allowed, ticket or not.
+    pub(crate) fn allowed(&self, step: &StepKey) -> impl Iterator<Item = &WorkerId> {
+        self.steps.get(step).into_iter().flat_map(|s| &s.allowed)
+    }
+
     /// Drops a ticket that a worker rejected.
     pub(crate) fn drop_ticket(&mut self, step: &StepKey, worker: &WorkerId) {
         if let Some(s) = self.steps.get_mut(step) {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -13,7 +13,7 @@
 
 use crate::advice::{AdviceAsk, Desk};
 use crate::call::{Answer, Call};
-use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, Limits, STEPS_A_MS};
+use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
 use crate::speed::StepSpeeds;
 use crate::view::{Order, Stage, View};
@@ -225,6 +225,8 @@
     pub(crate) scans: u32,
     /// What the plan under way keeps free on workers for large tasks that wait.
     pub(crate) kept_free: BTreeMap<WorkerId, Size>,
+    /// What the plan under way has taken so far, in looks at a worker.
+    pub(crate) looks: u64,
     /// For how many steps the plan under way has looked for room to be kept free.
     pub(crate) rooms_made: u32,
 }
@@ -258,6 +260,7 @@
             scans: 0,
             kept_free: BTreeMap::new(),
             rooms_made: 0,
+            looks: 0,
         };
         d.inherit(m);
         d
@@ -335,8 +338,8 @@
             self.stop_unwanted();
             if self.plan_due && m.now >= self.plan_at {
                 self.plan_due = false;
-                let looked_at = self.plan(m);
-                self.plan_at = m.now + Millis(looked_at / STEPS_A_MS);
+                let looks = self.plan(m);
+                self.plan_at = m.now + Millis(looks / LOOKS_A_MS);
             }
         }
         let batch = match self.batch.is_empty() {
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -108,9 +108,17 @@
 /// The pause after nobody was found to ask about. Looking through all workers for each of many steps
 /// that wait would take the leader's whole processor, and room comes with the ends that are planned on.
 pub(crate) const NO_PROSPECTS_PAUSE: Millis = Millis(400);
-/// How many steps may be looked at in a millisecond, on average: a quarter of what the leader's
-/// processor can do, so that a backlog never keeps it from taking in answers.
-pub(crate) const STEPS_A_MS: u64 = 3;
+/// How many looks at a worker a plan may take in a millisecond, on average: each takes about a microsecond
+/// of a whole processor, of which the leader has less than half, so that a backlog never keeps it from
+/// taking in answers.
+pub(crate) const LOOKS_A_MS: u64 = 30;
+/// How many looks at a worker a look at a step that waits counts as.
+pub(crate) const LOOKS_A_STEP: u64 = 5;
+/// How many starts may be on their way to workers that answer. A start is confirmed within 50 ms, so 64
+/// do for 1,300 starts a second; a leader that sends more than it can take in the answers to believes
+/// them lost, sends them again, and takes in even fewer: that ended a day of 350 workers with 68% of its
+/// jobs not done.
+pub(crate) const MOST_ORDERS: usize = 200;
 /// For how many steps a plan looks through all workers for some to ask about. At 350 workers that takes
 /// most of a millisecond of a whole processor each time, and a backlog has hundreds of steps.
 pub(crate) const MOST_SCANS: u32 = 10;
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -14,6 +14,13 @@
 use crate::view::{Order, Stage};
 
 impl Dispatcher {
+    /// Gives how many starts are on their way to workers that answer.
+    pub(crate) fn orders_under_way(&self) -> usize {
+        let reached = self.views.values().filter(|v| v.in_contact);
+        let orders = reached.flat_map(|v| v.orders.values());
+        orders.filter(|o| matches!(o.stage, Stage::Held | Stage::Starting)).count()
+    }
+
     pub(crate) fn resend_orders(&mut self, m: Moment, id: &WorkerId) {
         let Some(view) = self.views.get(id).filter(|v| v.in_contact) else { return };
         let due = |o: &Order| o.retry_at.is_some_and(|t| m.now >= t);
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -9,7 +9,7 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::limits::MOST_SCANS;
+use crate::limits::{LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS};
 use crate::seats::{Seated, fits, runs_of};
 use crate::view::{Order, Stage};
 
@@ -22,43 +22,49 @@
 const ADVICE_LEAD: f64 = 0.5;
 
 impl Dispatcher {
-    /// Gives out what can be given out, and asks for the advice that is missing. Gives how many steps
-    /// were looked at.
+    /// Gives out what can be given out, and asks for the advice that is missing. Gives what that took,
+    /// in looks at a worker.
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
         let mut open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
-        let looked_at = open.len() as u64;
+        self.looks = open.len() as u64 * LOOKS_A_STEP;
         open.sort_by_cached_key(|e| self.urgency(m, e));
         self.scans = 0;
         self.kept_free.clear();
         self.rooms_made = 0;
+        let mut orders = self.orders_under_way();
         for entry in open {
-            self.plan_step(m, entry);
+            if orders >= MOST_ORDERS {
+                break;
+            }
+            orders += self.plan_step(m, entry);
         }
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
         }
-        looked_at
+        self.looks
     }
 
-    fn plan_step(&mut self, m: Moment, entry: OpenStep) {
+    /// Places what it can of a step; gives how many tasks that were.
+    fn plan_step(&mut self, m: Moment, entry: OpenStep) -> usize {
         let key = entry.key;
-        let Some(job) = self.book.job(key.job) else { return };
+        let Some(job) = self.book.job(key.job) else { return 0 };
         if m.wall < job.spec.due(key.round) {
-            return;
+            return 0;
         }
         self.desk.forget_ahead(&key);
         let (queue, spec) = (job.queue.clone(), job.spec.clone());
         let spec = &spec.steps[key.step as usize];
-        let Some(step) = self.book.step(&key) else { return };
+        let Some(step) = self.book.step(&key) else { return 0 };
         let waiting: Vec<u32> = step.waiting().collect();
         let next_run = step.last_run() + 1;
         let advice = self.advice_of.get(&queue).copied();
         let mut seats = self.seats(m, &key, spec, advice.is_some());
+        self.looks += seats.len() as u64;
         let placed = match spec.gang {
             true => self.seat_gang(&key, spec, &waiting, &mut seats),
             false => self.seat_each(&key, spec, &waiting, &mut seats),
         };
-        let left = waiting.len() - placed.len();
+        let (found, left) = (placed.len(), waiting.len() - placed.len());
         if left > 0 {
             self.make_room(m, &key, spec, left, advice.is_some());
         }
@@ -70,6 +76,7 @@
             _ if left == 0 => self.look_ahead(m, entry),
             _ => {}
         }
+        found
     }
 
     /// Gives a worker if tasks of a step may run there at all.
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -107,10 +107,16 @@
         if off || spec.filler || self.rooms_made >= MOST_ROOMS_MADE {
             return;
         }
-        let allowed = |id: &&WorkerId| !by_advice || self.desk.is_allowed(key, id);
-        let places =
-            self.views.keys().filter(allowed).filter_map(|id| self.place(m, key, spec, id));
-        let mut places: Vec<Place> = places.collect();
+        let mut places: Vec<Place> = match by_advice {
+            // Going through all workers for each step that waits would take a quarter of the leader's
+            // processor at 350 workers, and few are allowed.
+            true => {
+                let allowed = self.desk.allowed(key);
+                allowed.filter_map(|id| self.place(m, key, spec, id)).collect()
+            }
+            false => self.views.keys().filter_map(|id| self.place(m, key, spec, id)).collect(),
+        };
+        self.looks += places.len() as u64;
         if !spec.gang && !places.iter().any(|p| is_large(&spec.size, &p.capacity)) {
             return;
         }
--- a/components/dispatch/tests/rules.rs
+++ b/components/dispatch/tests/rules.rs
@@ -440,3 +440,37 @@
     b.pass(Millis(10));
     assert!(b.starts().len() > failed, "it gets something within 16 s");
 }
+
+#[test]
+fn no_more_starts_leave_than_a_leader_can_take_the_answers_to() {
+    let mut b = Bench::new("");
+    b.join("w1", 2_000);
+    for id in 1..=60 {
+        b.submit(id, spec(vec![step(10)]));
+    }
+    b.commit();
+    b.pass(Millis(100));
+    let sent = b.starts().len();
+    assert!((200..=220).contains(&sent), "{sent} starts wait for an answer");
+    for (worker, order) in b.starts() {
+        b.started(&worker.0, order.task, 1, Ok(()));
+    }
+    b.commit();
+    b.pass(Millis(100));
+    assert!(b.starts().len() > sent, "and as many more once they are confirmed");
+}
+
+#[test]
+fn starts_at_workers_that_fell_silent_hold_nobody_up() {
+    let mut b = Bench::new("");
+    b.join("w1", 300);
+    b.submit(1, spec(vec![step(250)]));
+    b.commit();
+    assert_eq!(b.starts().len(), 250);
+    b.renewal_fails("w1", SILENT());
+    b.join("w2", 8);
+    b.submit(2, spec(vec![step(1)]));
+    b.commit();
+    b.pass(Millis(100));
+    assert!(b.starts().iter().any(|(_, o)| o.task == task(2, 0, 0)));
+}
--- a/components/dispatch/tests/schedules.rs
+++ b/components/dispatch/tests/schedules.rs
@@ -186,7 +186,9 @@
         let alive = |w: &&FakeWorker| w.running.contains_key(&key) && now < w.lease;
         assert_eq!(self.workers.values().filter(alive).count(), 1, "{key} runs twice");
         for (name, worker) in &self.workers {
-            assert!(worker.running.len() as u64 <= CORES, "{name} is over its room");
+            let size = |key: &TaskKey| self.bench.committed.step_spec(&key.step).map(|s| s.size);
+            let taken = worker.running.keys().filter_map(size).fold(0, |n, s| n + s.cpu_milli);
+            assert!(taken <= CORES * 1_000, "{name} is over its room");
         }
         let noted = self.bench.committed.task(&key).is_some_and(|t| t.done);
         assert!(!noted, "{key} starts after its end was noted");
@@ -220,7 +222,7 @@
                 let gang = self.rng.random_bool(0.2);
                 let first = StepSpec { long_running: lasts, gang: gang && !lasts, ..step(3) };
                 let steps = if lasts { vec![first] } else { vec![first, second] };
-                self.bench.submit(self.jobs, spec(steps));
+                self.submit(steps);
             }
             5..=9 => self.finish_some(),
             10..=12 => self.bench.commit(),
@@ -245,12 +247,35 @@
         self.bench.feed(Input::Tick);
     }
 
+    /// Hands in a quick job, a batch job that may be stopped for others, or one that others are stopped for.
+    fn submit(&mut self, steps: Vec<StepSpec>) {
+        let keeps = StepSpec { checkpointing: true, estimate: Millis(30_000), ..step(3) };
+        let size = model::Size::new(3_000, 1_000, 0);
+        let large = StepSpec { size, estimate: Millis(2_000), ..step(2) };
+        match self.rng.random_range(0..4) {
+            0 => self.bench.submit_bulk(self.jobs, spec(vec![keeps])),
+            1 => self.bench.submit_mid(self.jobs, spec(vec![large])),
+            _ => self.bench.submit(self.jobs, spec(steps)),
+        };
+    }
+
+    /// The members of a gang work only while all of them are there, so none is done before.
+    fn can_work(&self, key: TaskKey) -> bool {
+        let Some(spec) = self.bench.committed.step_spec(&key.step) else { return true };
+        let runs = |w: &&FakeWorker| w.running.keys().filter(|k| k.step == key.step).count();
+        let present: usize = self.workers.values().map(|w| runs(&w)).sum();
+        !spec.gang || present >= spec.count as usize
+    }
+
     fn finish_some(&mut self) {
         let kinds = [EndKind::Done, EndKind::Done, EndKind::Done, EndKind::Failed];
-        for worker in self.workers.values_mut() {
-            let keys: Vec<TaskKey> = worker.running.keys().copied().collect();
-            if let Some(key) = keys.choose(&mut self.rng) {
-                worker.end(*key, *kinds.choose(&mut self.rng).unwrap_or(&EndKind::Done));
+        for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+            let keys: Vec<TaskKey> = self.workers[&name].running.keys().copied().collect();
+            let Some(key) = keys.choose(&mut self.rng).copied() else { continue };
+            let drawn = *kinds.choose(&mut self.rng).unwrap_or(&EndKind::Done);
+            let kind = if self.can_work(key) { drawn } else { EndKind::Failed };
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.end(key, kind);
             }
         }
         for name in self.workers.keys().cloned().collect::<Vec<_>>() {
