Name at most 40 workers in short calls for advice where those do

Cause: on 350 workers each quick step had 70 tickets, all of which every plan looked at until the step was placed. Sites of 48 workers name as many as before.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -10,8 +10,8 @@
 
 use crate::limits::{
     ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_PAUSE,
-    ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SLACK, HELPER_REST, HELPERS_A_RESERVED,
-    NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK, HELPER_REST,
+    HELPERS_A_RESERVED, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
 
 /// Gives what a call that names so many workers takes, in milliseconds.
@@ -315,8 +315,9 @@
     let mut full = 0;
     for p in open.into_iter().take(ADVICE_MOST_WORKERS) {
         let known = allowed.contains(&p.worker);
-        let named_enough = known || workers.len() >= ADVICE_LEAST_WORKERS;
-        if expected >= needed && (p.fits == 0 || (!all_short && named_enough)) {
+        let least = if all_short { ADVICE_SHORT_WORKERS } else { ADVICE_LEAST_WORKERS };
+        let named_enough = (known && !all_short) || workers.len() >= least;
+        if expected >= needed && (p.fits == 0 || named_enough) {
             break;
         }
         full += usize::from(p.fits == 0);
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -111,7 +111,7 @@
 /// How many looks at a worker a plan may take in a millisecond, on average: each takes about a microsecond
 /// of a whole processor, of which the leader has less than half, so that a backlog never keeps it from
 /// taking in answers.
-pub(crate) const LOOKS_A_MS: u64 = 30;
+pub(crate) const LOOKS_A_MS: u64 = 50;
 /// How many looks at a worker a look at a step that waits counts as.
 pub(crate) const LOOKS_A_STEP: u64 = 5;
 /// How many starts may be on their way to workers that answer. A start is confirmed within 50 ms, so 64
@@ -136,9 +136,12 @@
 /// room needs tickets at hand when it comes: a call takes a tenth of the time that a batch task runs,
 /// and the room would be idle for so long.
 pub(crate) const ADVICE_MOST_FULL: usize = 30;
-/// A call for advice that takes no longer than this is short: it names all workers with room, since a
+/// A call for advice that takes no longer than this is short: it names many workers with room, since a
 /// second call would cost more than they do.
 pub(crate) const ADVICE_SHORT_MS: f64 = 60.0;
+/// How many workers a short call names where those do: among the 28 or so that are allowed there is a good
+/// one, and each more is looked at in every plan until the step is placed.
+pub(crate) const ADVICE_SHORT_WORKERS: usize = 40;
 /// How much more room is asked for than is needed, as advice may be gone stale when it comes.
 pub(crate) const ADVICE_ROOM_FACTOR: f64 = 1.5;
 /// How many workers a first call names at least.
