Await answers to orders as long as they take, between 120 and 400 ms

Cause: with workers that leave 5.5% of orders unanswered, each such start cost 420 ms of a quick job whose whole slack is 500. Ruled out: a shorter fixed limit, since a leader short of its processor takes in answers late and would send all again. Change: the limit follows the mean and deviation of the answers seen; it is the product's and travels with the order.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::advice::{AdviceAsk, Desk};
+use crate::answer_times::AnswerTimes;
 use crate::call::{Answer, Call};
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
@@ -207,6 +208,8 @@
     pub(crate) accepted: BTreeMap<JobId, Millis>,
     /// How fast the tasks of steps come on.
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
+    /// How long workers take to answer.
+    pub(crate) answer_times: AnswerTimes,
     batch: Vec<Command>,
     /// The number of the batch that is being gathered.
     batch_number: u64,
@@ -248,6 +251,7 @@
             avoid: BTreeMap::new(),
             accepted: BTreeMap::new(),
             speeds: BTreeMap::new(),
+            answer_times: AnswerTimes::unknown(),
             batch: Vec::new(),
             batch_number: 1,
             committed: 0,
@@ -289,6 +293,7 @@
                     retry_at: None,
                     tries: 0,
                     since: m.now,
+                    sent_at: m.now,
                     ticket: None,
                 };
                 view.orders.insert(*task, order);
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -7,6 +7,7 @@
 //! was weighed.
 
 mod advice;
+mod answer_times;
 mod call;
 mod callers;
 mod dispatcher;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -38,6 +38,8 @@
     pub moves_stragglers: bool,
     /// Workers that fail task after task are set aside.
     pub sets_aside: bool,
+    /// How long answers to orders are awaited follows how long they take.
+    pub learns_answer_times: bool,
     /// Advice on later steps is asked for before they open.
     pub asks_ahead: bool,
 }
@@ -52,6 +54,7 @@
             keeps_zones: true,
             moves_stragglers: true,
             sets_aside: true,
+            learns_answer_times: true,
             asks_ahead: true,
         }
     }
@@ -96,6 +99,11 @@
 pub(crate) const RENEW_AGAIN: Millis = Millis(20);
 /// The same for one that did not.
 pub(crate) const RENEW_RETRY: Millis = Millis(250);
+/// How long the answer to an order is awaited at least: answers come within some milliseconds, or tens of
+/// them where an end waits for its share of a processor.
+pub(crate) const SHORTEST_ANSWER: Millis = Millis(120);
+/// How long it is awaited at most, and at first.
+pub(crate) const LONGEST_ANSWER: Millis = Millis(400);
 /// The pause before a start or stop that got no answer is sent again. A lost answer must not make
 /// its job late.
 pub(crate) const ORDER_RETRY: Millis = Millis(20);
--- a/components/dispatch/src/order.rs
+++ b/components/dispatch/src/order.rs
@@ -37,6 +37,8 @@
     pub checkpoint: Arc<str>,
     /// The leave to run the step there, on queues with advice.
     pub ticket: Option<Name>,
+    /// How long the answer is awaited.
+    pub answer_within: Millis,
 }
 
 /// End a run.
@@ -48,6 +50,8 @@
     pub run: u32,
     /// The leader's term.
     pub fence: u64,
+    /// How long the answer is awaited.
+    pub answer_within: Millis,
 }
 
 /// Renew the lease of everything that runs on a worker, and tell what runs and what has ended.
@@ -61,6 +65,8 @@
     pub deadline: Option<Millis>,
     /// How long the worker may wait for an end before it answers.
     pub wait: Millis,
+    /// How much longer than that the answer is awaited.
+    pub answer_within: Millis,
 }
 
 /// A run as its worker lists it.
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -79,8 +79,19 @@
         order.stage = Stage::Starting;
         order.tries += 1;
         order.retry_at = None;
+        order.sent_at = m.now;
         let ticket = order.ticket.clone();
-        let order = StartOrder { task: *task, run, spec, deadline, fence, checkpoint, ticket };
+        let answer_within = self.answer_times.limit();
+        let order = StartOrder {
+            task: *task,
+            run,
+            spec,
+            deadline,
+            fence,
+            checkpoint,
+            ticket,
+            answer_within,
+        };
         self.act(Action::Start { worker: id.clone(), address, order });
     }
 
@@ -102,6 +113,9 @@
             return;
         }
         let first = order.tries == 1;
+        if self.limits.mechanisms.learns_answer_times {
+            self.answer_times.note(m.now.since(order.sent_at));
+        }
         match result {
             Ok(_) => order.stage = Stage::Confirmed { at: m.now },
             Err(CallError::Silent(why)) => {
@@ -151,7 +165,8 @@
         }
         order.stage = Stage::Stopping;
         order.retry_at = None;
-        let order = StopOrder { task: *task, run, fence: self.term };
+        let answer_within = self.answer_times.limit();
+        let order = StopOrder { task: *task, run, fence: self.term, answer_within };
         self.act(Action::Stop { worker: id.clone(), address, order });
     }
 
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -150,8 +150,15 @@
             let task = TaskKey { step: *key, index };
             let own_next = self.book.task(&task).map_or(1, |t| t.run + 1);
             let run = if spec.gang { next_run } else { own_next };
-            let order =
-                Order { run, stage: Stage::Held, retry_at: None, tries: 0, since: m.now, ticket };
+            let order = Order {
+                run,
+                stage: Stage::Held,
+                retry_at: None,
+                tries: 0,
+                since: m.now,
+                sent_at: m.now,
+                ticket,
+            };
             if let Some(view) = self.views.get_mut(&worker) {
                 view.orders.insert(task, order);
             }
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -7,7 +7,7 @@
 use workload::{Command, End, EndKind, JobId, TaskKey, WorkerId};
 
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::limits::{IDLE_WAIT, RENEW_AGAIN, RENEW_RETRY, busy_wait};
+use crate::limits::{IDLE_WAIT, LONGEST_ANSWER, RENEW_AGAIN, RENEW_RETRY, busy_wait};
 use crate::order::{CallError, Refusal, RenewOrder, Report, RunRow, StopOrder};
 use crate::view::Stage;
 
@@ -29,7 +29,8 @@
             (true, false) => busy,
         };
         view.renewing = true;
-        let order = RenewOrder { fence, seen, deadline, wait };
+        let answer_within = LONGEST_ANSWER;
+        let order = RenewOrder { fence, seen, deadline, wait, answer_within };
         self.act(Action::Renew { worker: id.clone(), address, order });
     }
 
@@ -191,9 +192,10 @@
             .map(|r| (r.task, r.run))
             .collect();
         let address = worker.info.address.clone();
+        let answer_within = self.answer_times.limit();
         for (task, run) in strays {
             self.note(&kinds::RUN_STRAY, task, format!("run={run} worker={id}"));
-            let order = StopOrder { task, run, fence: self.term };
+            let order = StopOrder { task, run, fence: self.term, answer_within };
             self.act(Action::Stop { worker: id.clone(), address: address.clone(), order });
         }
     }
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -43,6 +43,8 @@
     pub(crate) tries: u32,
     /// When the run was first ordered.
     pub(crate) since: Millis,
+    /// When the start was last sent.
+    pub(crate) sent_at: Millis,
     pub(crate) ticket: Option<model::Name>,
 }
 
--- a/components/dispatch/tests/rules.rs
+++ b/components/dispatch/tests/rules.rs
@@ -474,3 +474,28 @@
     b.pass(Millis(100));
     assert!(b.starts().iter().any(|(_, o)| o.task == task(2, 0, 0)));
 }
+
+/// Has a worker answer starts after `took` each, and gives for how long the next one is awaited.
+fn awaited_after(took: Millis) -> Millis {
+    let mut b = Bench::new("");
+    b.join("w1", 64);
+    for id in 1..=40 {
+        b.submit(id, spec(vec![step(1)]));
+        b.commit();
+        b.now += took;
+        b.started("w1", task(id, 0, 0), 1, Ok(()));
+    }
+    b.submit(41, spec(vec![step(1)]));
+    b.commit();
+    b.starts().pop().map_or(Millis::ZERO, |(_, order)| order.answer_within)
+}
+
+#[test]
+fn a_start_without_an_answer_is_sent_again_soon_where_answers_come_at_once() {
+    assert_eq!(awaited_after(Millis(5)), Millis(120));
+}
+
+#[test]
+fn a_leader_that_takes_in_answers_late_awaits_them_longer() {
+    assert!(awaited_after(Millis(300)) >= Millis(300));
+}
--- a/components/dispatch/tests/schedules.rs
+++ b/components/dispatch/tests/schedules.rs
@@ -287,6 +287,7 @@
                     seen: 0,
                     deadline: None,
                     wait: Millis::ZERO,
+                    answer_within: Millis(400),
                 },
             };
             if !self.workers[&name].silent {
