Await answers to renewals as long as answers take, too

Cause: a renewal that a worker leaves unanswered held back the ends of its tasks for its wait and 400 ms more.

--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -7,7 +7,7 @@
 use workload::{Command, End, EndKind, JobId, TaskKey, WorkerId};
 
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::limits::{IDLE_WAIT, LONGEST_ANSWER, RENEW_AGAIN, RENEW_RETRY, busy_wait};
+use crate::limits::{IDLE_WAIT, RENEW_AGAIN, RENEW_RETRY, busy_wait};
 use crate::order::{CallError, Refusal, RenewOrder, Report, RunRow, StopOrder};
 use crate::view::Stage;
 
@@ -29,7 +29,7 @@
             (true, false) => busy,
         };
         view.renewing = true;
-        let answer_within = LONGEST_ANSWER;
+        let answer_within = self.answer_times.limit();
         let order = RenewOrder { fence, seen, deadline, wait, answer_within };
         self.act(Action::Renew { worker: id.clone(), address, order });
     }
--- a/components/dispatch/tests/rules.rs
+++ b/components/dispatch/tests/rules.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use common::{Bench, SILENT, end, job, news, row, spec, step, task, worker};
-use dispatch::{Answer, Call, CallError, Input, Limits, Refusal, Verb};
+use dispatch::{Action, Answer, Call, CallError, Input, Limits, Refusal, Verb};
 use errors::Result;
 use workload::{Document, EndKind, JobState, StepSpec};
 
@@ -499,3 +499,22 @@
 fn a_leader_that_takes_in_answers_late_awaits_them_longer() {
     assert!(awaited_after(Millis(300)) >= Millis(300));
 }
+
+#[test]
+fn a_renewal_is_awaited_little_longer_than_it_waits_where_answers_come_at_once() {
+    let mut b = Bench::new("");
+    b.join("w1", 64);
+    for id in 1..=40 {
+        b.submit(id, spec(vec![step(1)]));
+        b.commit();
+        b.now += Millis(5);
+        b.started("w1", task(id, 0, 0), 1, Ok(()));
+    }
+    b.report("w1", vec![], vec![]);
+    b.commit();
+    let renewal = |a: &Action| match a {
+        Action::Renew { order, .. } => Some(order.answer_within),
+        _ => None,
+    };
+    assert_eq!(b.actions.iter().filter_map(renewal).next_back(), Some(Millis(120)));
+}
