--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -25,7 +25,6 @@
 /// A worker that tasks of a step may wait for.
 struct Place {
     worker: WorkerId,
-    capacity: Size,
     /// What is free or will be once runs that are being stopped are gone, less what is kept free.
     free: Size,
     /// The runs that may be stopped, those that free the most first.
@@ -107,19 +106,19 @@
         if off || spec.filler || self.rooms_made >= MOST_ROOMS_MADE {
             return;
         }
-        let mut places: Vec<Place> = match by_advice {
-            // Going through all workers for each step that waits would take a quarter of the leader's
-            // processor at 350 workers, and few are allowed.
-            true => {
-                let allowed = self.desk.allowed(key);
-                allowed.filter_map(|id| self.place(m, key, spec, id)).collect()
-            }
-            false => self.views.keys().filter_map(|id| self.place(m, key, spec, id)).collect(),
+        // Going through all workers for each step that waits would take a quarter of the leader's processor
+        // at 350 workers, and few are allowed.
+        let ids: Vec<&WorkerId> = match by_advice {
+            true => self.desk.allowed(key).collect(),
+            false => self.views.keys().collect(),
         };
-        self.looks += places.len() as u64;
-        if !spec.gang && !places.iter().any(|p| is_large(&spec.size, &p.capacity)) {
+        let mut workers = ids.iter().filter_map(|id| self.book.worker(id));
+        if !spec.gang && !workers.any(|w| is_large(&spec.size, &w.info.capacity)) {
             return;
         }
+        let places = ids.into_iter().filter_map(|id| self.place(m, key, spec, id));
+        let mut places: Vec<Place> = places.collect();
+        self.looks += places.len() as u64;
         self.rooms_made += 1;
         for _ in 0..tasks {
             let waits = places.iter_mut().filter_map(|p| Some((p.wait(&spec.size)?, p)));
@@ -157,7 +156,6 @@
         let free = worker.free().plus(&coming).minus(&kept);
         Some(Place {
             worker: id.clone(),
-            capacity: worker.info.capacity,
             free,
             victims,
             ending,
