--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -237,10 +237,16 @@
     pub fn join_in(&mut self, zone: &str, name: &str, cores: u64) {
         let mut news = news(name, cores);
         news.info.zone = zone.into();
+        self.join_as(news);
+    }
+
+    /// Lets a worker join as it announces itself.
+    pub fn join_as(&mut self, news: WorkerNews) {
+        let id = news.info.id.clone();
         self.feed(Input::News(news));
         self.commit();
         self.pass(Millis(1));
-        self.report(name, vec![], vec![]);
+        self.report(&id.0, vec![], vec![]);
     }
 
     /// Lets a worker answer a renewal sent now.
--- a/components/dispatch/tests/placing.rs
+++ b/components/dispatch/tests/placing.rs
@@ -7,7 +7,6 @@
 
 use clock::Millis;
 use common::{Bench, end, news, spec, step, task, worker};
-use dispatch::Input;
 use model::Size;
 use workload::{EndKind, JobSpec, StepSpec, WorkerId};
 
@@ -15,10 +14,7 @@
 fn join_labelled(b: &mut Bench, name: &str, cores: u64, labels: &[&str]) {
     let mut news = news(name, cores);
     news.info.labels = labels.iter().map(|l| (*l).into()).collect();
-    b.feed(Input::News(news));
-    b.commit();
-    b.pass(Millis(1));
-    b.report(name, vec![], vec![]);
+    b.join_as(news);
 }
 
 fn count_by_worker(b: &Bench) -> BTreeMap<WorkerId, usize> {
@@ -151,10 +147,7 @@
 fn join_with_accelerators(b: &mut Bench, name: &str, accelerators: u64) {
     let mut news = news(name, 32);
     news.info.capacity.accelerators = accelerators;
-    b.feed(Input::News(news));
-    b.commit();
-    b.pass(Millis(1));
-    b.report(name, vec![], vec![]);
+    b.join_as(news);
 }
 
 fn accelerated(count: u32, accelerators: u64) -> StepSpec {
