Give each use of descriptors its share, and end tries to connect with their call

Beside that one late answer dropped the whole pool of its address, with all calls in it.

Ruled out: the links between instances (two descriptors each, none left after 500 reconnects), connections left by late answers (none), the workers' announcements (one lasting connection each).

Change: shares by use from the platform's limit or the kernel's; a budget for connections to workers, few to each, one kept for renewals; a late answer closes its own connection and the unused ones beside it; a connector of our own ends with its limit; a start that surely did not leave is known as such and goes to another worker. load_told and the metrics tell how full the budget is.

--- a/components/dispatch/src/order.rs
+++ b/components/dispatch/src/order.rs
@@ -124,4 +124,6 @@
     Refused(Refusal),
     /// There was no answer: the order may have been carried out, or may be later.
     Silent(Name),
+    /// The order surely did not leave, for want of a connection or of time.
+    NotSent(Name),
 }
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -118,7 +118,13 @@
         }
         match result {
             Ok(_) => order.stage = Stage::Confirmed { at: m.now },
-            Err(CallError::Silent(why)) => {
+            Err(CallError::NotSent(why)) if first => {
+                // Where nothing can be sent just now, another worker does better.
+                view.orders.remove(task);
+                view.record.rest(m.now + REST);
+                self.never_started(id, vec![(*task, run)], &format!("not sent: {why}"));
+            }
+            Err(CallError::Silent(why) | CallError::NotSent(why)) => {
                 order.retry_at = Some(m.now + ORDER_RETRY);
                 let details = format!("run={run} worker={id} tries={} why={why:?}", order.tries);
                 self.note(&kinds::ORDER_UNANSWERED, task, details);
--- a/components/dispatch/tests/rules.rs
+++ b/components/dispatch/tests/rules.rs
@@ -518,3 +518,30 @@
     };
     assert_eq!(b.actions.iter().filter_map(renewal).next_back(), Some(Millis(120)));
 }
+
+#[test]
+fn a_start_that_surely_did_not_leave_goes_to_another_worker_at_once() {
+    let mut b = Bench::new("");
+    b.join("w1", 8);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    b.join("w2", 4);
+    b.started("w1", task(1, 0, 0), 1, Err(CallError::NotSent("no connection".into())));
+    b.commit();
+    let placed: Vec<_> = b.starts().into_iter().map(|(w, o)| (w, o.run)).collect();
+    assert_eq!(placed, [(worker("w1"), 1), (worker("w2"), 2)]);
+}
+
+#[test]
+fn a_later_try_that_did_not_leave_says_nothing_of_the_first() {
+    let mut b = Bench::new("");
+    b.join("w1", 8);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    b.started("w1", task(1, 0, 0), 1, Err(SILENT()));
+    b.pass(Millis(200));
+    assert_eq!(b.starts().len(), 2, "the order is sent again");
+    b.started("w1", task(1, 0, 0), 1, Err(CallError::NotSent("no connection".into())));
+    b.commit();
+    assert_eq!(b.dispatcher.book().worker(&worker("w1")).map(|w| w.runs.len()), Some(1));
+}
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -76,8 +76,12 @@
         self.metrics.set("heathvale_memory_megabytes_capacity", figures.capacity.memory_mb);
         self.metrics.set("heathvale_memory_megabytes_used", figures.used.memory_mb);
         self.metrics.set("heathvale_plan_scans", u64::from(figures.scans));
+        let connections = self.ports.workers.connections();
+        self.metrics.set("heathvale_connections_open", connections.open as u64);
+        self.metrics.set("heathvale_connections_limit", connections.limit as u64);
+        self.metrics.set("heathvale_connections_opened_total", connections.opened);
         let details = format!(
-            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={}",
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} connections={}/{} opened={}",
             figures.used.cpu_milli,
             figures.capacity.cpu_milli,
             figures.used.memory_mb,
@@ -88,6 +92,9 @@
             figures.workers_in_contact,
             figures.workers,
             figures.scans,
+            connections.open,
+            connections.limit,
+            connections.opened,
         );
         tell(&kinds::LOAD_TOLD, &self.settings.name, &details);
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod advising;
 mod control;
+mod descriptors;
 mod entry;
 mod gate;
 mod leading;
@@ -19,6 +20,7 @@
 mod waiters;
 
 pub use control::run_control;
+pub use descriptors::{Descriptors, limit_in};
 pub use entry::run_entry;
 pub use gate::{Gate, Signal, watch_signals};
 pub use message::Message;
--- a/components/node/src/ports.rs
+++ b/components/node/src/ports.rs
@@ -12,8 +12,20 @@
 /// A future that stays on its thread.
 pub type LocalFuture<T> = Pin<Box<dyn Future<Output = T>>>;
 
+/// How full the budget of connections is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Connections {
+    /// How many are open.
+    pub open: usize,
+    /// How many may be open.
+    pub limit: usize,
+    /// How many were opened since the process began.
+    pub opened: u64,
+}
+
 /// Calls to workers. Each call ends by itself, at the latest after a time limit of the port's own;
-/// without an answer it ends as [`CallError::Silent`].
+/// without an answer it ends as
+/// [`CallError::Silent`], or as [`CallError::NotSent`] if it surely did not leave.
 pub trait WorkerPort {
     /// Renews the lease and asks what runs.
     fn renew(
@@ -36,6 +48,8 @@
         address: &str,
         order: StopOrder,
     ) -> LocalFuture<Result<Millis, CallError>>;
+    /// Tells how full the budget of connections is.
+    fn connections(&self) -> Connections;
 }
 
 /// What the advice service said.
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -34,6 +34,8 @@
     child: Option<Child>,
     folder: TempDir,
     settings: Value,
+    /// How many files the process may have open; the limit of this process if none is named.
+    pub most_files: Option<u32>,
 }
 
 impl Node {
@@ -56,15 +58,24 @@
             "fault_tolerance": {"machines": 1, "zones": 1},
             "a_field_from_the_future": true,
         });
-        Node { ip, control, child: None, folder, settings }
+        Node { ip, control, child: None, folder, settings, most_files: None }
     }
 
     pub fn start(&mut self) {
         let file = self.folder.path().join("settings.json");
         std::fs::write(&file, self.settings.to_string()).expect("written settings");
-        let log = std::fs::OpenOptions::new().create(true).append(true).open(self.log());
-        let log = log.expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_heathvaled"))
+        // Through a pipe, so that a limit on the files of the process leaves its log alone.
+        let (mut told, log) = std::io::pipe().expect("a pipe");
+        let kept = std::fs::OpenOptions::new().create(true).append(true).open(self.log());
+        let mut kept = kept.expect("a log");
+        // It ends with the process.
+        std::thread::spawn(move || std::io::copy(&mut told, &mut kept));
+        let daemon = env!("CARGO_BIN_EXE_heathvaled");
+        let files = self.most_files.map_or(String::new(), |most| format!("ulimit -n {most};"));
+        // A file that may not grow then fails the write, as a full disk does, and ends no process.
+        let script = format!("trap '' XFSZ; {files} exec {daemon}");
+        let child = Command::new("sh")
+            .args(["-c", &script])
             .env("HEATHVALE_NODE_FILE", file)
             .stdout(log.try_clone().expect("a log"))
             .stderr(log)
@@ -118,6 +129,16 @@
         }
     }
 
+    /// Lets no file of the process grow beyond so many bytes, or beyond any, as if its disk were full.
+    pub fn limit_files(&self, bytes: &str) {
+        if let Some(child) = &self.child {
+            let pid = format!("--pid={}", child.id());
+            let limit = format!("--fsize={bytes}:unlimited");
+            let done = Command::new("prlimit").args([pid, limit]).status();
+            assert!(done.is_ok_and(|s| s.success()), "the limit is set");
+        }
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // It may have ended already.
@@ -164,12 +185,18 @@
     /// Starts three control and two entry instances and some workers, and puts a first
     /// configuration in force.
     pub fn start(workers: usize) -> Cell {
+        Cell::start_with(workers, None)
+    }
+
+    /// The same, with a limit on the open files of each process.
+    pub fn start_with(workers: usize, most_files: Option<u32>) -> Cell {
         let mut nodes: Vec<Node> = (0..5).map(|i| Node::new(i < 3)).collect();
         let controls: Vec<SocketAddr> =
             nodes.iter().filter(|n| n.control).map(|n| n.addr(CONTROL_PORT)).collect();
         let seeds: Vec<String> = controls.iter().map(ToString::to_string).collect();
         for node in &mut nodes {
             node.settings["seeds"] = json!(seeds);
+            node.most_files = most_files;
             node.start();
         }
         let runs = RunLog::default();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -89,6 +89,22 @@
     assert_eq!(story, wanted);
 }
 
+/// Forty workers with four connections each would be more than twice what the processes may open.
+#[test]
+fn more_workers_than_descriptors_are_served_and_no_process_ends() {
+    let mut cell = Cell::start_with(40, Some(128));
+    let ids: Vec<String> = (0..4).map(|n| format!("00000000000001a{n}")).collect();
+    for id in &ids {
+        cell.wait("the job is taken", |c| submit(c, id, &job_body(30)) == 200);
+    }
+    for id in &ids {
+        cell.wait("the job is done", |c| c.state(id).as_deref() == Some("completed"));
+    }
+    cell.revive();
+    assert_eq!(cell.own_ends, Vec::<String>::new());
+    assert_eq!(cell.runs.violations(), Vec::<String>::new());
+}
+
 #[test]
 fn no_process_ends_by_itself() {
     for n in 0..2 {
