Outlast a full disk: fall silent, keep the process, begin anew from what reads back

Change: the log's thread drops the member whose disk has failed, with everything that was not synced, resigns, and tries every half second to open the disk anew. What reads back is written anew before it counts, as a sync that failed once says nothing of what lies in the kernel's memory. disk_unusable and disk_usable are told once each. A damaged log still ends the process. Test: a_full_disk_ends_no_process_and_its_instance_votes_again_once_there_is_room, with real processes whose files may not grow.

--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -121,7 +121,7 @@
     /// Syncs everything taken in so far and gives what may now leave.
     ///
     /// # Errors
-    /// Any error means that the disk's content is unknown and the process must stop.
+    /// Any error means that the disk's content is unknown: this replica must not be used any more.
     pub fn flush(&mut self) -> Result<Flushed> {
         let synced = self.records.len();
         if std::mem::take(&mut self.snapshot) {
@@ -152,6 +152,14 @@
         Ok(())
     }
 
+    /// Writes the whole log anew, for a disk whose content was read back and may not be lasting.
+    ///
+    /// # Errors
+    /// As [`Replica::flush`].
+    pub fn rewrite(&mut self) -> Result<()> {
+        self.disk.install(self.node.base(), &self.node.tail_records())
+    }
+
     fn absorb(&mut self, out: Output) {
         if let Some(snapshot) = out.snapshot {
             self.snapshot = true;
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -19,7 +19,8 @@
 use crate::gate::{Arrival, Gate, Signal};
 use crate::leading::Leading;
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
-use crate::log_thread::{self, LogEvent, LogHandle, LogInput};
+use crate::log_store::{self, OpenedLog};
+use crate::log_thread::{self, DISK_RETRY, LogEvent, LogHandle, LogInput};
 use crate::message::Message;
 use crate::peers::{Peers, PeersConfig};
 use crate::ports::Ports;
@@ -101,7 +102,7 @@
     let clock = Arc::new(SystemClock::default());
     let (tx, rx) = unbounded_channel::<Event>();
     let opening_at = clock.now();
-    let opened = log_thread::open(&settings, &clock)?;
+    let opened = open_log(&settings, &clock).await?;
     let details = format!(
         "entries={} snapshot_bytes={} took_ms={}",
         opened.entries,
@@ -112,14 +113,14 @@
     if opened.cut > 0 {
         tell(&kinds::TAIL_CUT, &settings.name, &format!("bytes={}", opened.cut));
     }
-    let disk = opened.disk();
+    let disk = opened.disk;
     let links = open_links(&settings, {
         let tx = tx.clone();
         // The process ends soon if nobody listens.
         move |packet| drop(tx.send(Event::Packet(packet)))
     })?;
     let (log_tx, log_rx) = unbounded_channel();
-    let log = log_thread::spawn(opened, clock.clone(), links.clone(), log_tx)?;
+    let log = log_thread::spawn(opened, settings.clone(), clock.clone(), links.clone(), log_tx)?;
     let (gate_tx, gate_rx) = unbounded_channel();
     let metrics = Arc::new(Registry::default());
     let gate = Gate::new(gate_tx, metrics.clone());
@@ -154,6 +155,24 @@
     control.run(rx).await
 }
 
+/// Opens the log; waits while the disk has no room or the process no descriptor. A process that ended for
+/// that would only be started again, with the same outcome.
+async fn open_log(settings: &NodeSettings, clock: &SystemClock) -> Result<OpenedLog> {
+    let mut told = false;
+    loop {
+        match log_store::open(settings, clock) {
+            Err(e) if log_store::may_pass(&e) => {
+                if !std::mem::replace(&mut told, true) {
+                    let fault = format!("fault={:?}", e.to_string());
+                    tell(&kinds::DISK_UNUSABLE, &settings.name, &fault);
+                }
+                sleep(DISK_RETRY.duration()).await;
+            }
+            opened => return opened,
+        }
+    }
+}
+
 impl Control {
     async fn run(mut self, mut rx: UnboundedReceiver<Event>) -> Result<()> {
         let (listen, disk) = (self.settings.listen, self.log.disk);
@@ -291,6 +310,14 @@
                 self.voters = voters;
                 tell(&kinds::VOTERS_CHANGED, &self.settings.name, &details);
             }
+            LogEvent::DiskFailed(e) => {
+                let fault = format!("fault={:?}", e.to_string());
+                tell(&kinds::DISK_UNUSABLE, &self.settings.name, &fault);
+            }
+            LogEvent::DiskBack(after) => {
+                let details = format!("after_ms={}", after.0);
+                tell(&kinds::DISK_USABLE, &self.settings.name, &details);
+            }
             LogEvent::Failed(e) => self.failed = Some(e),
         }
     }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -11,6 +11,7 @@
 mod gate;
 mod leading;
 mod linking;
+mod log_store;
 mod log_thread;
 mod message;
 mod peers;
--- a/components/node/src/log_thread.rs
+++ b/components/node/src/log_thread.rs
@@ -1,24 +1,21 @@
 //! The thread that keeps the replicated log. Syncing a disk takes milliseconds, so it happens here
 //! and nothing else waits for it; what comes in meanwhile is synced together next time.
 
-use std::collections::{BTreeSet, VecDeque};
+use std::collections::VecDeque;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError, Sender, channel};
 use std::thread;
 
 use clock::{Clock, Millis, SystemClock};
-use consensus::{
-    Committed, Disk, Envelope, FileDisk, Membership, MemoryDisk, Node, NodeConfig, Notice, Payload,
-    Replica, Restored, Timing,
-};
+use consensus::{Committed, Envelope, Membership, Notice, Payload, Replica};
 use errors::{Error, Result};
 use model::{Incarnation, InstanceId};
-use storage::DataFolder;
 use tokio::sync::mpsc::UnboundedSender;
 use transport::Links;
 use workload::{Book, Command};
 
+use crate::log_store::{self, OpenedLog};
 use crate::message::Message;
 use crate::settings::NodeSettings;
 
@@ -26,21 +23,9 @@
 const TICK: Millis = Millis(25);
 /// How many entries may lie behind the last snapshot. Reading them back takes well under a second.
 const COMPACT_AFTER: usize = 4_000;
-/// After what silence a voter is removed once others are enough. Longer than any planned absence.
-const SILENT_AFTER: Millis = Millis(8_000);
-/// After what silence a voter's place goes to a caught-up reserve: longer than any pause of a process
-/// that only waits for its processor, shorter than most restarts. A voter that comes back joins the
-/// reserve, so a change made too early costs three small entries.
-const REPLACE_AFTER: Millis = Millis(1_000);
-/// Heartbeats and elections: every tenth of a second without a leader makes jobs late. A process may
-/// go without its processor for a tenth of a second; a leader whose disk takes longer than the rest
-/// for a sync does better to lose its lead.
-const TIMING: Timing = Timing {
-    heartbeat: Millis(50),
-    election_min: Millis(250),
-    election_max: Millis(450),
-    drift_percent: 5,
-};
+/// The pause between two tries to use a disk that has failed. A full disk mostly has room again within
+/// seconds, and a try costs reading the log back.
+pub(crate) const DISK_RETRY: Millis = Millis(500);
 
 /// What the log takes in.
 pub(crate) enum LogInput {
@@ -68,7 +53,11 @@
     Leader { term: u64, leader: InstanceId },
     /// The members changed, or this is what they were at the start.
     Members { voters: Vec<InstanceId>, learners: usize },
-    /// The disk failed, so the process must end.
+    /// The disk cannot be used; the instance takes no part in the log until it can.
+    DiskFailed(Error),
+    /// The disk can be used again, after so long.
+    DiskBack(Millis),
+    /// The log cannot be used and will not be, so the process must end.
     Failed(Error),
 }
 
@@ -93,69 +82,13 @@
     }
 }
 
-/// A disk that is open, before the links are.
-pub(crate) struct OpenedLog {
-    replica: Replica,
-    book: Book,
-    applied: u64,
-    disk: Incarnation,
-    /// How many torn bytes were cut from the log's end.
-    pub(crate) cut: u64,
-    /// How many bytes the snapshot holds.
-    pub(crate) snapshot_bytes: usize,
-    /// How many entries were read back behind it.
-    pub(crate) entries: usize,
-}
-
-impl OpenedLog {
-    /// Gives the disk's number.
-    pub(crate) fn disk(&self) -> Incarnation {
-        self.disk
-    }
-}
-
-/// Opens the disk and reads back what it remembers.
-///
-/// # Errors
-/// If the disk cannot be used.
-pub(crate) fn open(settings: &NodeSettings, clock: &SystemClock) -> Result<OpenedLog> {
-    let mut disk: Box<dyn Disk> = Box::new(MemoryDisk);
-    let mut incarnation = Incarnation(rand::random());
-    let mut restored = Restored::default();
-    let mut cut = 0;
-    if let Some(path) = &settings.data_folder {
-        let folder = DataFolder::open(path)?;
-        incarnation = Incarnation(folder.incarnation());
-        let (file, found) = FileDisk::open(folder)?;
-        cut = file.cut();
-        disk = Box::new(file);
-        restored = found;
-    }
-    let cfg = NodeConfig {
-        id: settings.id(),
-        incarnation,
-        founders: if settings.founds { settings.seeds.clone() } else { BTreeSet::new() },
-        contacts: settings.seeds.clone(),
-        observers: BTreeSet::new(),
-        keep_voters: settings.keep_voters,
-        silent_after: Some(SILENT_AFTER),
-        replace_after: Some(REPLACE_AFTER),
-        timing: TIMING,
-        seed: rand::random(),
-    };
-    let book = Book::decode(&restored.snapshot.data)?;
-    let applied = restored.snapshot.last_index;
-    let (snapshot_bytes, entries) = (restored.snapshot.data.len(), restored.entries.len());
-    let replica = Replica::new(Node::new(cfg, restored, clock.now()), disk);
-    Ok(OpenedLog { replica, book, applied, disk: incarnation, cut, snapshot_bytes, entries })
-}
-
 /// Starts the thread.
 ///
 /// # Errors
 /// [`Error::Refused`] if no thread can be had.
 pub(crate) fn spawn(
     opened: OpenedLog,
+    settings: NodeSettings,
     clock: Arc<SystemClock>,
     links: Arc<Links>,
     events: UnboundedSender<LogEvent>,
@@ -164,9 +97,12 @@
     let leads_until = Arc::new(AtomicU64::new(0));
     let disk = opened.disk;
     let log = LogThread {
-        replica: opened.replica,
+        replica: Some(opened.replica),
         book: opened.book,
         applied: opened.applied,
+        settings,
+        failed_at: Millis::ZERO,
+        retry_at: Millis::ZERO,
         clock,
         links,
         events,
@@ -174,7 +110,7 @@
         proposed: VecDeque::new(),
         leads: None,
         told_leader: None,
-        failed: AtomicBool::new(false),
+        ended: false,
     };
     thread::Builder::new()
         .name("log".into())
@@ -184,10 +120,15 @@
 }
 
 struct LogThread {
-    replica: Replica,
+    /// The member with its disk; nothing while the disk cannot be used.
+    replica: Option<Replica>,
     /// What is committed.
     book: Book,
     applied: u64,
+    settings: NodeSettings,
+    /// When the disk failed, and when it is tried again.
+    failed_at: Millis,
+    retry_at: Millis,
     clock: Arc<SystemClock>,
     links: Arc<Links>,
     events: UnboundedSender<LogEvent>,
@@ -197,14 +138,17 @@
     /// The term in which the dispatcher was told that it leads.
     leads: Option<u64>,
     told_leader: Option<(u64, InstanceId)>,
-    failed: AtomicBool,
+    /// Whether the log cannot be used any more.
+    ended: bool,
 }
 
 impl LogThread {
     fn run(mut self, rx: &Receiver<LogInput>) {
         let mut tick_at = Millis::ZERO;
-        self.tell_members(self.replica.node().membership());
-        while !self.failed.load(Ordering::Relaxed) {
+        if let Some(replica) = &self.replica {
+            self.tell_members(replica.node().membership());
+        }
+        while !self.ended {
             let wait = tick_at.since(self.clock.now());
             match rx.recv_timeout(wait.duration()) {
                 Ok(input) => {
@@ -219,10 +163,45 @@
             let now = self.clock.now();
             if now >= tick_at {
                 tick_at = now + TICK;
-                self.replica.tick(now);
+                match &mut self.replica {
+                    Some(replica) => replica.tick(now),
+                    None => self.try_disk(now),
+                }
             }
             if let Err(e) = self.flush() {
-                self.failed.store(true, Ordering::Relaxed);
+                self.disk_failed(e);
+            }
+        }
+    }
+
+    /// Drops the member whose disk has failed, with all that it had not synced. To the others the
+    /// instance falls silent, as if its process had ended; nothing is acknowledged until the disk is back.
+    fn disk_failed(&mut self, e: Error) {
+        self.depose("the disk failed");
+        self.replica = None;
+        self.failed_at = self.clock.now();
+        self.retry_at = self.failed_at + DISK_RETRY;
+        self.ended = !log_store::may_pass(&e);
+        self.tell(if self.ended { LogEvent::Failed(e) } else { LogEvent::DiskFailed(e) });
+    }
+
+    /// Begins anew from the disk once it can be used again.
+    fn try_disk(&mut self, now: Millis) {
+        if now < self.retry_at {
+            return;
+        }
+        match log_store::open_again(&self.settings, &self.clock) {
+            Ok(opened) => {
+                self.book = opened.book;
+                self.applied = opened.applied;
+                self.tell_members(opened.replica.node().membership());
+                self.replica = Some(opened.replica);
+                self.told_leader = None;
+                self.tell(LogEvent::DiskBack(self.clock.now().since(self.failed_at)));
+            }
+            Err(e) if log_store::may_pass(&e) => self.retry_at = self.clock.now() + DISK_RETRY,
+            Err(e) => {
+                self.ended = true;
                 self.tell(LogEvent::Failed(e));
             }
         }
@@ -240,26 +219,28 @@
 
     fn take(&mut self, input: LogInput) {
         let now = self.clock.now();
+        // Without a disk nothing can be promised, so everything is dropped; whoever sent it asks again.
+        let Some(replica) = &mut self.replica else { return };
         match input {
-            LogInput::Message(envelope) => self.replica.receive(now, envelope),
+            LogInput::Message(envelope) => replica.receive(now, envelope),
             LogInput::Propose { term, batch, commands } => {
                 self.propose(now, term, batch, &commands)
             }
-            LogInput::Admit { id, disk } => self.replica.admit(now, &id, disk),
-            LogInput::Contacts(ids) => self.replica.add_contacts(ids),
-            LogInput::HandOver => self.replica.hand_over(now),
+            LogInput::Admit { id, disk } => replica.admit(now, &id, disk),
+            LogInput::Contacts(ids) => replica.add_contacts(ids),
+            LogInput::HandOver => replica.hand_over(now),
         }
     }
 
     fn propose(&mut self, now: Millis, term: u64, batch: u64, commands: &[Command]) {
-        if self.leads != Some(term) {
+        let Some(replica) = self.replica.as_mut().filter(|_| self.leads == Some(term)) else {
             return;
-        }
+        };
         let Ok(data) = postcard::to_allocvec(commands) else {
             self.depose("a batch could not be written");
             return;
         };
-        match self.replica.propose(now, data.into()) {
+        match replica.propose(now, data.into()) {
             Ok((index, in_term)) if in_term == term => self.proposed.push_back((index, batch)),
             // Another term's leader knows nothing of this dispatcher's batches.
             _ => self.depose("a proposal was refused"),
@@ -275,7 +256,8 @@
     }
 
     fn flush(&mut self) -> Result<()> {
-        let flushed = self.replica.flush()?;
+        let Some(replica) = &mut self.replica else { return Ok(()) };
+        let flushed = replica.flush()?;
         for envelope in flushed.messages {
             let to = envelope.to.clone();
             self.links.send(&to, 0, Message::Log(envelope));
@@ -287,9 +269,10 @@
             self.apply(committed)?;
         }
         self.announce();
-        if self.replica.node().log_len() > COMPACT_AFTER && self.applied > 0 {
+        let Some(replica) = &mut self.replica else { return Ok(()) };
+        if replica.node().log_len() > COMPACT_AFTER && self.applied > 0 {
             let data = self.book.encode()?;
-            self.replica.compact(self.applied, data.into())?;
+            replica.compact(self.applied, data.into())?;
         }
         Ok(())
     }
@@ -326,7 +309,8 @@
     /// Tells what has changed: who leads, and what is committed.
     fn announce(&mut self) {
         let now = self.clock.now();
-        let node = self.replica.node();
+        let Some(replica) = &self.replica else { return };
+        let node = replica.node();
         let (term, until) = (node.term(), node.lease_until(now));
         if let Some(leader) = node.leader().cloned() {
             let told = Some((term, leader.clone()));
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -105,6 +105,33 @@
     assert_eq!(cell.runs.violations(), Vec::<String>::new());
 }
 
+#[test]
+fn a_full_disk_ends_no_process_and_its_instance_votes_again_once_there_is_room() {
+    let mut cell = Cell::start(2);
+    let (first, second) = ("00000000000002a1", "00000000000002a2");
+    cell.wait("somebody says that it leads", |c| c.leader().is_some());
+    let full = cell.leader().expect("somebody leads");
+    cell.nodes[full].limit_files("1");
+    cell.wait("the job is taken by another leader", |c| {
+        submit(c, first, &job_body(2));
+        c.leader() != Some(full) && c.state(first).as_deref() == Some("completed")
+    });
+    cell.wait("the fault is told", |c| c.nodes[full].told("disk_unusable"));
+    cell.nodes[full].limit_files("unlimited");
+    cell.wait("the disk is used again", |c| c.nodes[full].told("disk_usable"));
+    // With one of the three gone, nothing is taken unless the one with the full disk votes.
+    let gone = (0..3).find(|i| *i != full).expect("another");
+    cell.nodes[gone].kill();
+    cell.wait("the second job is done", |c| {
+        submit(c, second, &job_body(2));
+        c.state(second).as_deref() == Some("completed")
+    });
+    let told = std::fs::read_to_string(cell.nodes[full].log()).unwrap_or_default();
+    assert_eq!(told.matches("disk_unusable").count(), 1, "once, however long it lasts");
+    assert_eq!(cell.own_ends, Vec::<String>::new());
+    assert_eq!(cell.runs.violations(), Vec::<String>::new());
+}
+
 #[test]
 fn no_process_ends_by_itself() {
     for n in 0..2 {
