Acknowledge that a worker is leaving once the leader knows

Ruled out: orders that wait for a connection, which end after 250 ms. Change: the leader's word is awaited for up to 0.8 s; without it the answer is 503 and the worker asks the next instance. All other announcements are acknowledged at once, as before. Test: that_a_worker_is_leaving_is_acknowledged_only_once_a_leader_knows, with real processes.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -18,6 +18,7 @@
 use crate::advising::{AdviceCall, spawn_advice};
 use crate::gate::{Arrival, Gate, Signal};
 use crate::leading::Leading;
+use crate::leaving::LeavingWaits;
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
 use crate::log_store::{self, OpenedLog};
 use crate::log_thread::{self, DISK_RETRY, LogEvent, LogHandle, LogInput};
@@ -74,6 +75,7 @@
     pub(crate) leading: Option<Leading>,
     /// What workers have announced here lately, and when, for a leader that has not heard it.
     pub(crate) news: BTreeMap<workload::WorkerId, (Millis, dispatch::WorkerNews)>,
+    pub(crate) leaving_waits: LeavingWaits,
     /// The instances that vote, as far as this one knows.
     pub(crate) voters: Vec<InstanceId>,
     pub(crate) stops_at: Option<Millis>,
@@ -140,6 +142,7 @@
         events: tx.clone(),
         leading: None,
         news: BTreeMap::new(),
+        leaving_waits: LeavingWaits::default(),
         voters: Vec::new(),
         stops_at: None,
         tick_at: Millis::ZERO,
@@ -240,6 +243,14 @@
                 self.waiters.add(token, now, &call, tx);
             }
             Arrival::News(news) => self.on_news(news, true),
+            Arrival::Leaving { news, tx } => {
+                let (worker, number) = (news.info.id.clone(), news.number);
+                self.leaving_waits.add(worker.clone(), number, tx);
+                self.on_news(news, true);
+                if self.leading.is_some() {
+                    self.leaving_waits.taken(&worker, number);
+                }
+            }
             Arrival::Left(worker) => {
                 self.news.remove(&worker);
                 self.to_leader(Message::Left(worker.clone()));
@@ -381,7 +392,16 @@
                 let action = self.relay.on_answer(now, token, answer);
                 self.perform(action.into_iter().collect());
             }
-            Message::News(news) => self.on_news(news, false),
+            Message::News(news) => {
+                let taken =
+                    Message::LeavingTaken { worker: news.info.id.clone(), number: news.number };
+                let leaving = news.leaving;
+                self.on_news(news, false);
+                if leaving && self.leading.is_some() {
+                    self.links.send(&from, 0, taken);
+                }
+            }
+            Message::LeavingTaken { worker, number } => self.leaving_waits.taken(&worker, number),
             Message::Left(worker) => self.feed(Input::Left(worker)),
             Message::Ask { id, step, workers } => {
                 let events = self.events.clone();
@@ -403,6 +423,7 @@
         }
         sync_links(&self.links, &mut self.peers, now);
         self.news.retain(|_, (at, _)| now.since(*at) < NEWS_FRESH);
+        self.leaving_waits.forget_closed();
         for (to, hello) in self.peers.hellos(now) {
             self.links.send(&to, 0, hello);
         }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -132,7 +132,7 @@
             }
             Event::Arrival(Arrival::Signal(signal)) => self.on_signal(signal),
             // Workers call control instances only.
-            Event::Arrival(Arrival::News(_) | Arrival::Left(_)) => {}
+            Event::Arrival(Arrival::News(_) | Arrival::Leaving { .. } | Arrival::Left(_)) => {}
             Event::Advised { to, message } => self.links.send(&to, 0, message),
         }
     }
@@ -186,6 +186,7 @@
             | Message::Hello { .. }
             | Message::Call { .. }
             | Message::News(_)
+            | Message::LeavingTaken { .. }
             | Message::Left(_)
             | Message::Advised { .. } => {}
         }
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -12,6 +12,7 @@
 use signal_hook::iterator::Signals;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 use workload::WorkerId;
 
 /// What listeners and signals tell a process.
@@ -20,6 +21,8 @@
     Call { call: Call, patience: Millis, tx: oneshot::Sender<Answer> },
     /// A worker announced itself.
     News(WorkerNews),
+    /// A worker announced that it is leaving; the leader's word on it is awaited.
+    Leaving { news: WorkerNews, tx: oneshot::Sender<()> },
     /// A worker said that it ends.
     Left(WorkerId),
     /// The process was told something.
@@ -71,6 +74,15 @@
         let _ = self.tx.send(Arrival::News(news));
     }
 
+    /// Takes in that a worker is leaving, and tells whether the leader knows of it within `patience`: only
+    /// then will surely nothing more be started there.
+    pub async fn leaving(&self, news: WorkerNews, patience: Millis) -> bool {
+        let (tx, rx) = oneshot::channel();
+        // As for news.
+        let _ = self.tx.send(Arrival::Leaving { news, tx });
+        matches!(timeout(patience.duration(), rx).await, Ok(Ok(())))
+    }
+
     /// Takes in that a worker ends.
     pub fn left(&self, worker: WorkerId) {
         // As for news.
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod gate;
 mod leading;
+mod leaving;
 mod linking;
 mod log_store;
 mod log_thread;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -46,6 +46,13 @@
     },
     /// A worker announced itself to the sender.
     News(WorkerNews),
+    /// The leader has taken in that a worker is leaving, and starts nothing more there.
+    LeavingTaken {
+        /// The worker.
+        worker: WorkerId,
+        /// The number of its announcement.
+        number: u64,
+    },
     /// A worker said to the sender that it ends.
     Left(WorkerId),
     /// The leader wants advice to be called for.
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -179,6 +179,7 @@
     /// What processes said that have ended by themselves. They are started again.
     pub own_ends: Vec<String>,
     version: u64,
+    began: Instant,
 }
 
 impl Cell {
@@ -210,7 +211,8 @@
             PlatformWorker::start(cfg, controls.clone(), runs.clone()).expect("a worker")
         };
         let workers = (0..workers).map(worker).collect();
-        let mut cell = Cell { nodes, workers, runs, own_ends: Vec::new(), version: 0 };
+        let mut cell =
+            Cell { nodes, workers, runs, own_ends: Vec::new(), version: 0, began: Instant::now() };
         cell.wait("the first configuration is taken", |c| c.publish());
         cell
     }
@@ -280,6 +282,21 @@
         None
     }
 
+    /// Announces a worker that nobody else knows to one control instance; gives the status of the answer.
+    pub fn announce(&self, node: usize, state: &str) -> Option<u32> {
+        let seq = Instant::now().duration_since(self.began).as_millis() as u64 + 1;
+        let body = json!({
+            "service": "s", "address": "127.0.0.1:9", "zone": "z", "state": state, "seq": seq,
+            "capacity": {"cpu": 1_000, "mem_mb": 1_000}, "labels": ["a", "r1"],
+        });
+        let line = "POST /Instances.Heartbeat/i-announced HTTP/1.1";
+        let head = [("host", "c".to_string()), ("content-type", "application/json".to_string())];
+        let addr = self.nodes[node].addr(CONTROL_PORT);
+        let body = body.to_string();
+        let answer = call(addr, line, &head, body.as_bytes(), Duration::from_millis(1_500));
+        answer.map(|a| a.status())
+    }
+
     /// Gives where callers reach the entry instances.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         self.nodes.iter().filter(|n| !n.control).map(|n| n.addr(FRONT_PORT)).collect()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -132,6 +132,21 @@
     assert_eq!(cell.runs.violations(), Vec::<String>::new());
 }
 
+#[test]
+fn that_a_worker_is_leaving_is_acknowledged_only_once_a_leader_knows() {
+    let mut cell = Cell::start(1);
+    cell.wait("somebody says that it leads", |c| c.leader().is_some());
+    assert_eq!(cell.announce(0, "ready"), Some(200));
+    assert_eq!(cell.announce(0, "draining"), Some(200));
+    cell.nodes[1].kill();
+    cell.nodes[2].kill();
+    // Alone the instance cannot lead, and nobody has taken the announcement in.
+    cell.wait("the last leader is forgotten", |c| c.announce(0, "draining") == Some(503));
+    assert_eq!(cell.announce(0, "ready"), Some(200), "other announcements wait for nobody");
+    cell.nodes[1].start();
+    cell.wait("a new leader knows", |c| c.announce(0, "draining") == Some(200));
+}
+
 #[test]
 fn no_process_ends_by_itself() {
     for n in 0..2 {
