Keep new work out of availability zones that have just fallen silent

Cause: a renewal that waits tells of a cut only after its wait, up to two seconds later at 1,100 workers; until then every fifth start followed into the cut and was out of reach for its lease. Change: an order without an answer makes its worker wait for a sign of life; a tenth of a zone's workers, three at least, that fell silent within two seconds keep new work out of the zone. Where most zones seem silent it is this instance that was away, and none counts.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -210,6 +210,8 @@
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
     /// How long workers take to answer.
     pub(crate) answer_times: AnswerTimes,
+    /// The availability zones that have just fallen silent.
+    pub(crate) silent_zones: BTreeSet<Name>,
     batch: Vec<Command>,
     /// The number of the batch that is being gathered.
     batch_number: u64,
@@ -252,6 +254,7 @@
             accepted: BTreeMap::new(),
             speeds: BTreeMap::new(),
             answer_times: AnswerTimes::unknown(),
+            silent_zones: BTreeSet::new(),
             batch: Vec::new(),
             batch_number: 1,
             committed: 0,
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -19,6 +19,7 @@
 mod renewals;
 mod room;
 mod seats;
+mod silence;
 mod slack;
 mod speed;
 mod stragglers;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -42,6 +42,8 @@
     pub learns_answer_times: bool,
     /// Advice on later steps is asked for before they open.
     pub asks_ahead: bool,
+    /// New work keeps out of availability zones that have just fallen silent.
+    pub avoids_silent_zones: bool,
 }
 
 impl Default for Mechanisms {
@@ -56,6 +58,7 @@
             sets_aside: true,
             learns_answer_times: true,
             asks_ahead: true,
+            avoids_silent_zones: true,
         }
     }
 }
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -127,6 +127,7 @@
             Err(CallError::Silent(why) | CallError::NotSent(why)) => {
                 order.retry_at = Some(m.now + ORDER_RETRY);
                 let details = format!("run={run} worker={id} tries={} why={why:?}", order.tries);
+                view.note_silence(m.now);
                 self.note(&kinds::ORDER_UNANSWERED, task, details);
             }
             Err(CallError::Refused(Refusal::OtherLife)) => {
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -92,7 +92,8 @@
         let job = self.book.job(key.job)?;
         let labelled = spec.constraint.as_ref().is_none_or(|l| worker.info.labels.contains(l));
         let fits_in = self.mixes(spec, worker);
-        let ok = view.is_usable(m.now) && worker.info.service == job.service && labelled && fits_in;
+        let reached = view.is_usable(m.now) && !self.silent_zones.contains(&worker.info.zone);
+        let ok = reached && worker.info.service == job.service && labelled && fits_in;
         ok.then_some(worker)
     }
 
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -52,6 +52,7 @@
             }
             Err(e) => {
                 let retry = if view.in_contact { RENEW_AGAIN } else { RENEW_RETRY };
+                view.note_silence(m.now);
                 if view.in_contact {
                     view.in_contact = false;
                     self.note(
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -104,6 +104,8 @@
     pub(crate) reading: Option<Reading>,
     /// Whether it has reported in this term and answered the last renewal.
     pub(crate) in_contact: bool,
+    /// Since when an order or a renewal has had no answer, with no sign of life since.
+    pub(crate) silent_since: Option<Millis>,
     /// When everything on it has surely lapsed, by our clock.
     pub(crate) lapses_at: Millis,
     /// Whether a renewal is under way or held.
@@ -125,6 +127,7 @@
             leaving: false,
             reading: None,
             in_contact: false,
+            silent_since: None,
             lapses_at,
             renewing: false,
             renew_at: now,
@@ -137,13 +140,20 @@
 
     /// Tells whether the worker may be given new work.
     pub(crate) fn is_usable(&self, now: Millis) -> bool {
-        self.in_contact && !self.leaving && !self.record.is_aside(now)
+        let answers = self.in_contact && self.silent_since.is_none();
+        answers && !self.leaving && !self.record.is_aside(now)
     }
 
     /// Takes in a reading of the worker's clock.
     pub(crate) fn read_clock(&mut self, now: Millis, clock: Millis) {
         self.reading = Some(Reading { at: now, clock });
         self.heard_at = now;
+        self.silent_since = None;
+    }
+
+    /// Notes that an order or a renewal got no answer.
+    pub(crate) fn note_silence(&mut self, now: Millis) {
+        self.silent_since.get_or_insert(now);
     }
 
     /// Gives the deadline of a lease of `span` and notes it, or `None` before the clock was read.
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -1,5 +1,7 @@
 //! Workers that join, leave, fall silent and are gone.
 
+use std::collections::BTreeSet;
+
 use clock::Millis;
 use events::kinds;
 use workload::{Command, JobId, TaskKey, WorkerId};
@@ -7,6 +9,7 @@
 use crate::dispatcher::{Dispatcher, Moment};
 use crate::limits::FORGET_WORKER;
 use crate::order::WorkerNews;
+use crate::silence::silent_zones;
 use crate::view::View;
 
 impl Dispatcher {
@@ -74,6 +77,12 @@
 
     /// Renews leases that are due, sends again what got no answer, and gives up what has lapsed.
     pub(crate) fn tend_workers(&mut self, m: Moment) {
+        let workers = self.views.iter().filter_map(|(id, v)| Some((self.book.worker(id)?, v)));
+        let zones = workers.map(|(w, v)| (&w.info.zone, v));
+        self.silent_zones = match self.limits.mechanisms.avoids_silent_zones {
+            true => silent_zones(m.now, zones),
+            false => BTreeSet::new(),
+        };
         let ids: Vec<WorkerId> = self.views.keys().cloned().collect();
         for id in ids {
             self.tend_worker(m, &id);
