Look for workers to ask about where most is free, and count starts under way as they go

Cause: each step that waits went through all workers for some to ask about, and each plan through all runs for how many starts are under way, so a plan's cost grew with the fleet and with the backlog. Change: an index of workers by service and free processor time; a call's candidates are those known to be allowed and the 120 emptiest others. Starts under way are counted at ticks and kept up between them.

--- a/components/bench/benches/figures.rs
+++ b/components/bench/benches/figures.rs
@@ -5,7 +5,7 @@
     if std::env::args().any(|a| a == "--test") {
         return;
     }
-    // A name runs one part only: placing, replay, requests, log, leases.
+    // A name runs one part only: dispatching, placing, replay, requests, log, leases.
     let part = std::env::args().nth(1).filter(|a| !a.starts_with("--"));
     bench::run(part.as_deref());
 }
--- a/components/bench/src/lib.rs
+++ b/components/bench/src/lib.rs
@@ -1,5 +1,6 @@
 //! Measurements of the real decision code over seeded work, one figure a line.
 
+mod dispatching;
 mod figure;
 mod leases;
 mod log;
@@ -14,8 +15,9 @@
 type Part = (&'static str, fn());
 
 /// Leases come first: their figure of memory needs a fresh process.
-const PARTS: [Part; 5] = [
+const PARTS: [Part; 6] = [
     ("leases", leases::run),
+    ("dispatching", dispatching::run),
     ("placing", placing::run),
     ("replay", replay::run),
     ("requests", requests::run),
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -11,6 +11,7 @@
 mod call;
 mod callers;
 mod dispatcher;
+mod free_index;
 mod lease;
 mod limits;
 mod order;
