Tend only the workers that time asks something of

Cause: at each tick, twenty a second, every worker was gone into, 2.4 ms of a processor at 3,200 workers (dispatch_tick_3200, before). Change: most workers just have a renewal waiting, which their view alone tells.

--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -144,6 +144,14 @@
         answers && !self.leaving && !self.record.is_aside(now)
     }
 
+    /// Tells whether time alone asks for something to be done: most workers just have a renewal waiting, and
+    /// going into each of 3,200 of them took 2.4 ms of a processor at each tick.
+    pub(crate) fn wants_tending(&self, now: Millis) -> bool {
+        let renewal_due = !self.renewing && now >= self.renew_at;
+        let order_due = |o: &Order| o.retry_at.is_some_and(|t| now >= t);
+        renewal_due || now >= self.lapses_at || self.orders.values().any(order_due)
+    }
+
     /// Takes in a reading of the worker's clock.
     pub(crate) fn read_clock(&mut self, now: Millis, clock: Millis) {
         self.reading = Some(Reading { at: now, clock });
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -77,18 +77,27 @@
 
     /// Renews leases that are due, sends again what got no answer, and gives up what has lapsed.
     pub(crate) fn tend_workers(&mut self, m: Moment) {
-        let workers = self.views.iter().filter_map(|(id, v)| Some((self.book.worker(id)?, v)));
-        let zones = workers.map(|(w, v)| (&w.info.zone, v));
-        self.silent_zones = match self.limits.mechanisms.avoids_silent_zones {
-            true => silent_zones(m.now, zones),
-            false => BTreeSet::new(),
-        };
-        let ids: Vec<WorkerId> = self.views.keys().cloned().collect();
+        self.watch_zones(m);
+        let due = self.views.iter().filter(|(_, v)| v.wants_tending(m.now));
+        let ids: Vec<WorkerId> = due.map(|(id, _)| id.clone()).collect();
         for id in ids {
             self.tend_worker(m, &id);
         }
     }
 
+    /// Finds out which zones have just fallen silent.
+    fn watch_zones(&mut self, m: Moment) {
+        let on = self.limits.mechanisms.avoids_silent_zones;
+        self.silent_zones = match on && self.views.values().any(|v| v.silent_since.is_some()) {
+            true => {
+                let zone = |id: &WorkerId| self.book.worker(id).map(|w| &w.info.zone);
+                let workers = self.views.iter().filter_map(|(id, v)| Some((zone(id)?, v)));
+                silent_zones(m.now, workers)
+            }
+            false => BTreeSet::new(),
+        };
+    }
+
     fn tend_worker(&mut self, m: Moment, id: &WorkerId) {
         let runs = self.book.worker(id).is_some_and(|w| !w.runs.is_empty());
         let Some(view) = self.views.get(id) else { return };
