Revert "Look for workers to ask about where most is free, and count starts under way as they go"

Not traced further; suspected: candidates are taken by free processor time though memory is what most tasks wait for, and looks that were charged to the plan make the next plan later.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -14,7 +14,6 @@
 use crate::advice::{AdviceAsk, Desk};
 use crate::answer_times::AnswerTimes;
 use crate::call::{Answer, Call};
-use crate::free_index::FreeIndex;
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
 use crate::speed::StepSpeeds;
@@ -200,8 +199,6 @@
     pub(crate) advice_of: BTreeMap<Name, AdvicePolicy>,
     pub(crate) book: Book,
     pub(crate) views: BTreeMap<WorkerId, View>,
-    /// The workers of the book by what is free on them.
-    pub(crate) free: FreeIndex,
     pub(crate) desk: Desk,
     /// The jobs whose runs are to be looked through for some that are not wanted any more.
     pub(crate) sweep: BTreeSet<JobId>,
@@ -213,8 +210,6 @@
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
     /// How long workers take to answer.
     pub(crate) answer_times: AnswerTimes,
-    /// How many starts are on their way to workers that answer, counted at the last tick and kept up since.
-    pub(crate) starts_under_way: usize,
     /// The availability zones that have just fallen silent.
     pub(crate) silent_zones: BTreeSet<Name>,
     batch: Vec<Command>,
@@ -253,14 +248,12 @@
             advice_of: BTreeMap::new(),
             book,
             views: BTreeMap::new(),
-            free: FreeIndex::default(),
             desk: Desk::default(),
             sweep: BTreeSet::new(),
             avoid: BTreeMap::new(),
             accepted: BTreeMap::new(),
             speeds: BTreeMap::new(),
             answer_times: AnswerTimes::unknown(),
-            starts_under_way: 0,
             silent_zones: BTreeSet::new(),
             batch: Vec::new(),
             batch_number: 1,
@@ -309,7 +302,6 @@
                 view.orders.insert(*task, order);
             }
             self.views.insert(id.clone(), view);
-            self.free.set(id, Some(worker));
         }
         let accepted_at = |j: &Job| m.now.since(m.wall.since(j.accepted_at));
         let jobs = self.book.jobs().iter().filter(|(_, j)| !j.state.is_final());
@@ -407,9 +399,6 @@
     pub(crate) fn propose(&mut self, command: Command) {
         self.plan_due = true;
         self.book.apply(&command);
-        if let Some(id) = command.worker() {
-            self.free.set(id, self.book.worker(id));
-        }
         self.batch.push(command);
     }
 
@@ -479,7 +468,6 @@
     fn on_tick(&mut self, m: Moment) {
         self.desk.expire(m.now);
         self.tend_workers(m);
-        self.starts_under_way = self.count_starts_under_way();
         if m.now >= self.forget_at {
             self.forget_at = m.now + FORGET_EVERY;
             self.forget(m);
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -11,7 +11,6 @@
 mod call;
 mod callers;
 mod dispatcher;
-mod free_index;
 mod lease;
 mod limits;
 mod order;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -130,12 +130,9 @@
 /// them lost, sends them again, and takes in even fewer: that ended a day of 350 workers with 68% of its
 /// jobs not done.
 pub(crate) const MOST_ORDERS: usize = 200;
-/// For how many steps a plan looks for workers to ask about: a backlog has hundreds of steps, and there are
-/// not more instances than that to make calls at a time.
+/// For how many steps a plan looks through all workers for some to ask about. At 350 workers that takes
+/// most of a millisecond of a whole processor each time, and a backlog has hundreds of steps.
 pub(crate) const MOST_SCANS: u32 = 10;
-/// How many workers that nothing is known of are looked at for one call: as many as it may name, and a
-/// fifth more.
-pub(crate) const MOST_PROSPECTS: usize = 120;
 /// How many times longer than it costs a call for advice may take before somebody else is asked.
 pub(crate) const ADVICE_LATE: f64 = 1.5;
 /// How much longer still: the ways there and back, and a wait for a processor share at either end.
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -14,9 +14,8 @@
 use crate::view::{Order, Stage};
 
 impl Dispatcher {
-    /// Counts the starts that are on their way to workers that answer. Goes through all runs, so between
-    /// ticks [`Dispatcher::starts_under_way`] is kept up by what is sent and answered.
-    pub(crate) fn count_starts_under_way(&self) -> usize {
+    /// Gives how many starts are on their way to workers that answer.
+    pub(crate) fn orders_under_way(&self) -> usize {
         let reached = self.views.values().filter(|v| v.in_contact);
         let orders = reached.flat_map(|v| v.orders.values());
         orders.filter(|o| matches!(o.stage, Stage::Held | Stage::Starting)).count()
@@ -114,7 +113,6 @@
             return;
         }
         let first = order.tries == 1;
-        self.starts_under_way = self.starts_under_way.saturating_sub(1);
         if self.limits.mechanisms.learns_answer_times {
             self.answer_times.note(m.now.since(order.sent_at));
         }
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -9,7 +9,7 @@
 
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::limits::{LOOKS_A_STEP, MOST_ORDERS, MOST_PROSPECTS, MOST_SCANS};
+use crate::limits::{LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS};
 use crate::seats::{Seated, fits, runs_of};
 use crate::view::{Order, Stage};
 
@@ -31,11 +31,12 @@
         self.scans = 0;
         self.kept_free.clear();
         self.rooms_made = 0;
+        let mut orders = self.orders_under_way();
         for entry in open {
-            if self.starts_under_way >= MOST_ORDERS {
+            if orders >= MOST_ORDERS {
                 break;
             }
-            self.starts_under_way += self.plan_step(m, entry);
+            orders += self.plan_step(m, entry);
         }
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
@@ -233,8 +234,12 @@
             return;
         }
         self.scans += 1;
-        let prospects = self.prospects(m, key, spec);
-        self.looks += prospects.len() as u64;
+        let prospects: Vec<Prospect> = self
+            .views
+            .keys()
+            .filter(|id| !self.desk.is_barred(key, id))
+            .filter_map(|id| self.prospect(m, key, spec, id))
+            .collect();
         let want = Want { step: *key, queue, policy, tasks };
         if let Some(ask) = self.desk.ask(m.now, &want, prospects) {
             let (by, named) = (&ask.helper, ask.workers.len());
@@ -243,17 +248,6 @@
         }
     }
 
-    /// Gives workers to ask about: those that are known to be allowed, and the emptiest of the others.
-    fn prospects(&self, m: Moment, key: &StepKey, spec: &StepSpec) -> Vec<Prospect> {
-        let Some(job) = self.book.job(key.job) else { return Vec::new() };
-        let known = self.desk.allowed(key).filter_map(|id| self.prospect(m, key, spec, id));
-        let unknown =
-            |id: &&WorkerId| !self.desk.is_barred(key, id) && !self.desk.is_allowed(key, id);
-        let others = self.free.emptiest_first(&job.service).filter(unknown);
-        let others = others.filter_map(|id| self.prospect(m, key, spec, id));
-        known.chain(others.take(MOST_PROSPECTS)).collect()
-    }
-
     fn prospect(
         &self,
         m: Moment,
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -114,21 +114,3 @@
         before: Millis,
     },
 }
-
-impl Command {
-    /// Gives the worker whose state the command changes.
-    pub fn worker(&self) -> Option<&WorkerId> {
-        match self {
-            Command::WorkerJoined(info) => Some(&info.id),
-            Command::WorkerGone { worker, .. }
-            | Command::Lapsed { worker, .. }
-            | Command::Started { worker, .. }
-            | Command::NotStarted { worker, .. }
-            | Command::Ended { worker, .. } => Some(worker),
-            Command::Configure(_)
-            | Command::Submit { .. }
-            | Command::Cancel { .. }
-            | Command::Forget { .. } => None,
-        }
-    }
-}
