Look workers up side by side where a step looks for some to ask about

Cause: for each call for advice every worker was looked up in three maps by its id, and who is allowed was looked up at each comparison of the sort. The choice itself is unchanged: the same candidates in the same order.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -144,9 +144,9 @@
         known.filter(move |(_, t)| t.until > now + TICKET_MARGIN).map(|(w, t)| (w, &t.text))
     }
 
-    /// Tells whether a worker is known not to be allowed.
-    pub(crate) fn is_barred(&self, step: &StepKey, worker: &WorkerId) -> bool {
-        self.steps.get(step).is_some_and(|s| s.barred.contains(worker))
+    /// Gives the workers that are known not to be allowed.
+    pub(crate) fn barred(&self, step: &StepKey) -> Option<&BTreeSet<WorkerId>> {
+        self.steps.get(step).map(|s| &s.barred)
     }
 
     /// Tells whether a worker is known to be allowed, ticket or not.
@@ -306,7 +306,10 @@
     allowed: &BTreeSet<WorkerId>,
     rate: f64,
 ) -> Vec<WorkerId> {
-    open.sort_by_key(|p| (p.fits == 0, !allowed.contains(&p.worker), std::cmp::Reverse(p.fits)));
+    // Looking up who is allowed at each comparison would cost more than the sort.
+    open.sort_by_cached_key(|p| {
+        (p.fits == 0, !allowed.contains(&p.worker), std::cmp::Reverse(p.fits))
+    });
     let all_short = cost_ms(&want.policy, open.len()) <= ADVICE_SHORT_MS;
     let needed = want.tasks as f64 * ADVICE_ROOM_FACTOR;
     let most_full = if is_short(&want.policy) { ADVICE_MOST_WORKERS } else { ADVICE_MOST_FULL };
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -11,7 +11,7 @@
 use crate::dispatcher::{Action, Dispatcher, Moment};
 use crate::limits::{LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS};
 use crate::seats::{Seated, fits, runs_of};
-use crate::view::{Order, Stage};
+use crate::view::{Order, Stage, View};
 
 /// The most open steps that are looked at in one go, the most urgent first. It bounds the time that
 /// a decision takes when far more waits than can run.
@@ -90,11 +90,21 @@
         let worker = self.book.worker(id)?;
         let view = self.views.get(id)?;
         let job = self.book.job(key.job)?;
+        self.is_suitable(m, &job.service, spec, worker, view).then_some(worker)
+    }
+
+    /// The same for one who has looked everything up.
+    fn is_suitable(
+        &self,
+        m: Moment,
+        service: &Name,
+        spec: &StepSpec,
+        worker: &Worker,
+        view: &View,
+    ) -> bool {
         let labelled = spec.constraint.as_ref().is_none_or(|l| worker.info.labels.contains(l));
-        let fits_in = self.mixes(spec, worker);
         let reached = view.is_usable(m.now) && !self.silent_zones.contains(&worker.info.zone);
-        let ok = reached && worker.info.service == job.service && labelled && fits_in;
-        ok.then_some(worker)
+        reached && worker.info.service == *service && labelled && self.mixes(spec, worker)
     }
 
     /// Tells whether some other worker has room for a task of a step, and may run it.
@@ -234,12 +244,7 @@
             return;
         }
         self.scans += 1;
-        let prospects: Vec<Prospect> = self
-            .views
-            .keys()
-            .filter(|id| !self.desk.is_barred(key, id))
-            .filter_map(|id| self.prospect(m, key, spec, id))
-            .collect();
+        let prospects = self.prospects(m, key, spec);
         let want = Want { step: *key, queue, policy, tasks };
         if let Some(ask) = self.desk.ask(m.now, &want, prospects) {
             let (by, named) = (&ask.helper, ask.workers.len());
@@ -248,20 +253,31 @@
         }
     }
 
-    fn prospect(
-        &self,
-        m: Moment,
-        key: &StepKey,
-        spec: &StepSpec,
-        id: &WorkerId,
-    ) -> Option<Prospect> {
-        let worker = self.suitable(m, key, spec, id)?;
+    /// Gives the workers to choose from whom to ask about. Both maps are gone through side by side: looking
+    /// each of 1,100 workers up in them, 250 times a second, took most of a plan's time.
+    fn prospects(&self, m: Moment, key: &StepKey, spec: &StepSpec) -> Vec<Prospect> {
+        let Some(job) = self.book.job(key.job) else { return Vec::new() };
+        let barred = self.desk.barred(key);
+        let mut views = self.views.iter().peekable();
+        let mut found = Vec::new();
+        for (id, worker) in self.book.workers() {
+            while views.next_if(|(known, _)| *known < id).is_some() {}
+            let Some((_, view)) = views.next_if(|(known, _)| *known == id) else { continue };
+            let open = barred.is_none_or(|b| !b.contains(id));
+            if open && self.is_suitable(m, &job.service, spec, worker, view) {
+                found.push(self.prospect(key, spec, worker));
+            }
+        }
+        found
+    }
+
+    fn prospect(&self, key: &StepKey, spec: &StepSpec, worker: &Worker) -> Prospect {
         let free = self.room_for(spec, worker);
         let mut fits = fits(spec, &free);
         if spec.max_per_worker > 0 {
             let here = u64::from(runs_of(key, worker));
             fits = fits.min(u64::from(spec.max_per_worker).saturating_sub(here));
         }
-        Some(Prospect { worker: id.clone(), fits })
+        Prospect { worker: worker.info.id.clone(), fits }
     }
 }
