--- a/components/dispatch/tests/rules.rs
+++ b/components/dispatch/tests/rules.rs
@@ -545,3 +545,31 @@
     b.commit();
     assert_eq!(b.dispatcher.book().worker(&worker("w1")).map(|w| w.runs.len()), Some(1));
 }
+
+#[test]
+fn a_late_announcement_of_an_ended_life_takes_nothing_from_the_newer_one_at_its_address() {
+    let mut b = Bench::new("");
+    let at_one_address = |name: &str, number: u64| {
+        let mut news = news(name, 8);
+        news.info.address = "h:1".into();
+        news.number = number;
+        news
+    };
+    b.join_as(at_one_address("old", 1));
+    b.renewal_fails("old", CallError::Refused(Refusal::OtherLife));
+    b.commit();
+    b.join_as(at_one_address("new", 1));
+    b.submit(1, spec(vec![step(2)]));
+    b.commit();
+    b.feed(Input::News(at_one_address("old", 2)));
+    b.commit();
+    b.submit(2, spec(vec![step(2)]));
+    b.commit();
+    assert!(b.starts().iter().all(|(w, _)| *w == worker("new")));
+    b.pass(Millis(1));
+    b.renewal_fails("old", CallError::Refused(Refusal::OtherLife));
+    b.commit();
+    let book = b.dispatcher.book();
+    assert!(book.worker(&worker("old")).is_none());
+    assert_eq!(book.worker(&worker("new")).map(|w| w.runs.len()), Some(4));
+}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -84,6 +84,11 @@
 check "another instance leads" wait_until 15 bash -c \
   "$BIN/heathvale status 2>/dev/null | grep -v '^$leader ' | grep -q ' leader leader '"
 start_instance "$leader"
+# A zone's events are kept by its instances alone, which copy them from each other: its allocator, which may
+# be the other one, must not be killed before this one has them again.
+check "$leader is back" wait_until 15 bash -c \
+  "$BIN/heathvale status | grep '^$leader ' | grep -vq not-ready"
+sleep 1
 allocator=$(hv status | awk '/ allocates$/ { print $1; exit }')
 echo "   an allocator is $allocator"
 kill_now "$allocator"
