--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -6,6 +6,7 @@
 
 use clock::Millis;
 use events::kinds;
+use model::Name;
 use workload::{Command, JobId, TaskKey, WorkerId};
 
 use crate::dispatcher::{Action, Dispatcher, Moment};
@@ -172,8 +173,13 @@
         }
         order.stage = Stage::Stopping;
         order.retry_at = None;
+        self.order_stop(id, address, *task, run);
+    }
+
+    /// Has a stop sent, of a run that the log knows or of one that only its worker lists.
+    pub(crate) fn order_stop(&mut self, id: &WorkerId, address: Name, task: TaskKey, run: u32) {
         let answer_within = self.answer_times.limit();
-        let order = StopOrder { task: *task, run, fence: self.term, answer_within };
+        let order = StopOrder { task, run, fence: self.term, answer_within };
         self.act(Action::Stop { worker: id.clone(), address, order });
     }
 
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -10,7 +10,7 @@
 use crate::advice::{Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
 use crate::limits::{LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS};
-use crate::seats::{Seated, fits, runs_of};
+use crate::seats::{Seated, fits, most_more};
 use crate::view::{Order, Stage, View};
 
 /// The most open steps that are looked at in one go, the most urgent first. It bounds the time that
@@ -135,11 +135,15 @@
         others.next().is_none()
     }
 
+    /// Gives what the plan under way keeps free on a worker.
+    pub(crate) fn kept_free_on(&self, id: &WorkerId) -> Size {
+        self.kept_free.get(id).copied().unwrap_or_default()
+    }
+
     /// Gives the room that counts for a step, less what is kept free for more urgent tasks. A filler
     /// takes no processor time from others, but is placed only where some is left for it.
     pub(crate) fn room_for(&self, spec: &StepSpec, worker: &Worker) -> Size {
-        let kept_free = self.kept_free.get(&worker.info.id).copied().unwrap_or_default();
-        let free = worker.free().minus(&kept_free);
+        let free = worker.free().minus(&self.kept_free_on(&worker.info.id));
         if !spec.filler {
             return free;
         }
@@ -272,12 +276,7 @@
     }
 
     fn prospect(&self, key: &StepKey, spec: &StepSpec, worker: &Worker) -> Prospect {
-        let free = self.room_for(spec, worker);
-        let mut fits = fits(spec, &free);
-        if spec.max_per_worker > 0 {
-            let here = u64::from(runs_of(key, worker));
-            fits = fits.min(u64::from(spec.max_per_worker).saturating_sub(here));
-        }
+        let fits = fits(spec, &self.room_for(spec, worker)).min(most_more(key, spec, worker));
         Prospect { worker: worker.info.id.clone(), fits }
     }
 }
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -8,7 +8,7 @@
 
 use crate::dispatcher::{Action, Dispatcher, Moment};
 use crate::limits::{IDLE_WAIT, RENEW_AGAIN, RENEW_RETRY, busy_wait};
-use crate::order::{CallError, Refusal, RenewOrder, Report, RunRow, StopOrder};
+use crate::order::{CallError, Refusal, RenewOrder, Report, RunRow};
 use crate::view::Stage;
 
 impl Dispatcher {
@@ -193,11 +193,9 @@
             .map(|r| (r.task, r.run))
             .collect();
         let address = worker.info.address.clone();
-        let answer_within = self.answer_times.limit();
         for (task, run) in strays {
             self.note(&kinds::RUN_STRAY, task, format!("run={run} worker={id}"));
-            let order = StopOrder { task, run, fence: self.term, answer_within };
-            self.act(Action::Stop { worker: id.clone(), address: address.clone(), order });
+            self.order_stop(id, address.clone(), task, run);
         }
     }
 }
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -12,7 +12,7 @@
 
 use crate::dispatcher::{Dispatcher, Moment};
 use crate::limits::{LARGE_PART, MOST_ROOMS_MADE, PREEMPT_SLACK, SHORTEST_PREEMPTOR};
-use crate::seats::runs_of;
+use crate::seats::most_more;
 use crate::view::{Stage, View};
 
 /// A run that may be stopped for another.
@@ -32,9 +32,9 @@
     /// What everything else on the worker takes that ends by itself.
     ending: Size,
     /// How many more tasks of the step the worker may take.
-    most: u32,
+    most: u64,
     /// For how many tasks of the step room is set aside here.
-    taken: u32,
+    taken: u64,
     /// The runs to stop for them.
     stopped: Vec<Victim>,
 }
@@ -129,7 +129,7 @@
             }
         }
         for place in places.into_iter().filter(|p| p.taken > 0) {
-            let wanted = spec.size.times(u64::from(place.taken));
+            let wanted = spec.size.times(place.taken);
             let kept = self.kept_free.entry(place.worker.clone()).or_default();
             *kept = kept.plus(&wanted);
             for victim in place.stopped {
@@ -147,19 +147,14 @@
     fn place(&self, m: Moment, key: &StepKey, spec: &StepSpec, id: &WorkerId) -> Option<Place> {
         let worker = self.suitable(m, key, spec, id)?;
         let view = self.views.get(id)?;
-        let kept = self.kept_free.get(id).copied().unwrap_or_default();
-        let most = match spec.max_per_worker {
-            0 => u32::MAX,
-            most => most.saturating_sub(runs_of(key, worker)),
-        };
         let (victims, coming, ending) = self.sort_runs(m, key, worker, view);
-        let free = worker.free().plus(&coming).minus(&kept);
+        let free = worker.free().plus(&coming).minus(&self.kept_free_on(id));
         Some(Place {
             worker: id.clone(),
             free,
             victims,
             ending,
-            most,
+            most: most_more(key, spec, worker),
             taken: 0,
             stopped: Vec::new(),
         })
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -31,10 +31,18 @@
 }
 
 /// Gives how many tasks of a step a worker runs.
-pub(crate) fn runs_of(key: &StepKey, worker: &Worker) -> u32 {
+fn runs_of(key: &StepKey, worker: &Worker) -> u32 {
     worker.runs.keys().filter(|k| k.step == *key).count() as u32
 }
 
+/// Gives how many more tasks of a step a worker may run, whatever room it has.
+pub(crate) fn most_more(key: &StepKey, spec: &StepSpec, worker: &Worker) -> u64 {
+    match spec.max_per_worker {
+        0 => u64::MAX,
+        most => u64::from(most.saturating_sub(runs_of(key, worker))),
+    }
+}
+
 /// A task that has found a worker.
 pub(crate) struct Seated {
     /// The task's place in its step.
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -6,7 +6,7 @@
 
 use clock::{Clock, Millis, SystemClock, wall_now};
 use dispatch::{Input, Moment};
-use errors::Result;
+use errors::{Error, Result};
 use events::{kinds, tell};
 use metrics::Registry;
 use model::InstanceId;
@@ -83,7 +83,7 @@
     pub(crate) measure_at: Millis,
     /// When the settings file is looked at next.
     pub(crate) read_at: Millis,
-    pub(crate) failed: Option<errors::Error>,
+    pub(crate) failed: Option<Error>,
     pub(crate) reload: Box<dyn Fn() -> Option<NodeSettings>>,
 }
 
@@ -166,8 +166,7 @@
         match log_store::open(settings, clock) {
             Err(e) if log_store::may_pass(&e) => {
                 if !std::mem::replace(&mut told, true) {
-                    let fault = format!("fault={:?}", e.to_string());
-                    tell(&kinds::DISK_UNUSABLE, &settings.name, &fault);
+                    tell_disk_unusable(settings, &e);
                 }
                 sleep(DISK_RETRY.duration()).await;
             }
@@ -176,6 +175,10 @@
     }
 }
 
+fn tell_disk_unusable(settings: &NodeSettings, e: &Error) {
+    tell(&kinds::DISK_UNUSABLE, &settings.name, &format!("fault={:?}", e.to_string()));
+}
+
 impl Control {
     async fn run(mut self, mut rx: UnboundedReceiver<Event>) -> Result<()> {
         let (listen, disk) = (self.settings.listen, self.log.disk);
@@ -321,10 +324,7 @@
                 self.voters = voters;
                 tell(&kinds::VOTERS_CHANGED, &self.settings.name, &details);
             }
-            LogEvent::DiskFailed(e) => {
-                let fault = format!("fault={:?}", e.to_string());
-                tell(&kinds::DISK_UNUSABLE, &self.settings.name, &fault);
-            }
+            LogEvent::DiskFailed(e) => tell_disk_unusable(&self.settings, &e),
             LogEvent::DiskBack(after) => {
                 let details = format!("after_ms={}", after.0);
                 tell(&kinds::DISK_USABLE, &self.settings.name, &details);
@@ -393,12 +393,11 @@
                 self.perform(action.into_iter().collect());
             }
             Message::News(news) => {
-                let taken =
-                    Message::LeavingTaken { worker: news.info.id.clone(), number: news.number };
+                let (worker, number) = (news.info.id.clone(), news.number);
                 let leaving = news.leaving;
                 self.on_news(news, false);
                 if leaving && self.leading.is_some() {
-                    self.links.send(&from, 0, taken);
+                    self.links.send(&from, 0, Message::LeavingTaken { worker, number });
                 }
             }
             Message::LeavingTaken { worker, number } => self.leaving_waits.taken(&worker, number),
--- a/components/node/src/descriptors.rs
+++ b/components/node/src/descriptors.rs
@@ -1,6 +1,7 @@
 //! What the open files of a process are for. The operating system limits them, and a process that has
-//! none left can neither write its log nor take a call, so each use has its share, and whoever takes a
-//! descriptor keeps to the share of its use.
+//! none left can neither write its log nor take a call, so each use has its share. Calls and
+//! listeners keep to theirs; the links to other instances are as many as there are instances, and theirs is
+//! only left free for them.
 
 /// The file in which the kernel tells a process its limits.
 const LIMITS_FILE: &str = "/proc/self/limits";
@@ -21,8 +22,6 @@
 /// How many descriptors each use may take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Descriptors {
-    /// All of them.
-    pub limit: usize,
     /// Connections that this process opens to workers and to the advice service.
     pub calls: usize,
     /// Connections that workers, operators and callers open to this process.
@@ -36,7 +35,6 @@
     pub fn divide(limit: usize) -> Descriptors {
         let share = |sixteenths: usize| limit * sixteenths / 16;
         Descriptors {
-            limit,
             calls: share(CALLS_SHARE),
             listeners: share(LISTENERS_SHARE),
             peers: share(PEERS_SHARE),
