Tell how many instances that call for advice are busy, and how many steps wait for one

A step that waits because all instances that may call for advice are busy looked the same as one that waits for room: open_steps counts both. The leader's figures and load_told tell them apart now.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -134,6 +134,16 @@
         }
     }
 
+    /// Gives how many instances can make calls.
+    pub(crate) fn callers(&self) -> usize {
+        self.helpers.len()
+    }
+
+    /// Gives how many instances wait for an answer to a call.
+    pub(crate) fn busy_callers(&self) -> usize {
+        self.busy.len()
+    }
+
     /// Gives the workers that hold a usable ticket for a step.
     pub(crate) fn tickets(
         &self,
@@ -194,8 +204,17 @@
 
     /// Tells whether a call on a step could be made now, before anyone looks for prospects.
     pub(crate) fn may_ask(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
+        self.free_helper(now, policy).is_some() && self.is_due(step, now)
+    }
+
+    /// Tells whether a call on a step is due and no instance is free to make it.
+    pub(crate) fn lacks_caller(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
+        self.free_helper(now, policy).is_none() && self.is_due(step, now)
+    }
+
+    fn is_due(&self, step: &StepKey, now: Millis) -> bool {
         let waits = |s: &StepAdvice| s.asked.is_some() || now < s.next_at;
-        self.free_helper(now, policy).is_some() && !self.steps.get(step).is_some_and(waits)
+        !self.steps.get(step).is_some_and(waits)
     }
 
     /// Makes a call on a step if one is worth it and an instance is free.
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -175,6 +175,12 @@
     pub used: Size,
     /// For how many steps the last plan looked through all workers for some to ask about.
     pub scans: u32,
+    /// The instances that can call for advice.
+    pub advice_callers: u64,
+    /// Those of them that wait for an answer.
+    pub advice_callers_busy: u64,
+    /// The steps that wanted a call for advice in the last plan and found no instance free to make it.
+    pub steps_without_caller: u64,
 }
 
 /// What a dispatcher begins with.
@@ -228,6 +234,8 @@
     plan_at: Millis,
     /// For how many steps the last plan looked through all workers for some to ask about.
     pub(crate) scans: u32,
+    /// How many steps wanted a call for advice in the last plan and found no instance free to make it.
+    pub(crate) without_caller: u64,
     /// What the plan under way keeps free on workers for large tasks that wait.
     pub(crate) kept_free: BTreeMap<WorkerId, Size>,
     /// What the plan under way has taken so far, in looks at a worker.
@@ -265,6 +273,7 @@
             plan_due: true,
             plan_at: m.now,
             scans: 0,
+            without_caller: 0,
             kept_free: BTreeMap::new(),
             rooms_made: 0,
             looks: 0,
@@ -378,6 +387,9 @@
             capacity: reached.iter().map(|w| &w.info.capacity).fold(Size::ZERO, sum),
             used: reached.iter().map(|w| &w.used).fold(Size::ZERO, sum),
             scans: self.scans,
+            advice_callers: self.desk.callers() as u64,
+            advice_callers_busy: self.desk.busy_callers() as u64,
+            steps_without_caller: self.without_caller,
         }
     }
 
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -29,6 +29,7 @@
         self.looks = open.len() as u64 * LOOKS_A_STEP;
         open.sort_by_cached_key(|e| self.urgency(m, e));
         self.scans = 0;
+        self.without_caller = 0;
         self.kept_free.clear();
         self.rooms_made = 0;
         let mut orders = self.orders_under_way();
@@ -245,6 +246,7 @@
         tasks: u64,
     ) {
         if !self.may_scan(m, key, &policy) {
+            self.without_caller += u64::from(self.desk.lacks_caller(key, &policy, m.now));
             return;
         }
         self.scans += 1;
--- a/components/dispatch/tests/advice.rs
+++ b/components/dispatch/tests/advice.rs
@@ -175,3 +175,17 @@
     let steps: Vec<u32> = b.asks(Some(1)).iter().map(|a| a.step.step).collect();
     assert!(steps.contains(&1), "{steps:?}");
 }
+
+/// The leader's figures tell a backlog that waits for calls for advice from one that waits for room.
+#[test]
+fn the_figures_tell_how_many_steps_wait_for_an_instance_to_make_a_call() {
+    let mut b = Bench::new("advice");
+    b.helpers(&["e1", "e2", "e3"]);
+    b.join("w1", 16);
+    for id in 1..=5 {
+        b.submit_bulk(id, spec(vec![step(1)]));
+    }
+    let figures = b.dispatcher.figures();
+    assert_eq!((figures.advice_callers_busy, figures.advice_callers), (2, 3));
+    assert_eq!(figures.steps_without_caller, 3);
+}
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -76,12 +76,15 @@
         self.metrics.set("heathvale_memory_megabytes_capacity", figures.capacity.memory_mb);
         self.metrics.set("heathvale_memory_megabytes_used", figures.used.memory_mb);
         self.metrics.set("heathvale_plan_scans", u64::from(figures.scans));
+        self.metrics.set("heathvale_advice_callers", figures.advice_callers);
+        self.metrics.set("heathvale_advice_callers_busy", figures.advice_callers_busy);
+        self.metrics.set("heathvale_steps_without_caller", figures.steps_without_caller);
         let connections = self.ports.workers.connections();
         self.metrics.set("heathvale_connections_open", connections.open as u64);
         self.metrics.set("heathvale_connections_limit", connections.limit as u64);
         self.metrics.set("heathvale_connections_opened_total", connections.opened);
         let details = format!(
-            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} connections={}/{} opened={}",
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} advice_callers={}/{} without_caller={} connections={}/{} opened={}",
             figures.used.cpu_milli,
             figures.capacity.cpu_milli,
             figures.used.memory_mb,
@@ -92,6 +95,9 @@
             figures.workers_in_contact,
             figures.workers,
             figures.scans,
+            figures.advice_callers_busy,
+            figures.advice_callers,
+            figures.steps_without_caller,
             connections.open,
             connections.limit,
             connections.opened,
