Make calls for advice first for steps that could start, and only then for those that wait for room

Cause: a step that waits has its tickets renewed every two seconds, so that they are at hand when room comes, and calls were handed out by urgency alone. Where forty more urgent steps waited for full workers, their renewals kept all instances that may make long calls busy, and accepted work whose workers were free got no call: jobs stood for 30 s beside workers of which less than half was taken.

Ruled out: a plan's bound on open steps (at most 106 of 200), orders without an answer (at most one), workers out of contact (47 of 47 answered). The jobs started on their first call for advice.

Change: a plan asks in two rounds. The first asks, by urgency, for steps of which a task could start on somebody who is not known yet. The second has tickets at hand for those that wait for room, with what instances are left.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -52,6 +52,8 @@
     barred: BTreeSet<WorkerId>,
     asked: Option<u64>,
     next_at: Millis,
+    /// Until when the step counts as one that waits for room: the last look found nobody who has some.
+    waits_for_room_until: Millis,
 }
 
 impl StepAdvice {
@@ -100,6 +102,15 @@
     pub(crate) policy: AdvicePolicy,
     /// How many tasks wait, or will.
     pub(crate) tasks: u64,
+    /// Whether they start all at once or not at all.
+    pub(crate) gang: bool,
+}
+
+/// Whom a call is to name.
+pub(crate) struct Choice {
+    workers: Vec<WorkerId>,
+    /// Whether tasks could start on them as soon as they are allowed to.
+    pub(crate) has_room: bool,
 }
 
 /// All advice that is known, and the calls under way.
@@ -217,18 +228,23 @@
         !self.steps.get(step).is_some_and(waits)
     }
 
-    /// Makes a call on a step if one is worth it and an instance is free.
-    pub(crate) fn ask(
+    /// Tells whether a step surely waits for room, so that a call on it would not let a task start.
+    pub(crate) fn waits_for_room(&self, step: &StepKey, now: Millis) -> bool {
+        self.steps.get(step).is_some_and(|s| now < s.waits_for_room_until)
+    }
+
+    /// Chooses whom a call on a step is to name, if one is worth it. If no task could start there, the step
+    /// counts as one that waits for room until `waits_until`.
+    pub(crate) fn choose(
         &mut self,
         now: Millis,
         want: &Want<'_>,
         prospects: Vec<Prospect>,
-    ) -> Option<AdviceAsk> {
-        let helper = self.free_helper(now, &want.policy)?.clone();
+        waits_until: Millis,
+    ) -> Option<Choice> {
         let known = self.steps.entry(want.step).or_default();
-        if known.asked.is_some() || now < known.next_at {
-            return None;
-        }
+        let fits = |p: &Prospect| p.fits.min(want.tasks);
+        let room: u64 = prospects.iter().map(fits).sum();
         // Tickets are renewed while they hold, so that room that comes is used at once.
         let renewal = Millis(cost_ms(&want.policy, known.allowed.len()) as u64) + TICKET_MARGIN;
         let fresh = |w: &WorkerId| known.tickets.get(w).is_some_and(|t| t.until > now + renewal);
@@ -237,11 +253,32 @@
             .filter(|p| !known.barred.contains(&p.worker) && !fresh(&p.worker))
             .collect();
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
+        let room_to_ask_about = open.iter().any(|p| p.fits > 0);
+        let has_room = room_to_ask_about && (!want.gang || room >= want.tasks);
+        if !has_room {
+            known.waits_for_room_until = waits_until;
+        }
         let workers = choose(want, open, &known.allowed, rate);
         if workers.is_empty() {
             known.next_at = known.next_look(now, renewal);
             return None;
         }
+        Some(Choice { workers, has_room })
+    }
+
+    /// Makes a call if one may be made now and an instance is free for it.
+    pub(crate) fn call(
+        &mut self,
+        now: Millis,
+        want: &Want<'_>,
+        choice: Choice,
+    ) -> Option<AdviceAsk> {
+        let helper = self.free_helper(now, &want.policy)?.clone();
+        let known = self.steps.entry(want.step).or_default();
+        if known.asked.is_some() || now < known.next_at {
+            return None;
+        }
+        let workers = choice.workers;
         let cost = cost_ms(&want.policy, workers.len());
         self.next_id += 1;
         let id = self.next_id;
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -11,11 +11,12 @@
     WorkerId,
 };
 
-use crate::advice::{AdviceAsk, Desk};
+use crate::advice::{AdviceAsk, Choice, Desk};
 use crate::answer_times::AnswerTimes;
 use crate::call::{Answer, Call};
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
+use crate::place::Need;
 use crate::speed::StepSpeeds;
 use crate::view::{Order, Stage, View};
 
@@ -242,6 +243,11 @@
     pub(crate) looks: u64,
     /// For how many steps the plan under way has looked for room to be kept free.
     pub(crate) rooms_made: u32,
+    /// How many steps that wanted advice waited for room in the last plan.
+    pub(crate) waiting_for_room: u64,
+    /// The steps of the plan under way that want advice and wait for room, with whom a call would name if
+    /// that was looked up, the most urgent first.
+    pub(crate) put_back: Vec<(Need, Option<Choice>)>,
 }
 
 impl Dispatcher {
@@ -277,6 +283,8 @@
             kept_free: BTreeMap::new(),
             rooms_made: 0,
             looks: 0,
+            put_back: Vec::new(),
+            waiting_for_room: 0,
         };
         d.inherit(m);
         d
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -1,15 +1,20 @@
 //! Choosing workers for the tasks that wait.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use clock::Millis;
 use events::kinds;
 use model::{Name, Size};
-use workload::{AdvicePolicy, Command, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
+use workload::{
+    AdvicePolicy, Command, JobSpec, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId,
+};
 
-use crate::advice::{Prospect, Want, cost_ms};
+use crate::advice::{Choice, Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::limits::{LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS};
+use crate::limits::{
+    LOOK_FOR_ROOM_AGAIN, LOOK_PAUSE_A_STEP, LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS,
+};
 use crate::seats::{Seated, fits, most_more};
 use crate::view::{Order, Stage, View};
 
@@ -21,6 +26,28 @@
 /// advice that comes too late costs its whole time.
 const ADVICE_LEAD: f64 = 0.5;
 
+/// A step whose tasks wait for leave to run somewhere.
+pub(crate) struct Need {
+    key: StepKey,
+    queue: Name,
+    policy: AdvicePolicy,
+    /// What the step's job asks for.
+    job: Arc<JobSpec>,
+    /// How many tasks wait, or will.
+    tasks: u64,
+}
+
+impl Need {
+    fn spec(&self) -> &StepSpec {
+        &self.job.steps[self.key.step as usize]
+    }
+
+    fn want(&self) -> Want<'_> {
+        let Need { key, queue, policy, tasks, .. } = self;
+        Want { step: *key, queue, policy: *policy, tasks: *tasks, gang: self.spec().gang }
+    }
+}
+
 impl Dispatcher {
     /// Gives out what can be given out, and asks for the advice that is missing. Gives what that took,
     /// in looks at a worker.
@@ -32,6 +59,7 @@
         self.without_caller = 0;
         self.kept_free.clear();
         self.rooms_made = 0;
+        self.put_back.clear();
         let mut orders = self.orders_under_way();
         for entry in open {
             if orders >= MOST_ORDERS {
@@ -39,6 +67,7 @@
             }
             orders += self.plan_step(m, entry);
         }
+        self.ask_for_waiting(m);
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
         }
@@ -53,8 +82,8 @@
             return 0;
         }
         self.desk.forget_ahead(&key);
-        let (queue, spec) = (job.queue.clone(), job.spec.clone());
-        let spec = &spec.steps[key.step as usize];
+        let (queue, job) = (job.queue.clone(), job.spec.clone());
+        let spec = &job.steps[key.step as usize];
         let Some(step) = self.book.step(&key) else { return 0 };
         let waiting: Vec<u32> = step.waiting().collect();
         let next_run = step.last_run() + 1;
@@ -66,17 +95,18 @@
             false => self.seat_each(&key, spec, &waiting, &mut seats),
         };
         let (found, left) = (placed.len(), waiting.len() - placed.len());
-        if left > 0 {
-            self.make_room(m, &key, spec, left, advice.is_some());
-        }
         if !placed.is_empty() {
             self.give_out(m, &key, spec, placed, next_run);
         }
-        match advice {
-            Some(policy) if left > 0 => self.ask(m, &key, &queue, policy, spec, left as u64),
-            _ if left == 0 => self.look_ahead(m, entry),
-            _ => {}
+        if left == 0 {
+            self.look_ahead(m, entry);
+            return found;
+        }
+        // Before room is kept free: what the step keeps for itself is room for it.
+        if let Some(policy) = advice {
+            self.ask(m, Need { key, queue, policy, job: job.clone(), tasks: left as u64 });
         }
+        self.make_room(m, &key, spec, left, advice.is_some());
         found
     }
 
@@ -222,43 +252,80 @@
         let Some(job) = self.book.job(key.job) else { return };
         let (queue, spec) = (job.queue.clone(), job.spec.clone());
         let Some(policy) = self.advice_of.get(&queue).copied() else { return };
-        if !self.may_scan(m, &key, &policy) {
+        let tasks = u64::from(spec.steps[key.step as usize].count);
+        let need = Need { key, queue, policy, job: spec, tasks };
+        if !self.may_scan(m, &need) {
             return;
         }
-        let spec = &spec.steps[key.step as usize];
-        self.ask(m, &key, &queue, policy, spec, u64::from(spec.count));
+        if let Some(choice) = self.choose(m, &need) {
+            self.call(m, &need, choice);
+        }
         self.desk.forget_ahead(&key);
     }
 
     /// Tells whether this plan may still look through all workers for some to ask about.
-    fn may_scan(&self, m: Moment, key: &StepKey, policy: &AdvicePolicy) -> bool {
+    fn may_scan(&self, m: Moment, need: &Need) -> bool {
+        let Need { key, policy, .. } = need;
         self.scans < MOST_SCANS && self.desk.may_ask(key, policy, m.now)
     }
 
-    /// Asks which workers may run a step, if some with room are not known yet.
-    fn ask(
-        &mut self,
-        m: Moment,
-        key: &StepKey,
-        queue: &Name,
-        policy: AdvicePolicy,
-        spec: &StepSpec,
-        tasks: u64,
-    ) {
-        if !self.may_scan(m, key, &policy) {
-            self.without_caller += u64::from(self.desk.lacks_caller(key, &policy, m.now));
+    /// Asks which workers may run a step, if tasks could start on some that are not known yet. Otherwise the
+    /// step is put back: steps that wait for room would use up all calls there are, however many workers are
+    /// free for the steps behind them.
+    fn ask(&mut self, m: Moment, need: Need) {
+        if self.desk.waits_for_room(&need.key, m.now) {
+            self.put_back.push((need, None));
             return;
         }
-        self.scans += 1;
-        let prospects = self.prospects(m, key, spec);
-        let want = Want { step: *key, queue, policy, tasks };
-        if let Some(ask) = self.desk.ask(m.now, &want, prospects) {
-            let (by, named) = (&ask.helper, ask.workers.len());
-            self.note(&kinds::ADVICE_ASKED, key, format!("by={by} named={named} tasks={tasks}"));
-            self.act(Action::Ask(ask));
+        if !self.may_scan(m, &need) {
+            let lacks_caller = self.desk.lacks_caller(&need.key, &need.policy, m.now);
+            self.without_caller += u64::from(lacks_caller);
+            return;
+        }
+        match self.choose(m, &need) {
+            Some(choice) if choice.has_room => self.call(m, &need, choice),
+            Some(choice) => self.put_back.push((need, Some(choice))),
+            None => {}
+        }
+    }
+
+    /// Has tickets at hand for steps that wait for room, the most urgent first, as far as the steps that
+    /// could start have left instances free to make calls.
+    fn ask_for_waiting(&mut self, m: Moment) {
+        let put_back = std::mem::take(&mut self.put_back);
+        self.waiting_for_room = put_back.len() as u64;
+        for (need, choice) in put_back {
+            let choice = match choice {
+                Some(choice) => Some(choice),
+                None if self.may_scan(m, &need) => self.choose(m, &need),
+                None => None,
+            };
+            if let Some(choice) = choice {
+                self.call(m, &need, choice);
+            }
         }
     }
 
+    fn choose(&mut self, m: Moment, need: &Need) -> Option<Choice> {
+        self.scans += 1;
+        let prospects = self.prospects(m, &need.key, need.spec());
+        let waits_until = m.now + self.look_again_after();
+        self.desk.choose(m.now, &need.want(), prospects, waits_until)
+    }
+
+    /// Gives after what time a step that waits for room is looked at again: the more of them there are, the
+    /// later, so that they do not use up the looks of all plans either.
+    fn look_again_after(&self) -> Millis {
+        LOOK_FOR_ROOM_AGAIN.max(Millis(LOOK_PAUSE_A_STEP.0 * self.waiting_for_room))
+    }
+
+    fn call(&mut self, m: Moment, need: &Need, choice: Choice) {
+        let Some(ask) = self.desk.call(m.now, &need.want(), choice) else { return };
+        let (by, named, tasks) = (&ask.helper, ask.workers.len(), need.tasks);
+        self.note(&kinds::ADVICE_ASKED, need.key, format!("by={by} named={named} tasks={tasks}"));
+        self.act(Action::Ask(ask));
+    }
+
     /// Gives the workers to choose from whom to ask about. Both maps are gone through side by side: looking
     /// each of 1,100 workers up in them, 250 times a second, took most of a plan's time.
     fn prospects(&self, m: Moment, key: &StepKey, spec: &StepSpec) -> Vec<Prospect> {
