A failing test: links between instances that go silent one way stay silent

What was seen: a test with real processes, a proxy in front of each one's address for links, and connections that go silent for good while new ones pass. Callers were not served within 20 s, or not once another voter was lost.

Cause: a link is two connections, one for each way, and an instance opens its way anew only when it hears nothing from the other end. If its way out alone is silent, the other end is still heard. After all had gone silent, whoever opened first was heard again, and the other end's way stayed silent.

Change: the test; a proxy at a given address whose open connections can be hushed; 'listen.links' in the settings file, so that a proxy or a translated address can stand between instances.

--- a/components/node/src/linking.rs
+++ b/components/node/src/linking.rs
@@ -33,7 +33,7 @@
     settings: &NodeSettings,
     on_packet: impl Fn(Result<Packet<Message>>) + Send + 'static,
 ) -> Result<Arc<Links>> {
-    let cfg = LinksConfig { id: settings.id(), listen: settings.listen, peers: BTreeMap::new() };
+    let cfg = LinksConfig { id: settings.id(), listen: settings.bind, peers: BTreeMap::new() };
     Ok(Arc::new(Links::open(&cfg, Box::new(on_packet))?))
 }
 
--- a/components/node/src/settings.rs
+++ b/components/node/src/settings.rs
@@ -27,6 +27,8 @@
     /// Where other instances reach this process. Its id is made of it, so that an id is enough to
     /// reach an instance, and a replacement at another address is another instance.
     pub listen: SocketAddr,
+    /// Where the process itself listens for them: the same, unless a proxy stands between.
+    pub bind: SocketAddr,
     /// Control instances that were known when the settings were written.
     pub seeds: BTreeSet<InstanceId>,
     /// Whether the cell is started for the first time, by the seeds.
--- a/components/testkit/src/proxy.rs
+++ b/components/testkit/src/proxy.rs
@@ -2,7 +2,7 @@
 
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU8, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -35,7 +35,15 @@
 pub struct Proxy {
     addr: SocketAddr,
     mode: Arc<AtomicU8>,
-    open: Arc<Mutex<Vec<TcpStream>>>,
+    open: Arc<Mutex<Vec<Open>>>,
+}
+
+/// A connection that the proxy has taken.
+#[derive(Debug)]
+struct Open {
+    near: TcpStream,
+    /// Whether it has gone silent for good.
+    hushed: Arc<AtomicBool>,
 }
 
 impl Proxy {
@@ -44,7 +52,15 @@
     /// # Errors
     /// If no port can be had.
     pub fn start(target: SocketAddr) -> std::io::Result<Proxy> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Proxy::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target)
+    }
+
+    /// Starts a proxy in front of `target` at an address that others know as the target's own.
+    ///
+    /// # Errors
+    /// If the address cannot be had.
+    pub fn start_at(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Proxy> {
+        let listener = TcpListener::bind(listen)?;
         let proxy =
             Proxy { addr: listener.local_addr()?, mode: Arc::default(), open: Arc::default() };
         let (mode, open) = (proxy.mode.clone(), proxy.open.clone());
@@ -56,10 +72,13 @@
                 else {
                     continue;
                 };
-                open.lock().unwrap_or_else(|e| e.into_inner()).push(kept);
+                let hushed = Arc::<AtomicBool>::default();
+                let connection = Open { near: kept, hushed: hushed.clone() };
+                open.lock().unwrap_or_else(|e| e.into_inner()).push(connection);
                 let (there, back) = (mode.clone(), mode.clone());
-                thread::spawn(move || pass(near, far, &there, true));
-                thread::spawn(move || pass(far2, near2, &back, false));
+                let (hushed_there, hushed_back) = (hushed.clone(), hushed);
+                thread::spawn(move || pass(near, far, &there, &hushed_there, true));
+                thread::spawn(move || pass(far2, near2, &back, &hushed_back, false));
             }
         });
         Ok(proxy)
@@ -76,17 +95,38 @@
         let before = self.mode.swap(how as u8, Ordering::SeqCst);
         if how == Spoil::Nothing && before != Spoil::Delay as u8 {
             let mut open = self.open.lock().unwrap_or_else(|e| e.into_inner());
-            for stream in open.drain(..) {
+            for connection in open.drain(..) {
                 // It may have ended by itself.
-                let _ = stream.shutdown(Shutdown::Both);
+                let _ = connection.near.shutdown(Shutdown::Both);
             }
         }
     }
+
+    /// Lets every connection that is open go silent for good, in both directions and without a reset.
+    /// New ones pass. Gives how many connections that were ever taken are silent now.
+    pub fn hush_open(&self) -> usize {
+        let open = self.open.lock().unwrap_or_else(|e| e.into_inner());
+        open.iter().for_each(|c| c.hushed.store(true, Ordering::SeqCst));
+        open.len()
+    }
 }
 
-fn pass(mut from: TcpStream, mut to: TcpStream, mode: &AtomicU8, request: bool) {
+fn pass(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    mode: &AtomicU8,
+    hushed: &AtomicBool,
+    request: bool,
+) {
     let mut buf = [0; 16_384];
     while let Ok(n) = from.read(&mut buf) {
+        if hushed.load(Ordering::SeqCst) {
+            // Nobody learns that a silent connection was closed, either.
+            if n == 0 {
+                return;
+            }
+            continue;
+        }
         let mode = mode.load(Ordering::SeqCst);
         if n == 0 || mode == Spoil::Reset as u8 {
             break;
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -9,7 +9,7 @@
 
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use testkit::{PlatformWorker, PlatformWorkerConfig, RunLog, call};
+use testkit::{PlatformWorker, PlatformWorkerConfig, Proxy, RunLog, call};
 
 /// How long anything may take before a test gives up.
 pub const PATIENCE: Duration = Duration::from_secs(60);
@@ -18,6 +18,10 @@
 const CONTROL_PORT: u16 = 8166;
 const FRONT_PORT: u16 = 8161;
 const READY_PORT: u16 = 8167;
+/// Where instances are told to reach each other.
+const LINKS_PORT: u16 = 7720;
+/// Where they listen for each other behind a proxy.
+const BEHIND_PORT: u16 = 7736;
 
 /// Addresses on loopback of this process's own, so that ports need not be chosen.
 fn next_ip() -> Ipv4Addr {
@@ -36,6 +40,8 @@
     settings: Value,
     /// How many files the process may have open; the limit of this process if none is named.
     pub most_files: Option<u32>,
+    /// What the links of others to this process pass through, if a test asks for it.
+    links_proxy: Option<Proxy>,
 }
 
 impl Node {
@@ -52,13 +58,27 @@
         let settings = json!({
             "node": ip.to_string(), "ip": ip.to_string(), "listen": listen,
             "serves": [if control { "control_plane" } else { "edge" }],
-            "port_range": [7720, 7735], "bootstrap": true,
+            "port_range": [LINKS_PORT, 7735], "bootstrap": true,
             "data_dir": control.then(|| data.display().to_string()),
             "bounds": {"grace_s": 3, "max_hold_ms": 10_000, "stop_ms": 200},
             "fault_tolerance": {"machines": 1, "zones": 1},
             "a_field_from_the_future": true,
         });
-        Node { ip, control, child: None, folder, settings, most_files: None }
+        Node { ip, control, child: None, folder, settings, most_files: None, links_proxy: None }
+    }
+
+    /// Has the links of others to this process pass through a proxy.
+    pub fn put_links_behind_proxy(&mut self) {
+        let behind = self.addr(BEHIND_PORT);
+        self.settings["listen"]["links"] = json!(behind.to_string());
+        let proxy = Proxy::start_at(self.addr(LINKS_PORT), behind).expect("an address of its own");
+        self.links_proxy = Some(proxy);
+    }
+
+    /// Lets the connections of others to this process go silent for good; new ones pass.
+    pub fn hush_links(&self) {
+        let proxy = self.links_proxy.as_ref().expect("the links pass through a proxy");
+        assert!(proxy.hush_open() > 0, "somebody has a link to {}", self.ip);
     }
 
     pub fn start(&mut self) {
@@ -186,18 +206,18 @@
     /// Starts three control and two entry instances and some workers, and puts a first
     /// configuration in force.
     pub fn start(workers: usize) -> Cell {
-        Cell::start_with(workers, None)
+        Cell::start_with(workers, |_| {})
     }
 
-    /// The same, with a limit on the open files of each process.
-    pub fn start_with(workers: usize, most_files: Option<u32>) -> Cell {
+    /// The same with each process prepared before it starts, as with a limit on its open files.
+    pub fn start_with(workers: usize, prepare: impl Fn(&mut Node)) -> Cell {
         let mut nodes: Vec<Node> = (0..5).map(|i| Node::new(i < 3)).collect();
+        nodes.iter_mut().for_each(prepare);
         let controls: Vec<SocketAddr> =
             nodes.iter().filter(|n| n.control).map(|n| n.addr(CONTROL_PORT)).collect();
         let seeds: Vec<String> = controls.iter().map(ToString::to_string).collect();
         for node in &mut nodes {
             node.settings["seeds"] = json!(seeds);
-            node.most_files = most_files;
             node.start();
         }
         let runs = RunLog::default();
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! The adapter and the product as real processes on the users' platform, over small stand-ins.
 
 mod cell;
+mod silent_links;
 mod soak;
 
 use std::process::Command;
@@ -92,7 +93,7 @@
 /// Forty workers with four connections each would be more than twice what the processes may open.
 #[test]
 fn more_workers_than_descriptors_are_served_and_no_process_ends() {
-    let mut cell = Cell::start_with(40, Some(128));
+    let mut cell = Cell::start_with(40, |n| n.most_files = Some(128));
     let ids: Vec<String> = (0..4).map(|n| format!("00000000000001a{n}")).collect();
     for id in &ids {
         cell.wait("the job is taken", |c| submit(c, id, &job_body(30)) == 200);
