Open both ways of a link anew if hellos are not answered

An instance opened its way anew only when it heard nothing at all, so a way out that had gone silent for good stayed so while the other end was still heard.

Ruled out: TCP keep-alives and shorter kernel time-outs, which a middle that still acknowledges never trips; opening on any silence sooner, which does not see a silent way out either.

Change: a hello says whether the receiver's answers arrive. An instance whose hellos have had no answer for 1 s opens its way anew, and one that is told that its answers are missed opens its own; each once a second, as opening drops what waits in a slow link. Silence both ways is found after 0.5 s as before.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -373,15 +373,15 @@
                 }
                 self.log.send(LogInput::Message(envelope));
             }
-            Message::Hello { disk, helps } => {
-                self.peers.on_hello(&from, disk, helps);
+            Message::Hello { disk, helps, answered } => {
+                self.peers.on_hello(&from, disk, helps, answered);
                 if let (Some(disk), Some(_)) = (disk, &self.leading) {
                     self.log.send(LogInput::Admit { id: from.clone(), disk });
                 }
                 self.links.send(&from, 0, self.welcome());
             }
             Message::Welcome { leader, term, controls, .. } => {
-                if self.peers.on_welcome(leader, term, &controls, now) {
+                if self.peers.on_welcome(&from, leader, term, &controls, now) {
                     self.relay.leader_changed(now);
                     self.retell_news();
                 }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -165,7 +165,7 @@
         match packet.message {
             Message::Welcome { leader, term, controls, voters } => {
                 self.peers.set_voters(term, voters);
-                if self.peers.on_welcome(leader, term, &controls, now) {
+                if self.peers.on_welcome(&packet.from, leader, term, &controls, now) {
                     tell_leader(&packet.from, term);
                     self.relay.leader_changed(now);
                 }
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -18,6 +18,8 @@
         disk: Option<Incarnation>,
         /// Whether the sender can call for advice.
         helps: bool,
+        /// Whether the receiver's answers have reached the sender lately.
+        answered: bool,
     },
     /// The answer to a hello, also sent unasked by a new leader.
     Welcome {
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -29,6 +29,10 @@
 /// After what silence a link is opened anew: a hello and its answer, and a little. The other end of a
 /// link that lost power says nothing, and the kernel finds out late.
 const RECONNECT_AFTER: Millis = Millis(500);
+/// Within what time a hello is answered even over a slow link: five hellos. Each way of a link is a
+/// connection of its own, so one may be silent for good while the other brings messages. Opening one anew
+/// drops what waits in it, so a slow way is given longer than one that brings nothing at all.
+const ANSWERED_WITHIN: Millis = Millis(1_000);
 /// After what silence an instance that no settings name is forgotten.
 const FORGET_AFTER: Millis = Millis(60_000);
 
@@ -50,10 +54,31 @@
     heard_since: Millis,
     reconnected_at: Millis,
     first_at: Millis,
+    /// When it last answered a hello.
+    answered_at: Option<Millis>,
+    /// Whether it said that our answers do not reach it.
+    misses_us: bool,
     helps: bool,
     entry: bool,
 }
 
+impl Peer {
+    /// Tells whether its answers to hellos reach us.
+    fn answers(&self, now: Millis) -> bool {
+        now.since(self.answered_at.unwrap_or(self.first_at)) < ANSWERED_WITHIN
+    }
+
+    /// Tells whether our link to it is to be opened anew. An answer that does not come may be lost on
+    /// either way, so this end opens its own, and its hello has the other end open the way back.
+    fn wants_reconnect(&self, now: Millis) -> bool {
+        let opened_at = self.reconnected_at.max(self.first_at);
+        let heard_at = self.heard_at.unwrap_or(self.first_at);
+        let silent = now.since(heard_at.max(opened_at)) >= RECONNECT_AFTER;
+        let one_way = self.misses_us || (!self.entry && !self.answers(now));
+        silent || (one_way && now.since(opened_at) >= ANSWERED_WITHIN)
+    }
+}
+
 /// How many of the voters an instance hears.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reach {
@@ -122,8 +147,15 @@
     }
 
     /// Takes in a hello.
-    pub fn on_hello(&mut self, id: &InstanceId, disk: Option<Incarnation>, helps: bool) {
+    pub fn on_hello(
+        &mut self,
+        id: &InstanceId,
+        disk: Option<Incarnation>,
+        helps: bool,
+        answered: bool,
+    ) {
         if let Some(peer) = self.peers.get_mut(id) {
+            peer.misses_us = !answered;
             peer.helps = helps;
             peer.entry = disk.is_none();
         }
@@ -132,11 +164,15 @@
     /// Takes in a welcome; tells whether it changed who leads.
     pub fn on_welcome(
         &mut self,
+        from: &InstanceId,
         leader: Option<InstanceId>,
         term: u64,
         controls: &[InstanceId],
         now: Millis,
     ) -> bool {
+        if let Some(peer) = self.peers.get_mut(from) {
+            peer.answered_at = Some(now);
+        }
         for id in controls {
             self.learn(id, now);
         }
@@ -236,9 +272,10 @@
         }
         let known = self.leader(now).is_some();
         self.hello_at = now + if known { HELLO_EVERY } else { SEEK_EVERY };
-        let hello = Message::Hello { disk: self.cfg.disk, helps: self.cfg.helps };
+        let (disk, helps) = (self.cfg.disk, self.cfg.helps);
+        let hello = |p: &Peer| Message::Hello { disk, helps, answered: p.answers(now) };
         let controls = self.peers.iter().filter(|(_, p)| !p.entry);
-        controls.map(|(id, _)| (id.clone(), hello.clone())).collect()
+        controls.map(|(id, p)| (id.clone(), hello(p))).collect()
     }
 
     /// Gives the instances whose links are to be opened anew, and drops those that are long gone.
@@ -249,8 +286,9 @@
             let since = peer.heard_at.unwrap_or(peer.first_at);
             if now.since(since) >= FORGET_AFTER && !self.seeds.contains(id) {
                 gone.push(id.clone());
-            } else if now.since(since.max(peer.reconnected_at)) >= RECONNECT_AFTER {
+            } else if peer.wants_reconnect(now) {
                 peer.reconnected_at = now;
+                peer.misses_us = false;
                 silent.push(id.clone());
             }
         }
--- a/components/node/tests/peers.rs
+++ b/components/node/tests/peers.rs
@@ -26,12 +26,12 @@
 #[test]
 fn hellos_go_to_every_control_instance_that_was_ever_named() {
     let mut peers = entry();
-    peers.on_welcome(None, 0, &[id("c2"), id("c3")], Millis(0));
+    peers.on_welcome(&id("c1"), None, 0, &[id("c2"), id("c3")], Millis(0));
     let to: Vec<InstanceId> = peers.hellos(Millis(0)).into_iter().map(|(to, _)| to).collect();
     assert_eq!(to, vec![id("c1"), id("c2"), id("c3")]);
     assert!(peers.hellos(Millis(50)).is_empty());
     assert_eq!(peers.hellos(Millis(100)).len(), 3, "often while no leader is known");
-    peers.on_welcome(Some(id("c1")), 1, &[], Millis(100));
+    peers.on_welcome(&id("c1"), Some(id("c1")), 1, &[], Millis(100));
     peers.hellos(Millis(200));
     assert!(peers.hellos(Millis(380)).is_empty());
 }
@@ -39,15 +39,15 @@
 #[test]
 fn an_older_term_does_not_bring_an_old_leader_back() {
     let mut peers = entry();
-    assert!(peers.on_welcome(Some(id("c2")), 5, &[], Millis(0)));
-    assert!(!peers.on_welcome(Some(id("c1")), 4, &[], Millis(10)));
+    assert!(peers.on_welcome(&id("c1"), Some(id("c2")), 5, &[], Millis(0)));
+    assert!(!peers.on_welcome(&id("c1"), Some(id("c1")), 4, &[], Millis(10)));
     assert_eq!(peers.leader(Millis(10)), Some(&id("c2")));
 }
 
 #[test]
 fn a_leader_that_nobody_speaks_of_is_forgotten_and_the_instance_is_not_ready() {
     let mut peers = entry();
-    peers.on_welcome(Some(id("c1")), 1, &[], Millis(0));
+    peers.on_welcome(&id("c1"), Some(id("c1")), 1, &[], Millis(0));
     assert!(peers.is_connected(Millis(500)));
     assert!(!peers.is_connected(Millis(700)));
     assert_eq!(peers.leader(Millis(2_000)), None);
@@ -56,7 +56,7 @@
 #[test]
 fn an_instance_that_has_just_started_is_not_cut_off_by_the_silence_of_others_that_start() {
     let mut peers = entry();
-    peers.on_welcome(None, 0, &[id("c2"), id("c3")], Millis(1_000));
+    peers.on_welcome(&id("c1"), None, 0, &[id("c2"), id("c3")], Millis(1_000));
     peers.set_voters(1, vec![id("c1"), id("c2"), id("c3")]);
     hear(&mut peers, &["c1"], 1_000, 2_000);
     assert_eq!(peers.reach(Millis(2_000)), Reach::Most, "the other two may be starting");
@@ -76,6 +76,18 @@
     assert_eq!(gone, vec![id("c9")]);
 }
 
+#[test]
+fn an_instance_that_falls_silent_gets_a_new_link_sooner_than_one_that_is_only_slow_to_answer() {
+    let mut peers = entry();
+    peers.heard(&id("c1"), Millis(1_000));
+    peers.on_welcome(&id("c1"), None, 0, &[], Millis(1_000));
+    let opened = |peers: &mut Peers, now| !peers.tend(Millis(now)).0.is_empty();
+    assert!(!opened(&mut peers, 1_450));
+    assert!(opened(&mut peers, 1_500));
+    assert!(!opened(&mut peers, 1_950), "not at every tick");
+    assert!(opened(&mut peers, 2_000));
+}
+
 #[test]
 fn new_seeds_are_added_to_what_is_known() {
     let mut peers = entry();
@@ -90,9 +102,9 @@
     for name in ["e2", "e3", "c1"] {
         peers.heard(&id(name), Millis(0));
     }
-    peers.on_hello(&id("e2"), None, true);
-    peers.on_hello(&id("e3"), None, false);
-    peers.on_hello(&id("c1"), Some(Incarnation(1)), true);
+    peers.on_hello(&id("e2"), None, true, true);
+    peers.on_hello(&id("e3"), None, false, true);
+    peers.on_hello(&id("c1"), Some(Incarnation(1)), true, true);
     let helpers: Vec<InstanceId> = peers.helpers(Millis(100)).into_iter().collect();
     assert_eq!(helpers, vec![id("c1"), id("e2")]);
     assert!(peers.helpers(Millis(800)).is_empty(), "what a silent one is asked for is late");
@@ -114,3 +126,61 @@
     hear(&mut peers, &["c2"], 6_000, 6_200);
     assert_eq!(peers.reach(Millis(6_200)), Reach::Nobody, "the voters are starting anew");
 }
+
+/// The instances whose links are opened anew, at any tick up to a time.
+fn reconnects(
+    peers: &mut Peers,
+    from: u64,
+    to: u64,
+    mut tick: impl FnMut(&mut Peers, u64),
+) -> usize {
+    let mut opened = 0;
+    for now in (from..to).step_by(50) {
+        tick(peers, now);
+        opened += peers.tend(Millis(now)).0.len();
+    }
+    opened
+}
+
+#[test]
+fn an_instance_that_is_heard_and_does_not_answer_hellos_gets_a_new_link() {
+    let mut peers = entry();
+    let heard = |peers: &mut Peers, now| peers.heard(&id("c1"), Millis(now));
+    assert_eq!(reconnects(&mut peers, 0, 1_000, heard), 0, "an answer may take a while");
+    assert_eq!(reconnects(&mut peers, 1_000, 4_000, heard), 3, "once a second");
+    let answered = |peers: &mut Peers, now| {
+        peers.heard(&id("c1"), Millis(now));
+        peers.on_welcome(&id("c1"), None, 0, &[], Millis(now));
+    };
+    assert_eq!(reconnects(&mut peers, 4_000, 8_000, answered), 0);
+}
+
+#[test]
+fn an_instance_that_says_that_no_answer_reaches_it_gets_a_new_link() {
+    let mut peers = entry();
+    let hello = |answered| {
+        move |peers: &mut Peers, now| {
+            peers.heard(&id("e9"), Millis(now));
+            peers.on_hello(&id("e9"), None, true, answered);
+            // The seed answers all along.
+            peers.heard(&id("c1"), Millis(now));
+            peers.on_welcome(&id("c1"), None, 0, &[], Millis(now));
+        }
+    };
+    assert_eq!(reconnects(&mut peers, 0, 3_000, hello(true)), 0, "it answers no hellos");
+    assert_eq!(reconnects(&mut peers, 3_000, 6_000, hello(false)), 3, "once a second");
+    assert_eq!(reconnects(&mut peers, 6_000, 9_000, hello(true)), 0);
+}
+
+#[test]
+fn a_hello_tells_whether_the_other_end_answers() {
+    let mut peers = entry();
+    let told = |peers: &mut Peers, now| match peers.hellos(Millis(now)).pop() {
+        Some((_, node::Message::Hello { answered, .. })) => answered,
+        other => panic!("no hello: {other:?}"),
+    };
+    assert!(told(&mut peers, 0), "nothing could be answered yet");
+    assert!(!told(&mut peers, 1_200));
+    peers.on_welcome(&id("c1"), None, 0, &[], Millis(1_300));
+    assert!(told(&mut peers, 1_500));
+}
