--- /dev/null
+++ b/components/dispatch/tests/late_orders.rs
@@ -0,0 +1,395 @@
+//! Orders that were decided, sent or carried out late: none may start what is over, was cancelled or is on
+//! a worker that is leaving, and what runs all the same is stopped.
+
+mod common;
+
+use clock::Millis;
+use common::{Bench, SILENT, end, job, news, row, spec, step, worker};
+use dispatch::{CallError, Input, Refusal, Report, Verb};
+use errors::Result;
+use workload::{EndKind, JobState, StepSpec, TaskKey};
+
+const DONE: Result<(), CallError> = Ok(());
+/// The first task of the first job.
+const FIRST: TaskKey =
+    TaskKey { step: workload::StepKey { job: workload::JobId(1), round: 0, step: 0 }, index: 0 };
+
+/// Gives how often a start of the first job's first task has left.
+fn starts_of_first(b: &Bench) -> usize {
+    b.starts().iter().filter(|(_, s)| s.task == FIRST).count()
+}
+
+/// Lets a worker with the first task of a job fall silent until its lease has run out, so that a second
+/// run is placed on `w2`. Nothing of it is committed yet. The job goes on after that task.
+fn placed_again() -> Bench {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1), StepSpec { depends_on: vec![0], ..step(1) }]));
+    b.commit();
+    b.started("w1", FIRST, 1, DONE);
+    b.join("w2", 4);
+    b.stay_silent("w1", "w2", Millis(5_000));
+    while b.pending.is_empty() {
+        b.now += Millis(20);
+        b.feed(Input::Tick);
+    }
+    assert_eq!(b.starts().len(), 1, "the second start waits for its commit");
+    b
+}
+
+fn cancel(b: &mut Bench) {
+    let token = b.call_path("/q/0000000000000001", Verb::Cancel);
+    b.commit();
+    assert_eq!(b.answer(token), Some(&dispatch::Answer::Cancelled));
+}
+
+/// Has a worker say that it is leaving.
+fn leave(b: &mut Bench, name: &str) {
+    let mut leaving = news(name, 4);
+    (leaving.leaving, leaving.number) = (true, 2);
+    b.feed(Input::News(leaving));
+    b.commit();
+}
+
+/// Lets time pass with a tick, while nothing is committed.
+fn tick_without_commit(b: &mut Bench, span: Millis) {
+    b.now += span;
+    b.feed(Input::Tick);
+}
+
+/// Has a start at a worker go without an answer.
+fn answer_nothing(b: &mut Bench, name: &str, key: TaskKey, run: u32) {
+    b.started(name, key, run, Err(SILENT()));
+}
+
+/// Asks that one run was told to stop, as often as it takes, and no other.
+fn assert_stopped(b: &Bench, (on, key): &(String, TaskKey), run: u32) {
+    let stops = b.stops();
+    assert!(!stops.is_empty(), "{key} runs on");
+    assert!(stops.iter().all(|s| *s == (worker(on), *key, run)), "{stops:?}");
+}
+
+#[test]
+fn a_start_that_waits_for_its_commit_does_not_leave_once_an_earlier_run_was_done() {
+    let mut b = placed_again();
+    b.report("w1", vec![], vec![end(1, FIRST, 1, EndKind::Done)]);
+    b.commit();
+    assert_eq!(starts_of_first(&b), 1);
+    assert_eq!(b.committed.task(&FIRST).map(|t| (t.done, t.at.clone())), Some((true, None)));
+}
+
+#[test]
+fn a_start_without_an_answer_is_not_sent_again_once_an_earlier_run_was_done() {
+    let mut b = placed_again();
+    b.commit();
+    assert_eq!(starts_of_first(&b), 2);
+    answer_nothing(&mut b, "w2", FIRST, 2);
+    b.report("w1", vec![], vec![end(1, FIRST, 1, EndKind::Done)]);
+    tick_without_commit(&mut b, Millis(500));
+    assert_eq!(starts_of_first(&b), 2, "not even before that end is committed");
+    b.commit();
+    b.pass(Millis(500));
+    assert_eq!(starts_of_first(&b), 2);
+    assert_stopped(&b, &("w2".into(), FIRST), 2);
+}
+
+#[test]
+fn a_new_leader_does_not_start_again_what_was_done_before() {
+    let mut b = placed_again();
+    b.commit();
+    b.report("w1", vec![], vec![end(1, FIRST, 1, EndKind::Done)]);
+    b.commit();
+    let mut next = Bench::take_over(b.committed.clone(), 2, b.now);
+    next.pass(Millis(10));
+    for name in ["w1", "w2"] {
+        next.report(name, vec![], vec![]);
+        next.commit();
+    }
+    next.pass(Millis(500));
+    assert_eq!(starts_of_first(&next), 0);
+}
+
+/// The first try was carried out and its answer lost; the run has ended since.
+#[test]
+fn a_run_that_ended_before_its_second_try_came_is_not_started_anew_before_its_end_is_told() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    b.join("w2", 4);
+    b.pass(Millis(500));
+    b.started("w1", FIRST, 1, Err(CallError::Refused(Refusal::Outdated)));
+    b.commit();
+    b.pass(Millis(10));
+    assert!(b.starts().iter().all(|(_, s)| s.run == 1));
+    b.report("w1", vec![], vec![end(1, FIRST, 1, EndKind::Done)]);
+    b.commit();
+    assert!(b.starts().iter().all(|(_, s)| s.run == 1));
+    assert_eq!(b.committed.job(job(1)).map(|j| j.state), Some(JobState::Completed));
+}
+
+/// Has a worker answer a renewal that was sent some time ago.
+fn report_late(b: &mut Bench, name: &str, sent_at: Millis) {
+    let report = Report { clock: b.now, running: vec![], ends: vec![] };
+    b.feed(Input::Renewed { worker: worker(name), sent_at, result: Ok(report) });
+    b.commit();
+}
+
+/// The report may have been made before the run began.
+#[test]
+fn a_report_asked_for_before_a_start_was_confirmed_says_nothing_of_that_run() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    let before = b.now;
+    b.now += Millis(50);
+    b.started("w1", FIRST, 1, DONE);
+    report_late(&mut b, "w1", before);
+    b.pass(Millis(500));
+    assert_eq!(b.starts().len(), 1);
+    assert_eq!(b.committed.job(job(1)).map(|j| j.placed()), Some(1));
+}
+
+/// The run may have begun after the report, and takes some time to stop.
+#[test]
+fn a_report_asked_for_before_a_stop_was_confirmed_says_nothing_of_that_run() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    b.pass(Millis(500));
+    b.started("w1", FIRST, 1, Err(CallError::Refused(Refusal::Ticket)));
+    let before = b.now;
+    b.now += Millis(50);
+    b.stopped("w1", FIRST, 1);
+    report_late(&mut b, "w1", before);
+    b.pass(Millis(500));
+    assert!(b.starts().iter().all(|(_, s)| s.run == 1));
+    assert_eq!(b.committed.job(job(1)).map(|j| j.placed()), Some(1));
+}
+
+#[test]
+fn a_stop_leaves_only_once_the_cancel_is_committed() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    b.started("w1", FIRST, 1, DONE);
+    b.call_path("/q/0000000000000001", Verb::Cancel);
+    tick_without_commit(&mut b, Millis(500));
+    assert!(b.stops().is_empty());
+    b.commit();
+    assert_eq!(b.stops(), vec![(worker("w1"), FIRST, 1)]);
+}
+
+#[test]
+fn a_start_without_an_answer_is_stopped_and_not_sent_again_once_its_job_was_cancelled() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    b.call_path("/q/0000000000000001", Verb::Cancel);
+    tick_without_commit(&mut b, Millis(500));
+    assert_eq!(b.starts().len(), 1, "not even before the cancel is committed");
+    b.commit();
+    b.pass(Millis(500));
+    assert_eq!(b.starts().len(), 1);
+    assert_stopped(&b, &("w1".into(), FIRST), 1);
+}
+
+#[test]
+fn a_start_that_waits_for_its_commit_does_not_leave_once_its_job_was_cancelled() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    cancel(&mut b);
+    assert!(b.starts().is_empty());
+    assert_eq!(b.committed.job(job(1)).map(|j| j.placed()), Some(0));
+}
+
+#[test]
+fn a_stop_without_an_answer_is_sent_again_until_it_is_confirmed() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    b.started("w1", FIRST, 1, DONE);
+    cancel(&mut b);
+    for tries in 1..=8 {
+        assert_eq!(b.stops().len(), tries);
+        let (worker, silent) = (worker("w1"), Err(SILENT()));
+        b.feed(Input::Stopped { worker, task: FIRST, run: 1, result: silent });
+        b.pass(Millis(100));
+    }
+    b.stopped("w1", FIRST, 1);
+    b.pass(Millis(500));
+    assert_eq!(b.stops().len(), 9);
+}
+
+/// The run is not in the log any more, and the worker begins it all the same.
+#[test]
+fn a_run_of_a_cancelled_job_that_a_worker_begins_late_is_stopped_as_often_as_it_is_listed() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    cancel(&mut b);
+    b.stopped("w1", FIRST, 1);
+    b.pass(Millis(10));
+    b.report("w1", vec![], vec![]);
+    b.commit();
+    assert_eq!(b.committed.job(job(1)).map(|j| j.placed()), Some(0));
+    for tries in 2..=4 {
+        b.pass(Millis(500));
+        b.report("w1", vec![row(FIRST, 1)], vec![]);
+        b.commit();
+        assert_eq!(b.stops().len(), tries);
+    }
+}
+
+#[test]
+fn a_new_leader_stops_what_its_predecessor_started_for_a_job_cancelled_since() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    b.started("w1", FIRST, 1, DONE);
+    cancel(&mut b);
+    // The stop was lost with the leader.
+    let mut next = Bench::take_over(b.committed.clone(), 2, b.now);
+    next.pass(Millis(10));
+    assert_eq!(next.stops(), vec![(worker("w1"), FIRST, 1)]);
+    let silent = Err(SILENT());
+    next.feed(Input::Stopped { worker: worker("w1"), task: FIRST, run: 1, result: silent });
+    next.report("w1", vec![row(FIRST, 1)], vec![]);
+    next.commit();
+    next.pass(Millis(100));
+    assert_eq!(next.stops().len(), 2, "until it is confirmed");
+}
+
+/// The predecessor's start was not in the log when the job was cancelled, or its run was settled.
+#[test]
+fn a_new_leader_stops_a_run_that_the_log_does_not_know() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    cancel(&mut b);
+    let mut next = Bench::take_over(b.committed.clone(), 2, b.now);
+    next.pass(Millis(10));
+    next.report("w1", vec![row(FIRST, 1)], vec![]);
+    next.commit();
+    assert_eq!(next.stops(), vec![(worker("w1"), FIRST, 1)]);
+}
+
+#[test]
+fn a_leaving_worker_is_given_nothing_by_a_later_plan() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    leave(&mut b, "w1");
+    b.submit(1, spec(vec![step(1)]));
+    let run = |b: &Bench| b.dispatcher.book().task(&FIRST).map(|t| t.run);
+    assert_eq!(run(&b), Some(0), "nor placed there only to be taken back");
+    b.commit();
+    b.pass(Millis(500));
+    assert!(b.starts().is_empty());
+    assert_eq!(run(&b), Some(0));
+}
+
+/// Gives a gang of two, one member on each of two workers, whose starts have left.
+fn gang_of_two() -> Bench {
+    let mut b = Bench::new("");
+    b.join("w1", 1);
+    b.join("w2", 1);
+    b.submit(1, spec(vec![StepSpec { gang: true, ..step(2) }]));
+    b.commit();
+    assert_eq!(b.starts().len(), 2);
+    b
+}
+
+/// Gives the worker and the key of each member.
+fn members(b: &Bench) -> [(String, TaskKey); 2] {
+    let member = |i: usize| (b.starts()[i].0.0.to_string(), b.starts()[i].1.task);
+    [member(0), member(1)]
+}
+
+#[test]
+fn the_rest_of_a_gang_is_stopped_once_a_member_was_refused() {
+    let mut b = gang_of_two();
+    let [first, second] = members(&b);
+    b.started(&first.0, first.1, 1, DONE);
+    b.started(&second.0, second.1, 1, Err(CallError::Refused(Refusal::Room)));
+    b.commit();
+    assert_stopped(&b, &first, 1);
+}
+
+#[test]
+fn the_rest_of_a_gang_is_stopped_once_a_member_surely_did_not_leave() {
+    let mut b = gang_of_two();
+    let [first, second] = members(&b);
+    b.started(&first.0, first.1, 1, DONE);
+    b.started(&second.0, second.1, 1, Err(CallError::NotSent("no connection".into())));
+    b.commit();
+    assert_stopped(&b, &first, 1);
+}
+
+#[test]
+fn the_rest_of_a_gang_is_stopped_once_a_members_worker_is_another_life() {
+    let mut b = gang_of_two();
+    let [first, second] = members(&b);
+    b.started(&first.0, first.1, 1, DONE);
+    b.renewal_fails(&second.0, CallError::Refused(Refusal::OtherLife));
+    b.commit();
+    assert_stopped(&b, &first, 1);
+}
+
+#[test]
+fn a_new_leader_stops_the_rest_of_a_gang_that_its_predecessor_started_in_part() {
+    let b = gang_of_two();
+    let [first, second] = members(&b);
+    let mut next = Bench::take_over(b.committed.clone(), 2, b.now);
+    next.pass(Millis(10));
+    next.report(&first.0, vec![row(first.1, 1)], vec![]);
+    next.report(&second.0, vec![], vec![]);
+    next.commit();
+    assert_stopped(&next, &first, 1);
+}
+
+#[test]
+fn a_gang_whose_member_is_not_heard_of_is_told_to_start_no_more_after_some_tries() {
+    let mut b = gang_of_two();
+    let [first, second] = members(&b);
+    b.started(&first.0, first.1, 1, DONE);
+    for _ in 0..20 {
+        answer_nothing(&mut b, &second.0, second.1, 1);
+        b.pass(Millis(100));
+        b.report(&first.0, vec![row(first.1, 1)], vec![]);
+        b.report(&second.0, vec![], vec![]);
+    }
+    assert!(b.stops().contains(&(worker(&second.0), second.1, 1)), "its fate must get known");
+    b.stopped(&second.0, second.1, 1);
+    b.pass(Millis(10));
+    b.report(&second.0, vec![], vec![]);
+    b.commit();
+    assert!(b.stops().contains(&(worker(&first.0), first.1, 1)));
+}
+
+#[test]
+fn a_gang_is_not_placed_while_one_of_its_last_runs_may_be_alive() {
+    let mut b = gang_of_two();
+    let [first, second] = members(&b);
+    b.started(&first.0, first.1, 1, DONE);
+    b.started(&second.0, second.1, 1, Err(CallError::Refused(Refusal::Late)));
+    b.commit();
+    b.join("w3", 8);
+    b.pass(Millis(500));
+    assert_eq!(b.starts().len(), 2, "the first member may be at work yet");
+    b.report(&first.0, vec![], vec![end(1, first.1, 1, EndKind::Alone)]);
+    b.commit();
+    b.pass(Millis(500));
+    assert_eq!(b.starts().iter().skip(2).map(|(_, s)| s.run).collect::<Vec<_>>(), vec![2, 2]);
+}
