Failing tests: orders that are due again forget that a worker leaves and that a cancel is not committed

Cause, two faults in resend_orders (dispatch/src/orders.rs): a start that had no answer is sent again without asking whether its worker has said that it is leaving, also seconds after that was acknowledged, if the worker was silent meanwhile; and a start that is due again and not wanted any more is stopped at once, before the cancel that the stop rests on is committed.

Not mended here, as others work on that code.

--- a/components/dispatch/tests/late_orders.rs
+++ b/components/dispatch/tests/late_orders.rs
@@ -300,6 +300,52 @@
     assert_eq!(run(&b), Some(0));
 }
 
+/// The first try may have been lost, and then the second would be the start.
+#[test]
+fn a_start_without_an_answer_is_stopped_and_not_sent_again_once_its_worker_is_leaving() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    leave(&mut b, "w1");
+    b.pass(Millis(500));
+    assert_eq!(b.starts().len(), 1);
+    assert_eq!(b.stops(), vec![(worker("w1"), FIRST, 1)]);
+}
+
+/// While a worker does not answer, orders to it wait, and it may say at another instance that it leaves.
+#[test]
+fn a_start_that_waited_for_a_silent_worker_is_not_sent_again_once_that_worker_is_leaving() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    b.renewal_fails("w1", SILENT());
+    leave(&mut b, "w1");
+    b.pass(Millis(3_000));
+    b.report("w1", vec![], vec![]);
+    b.pass(Millis(100));
+    assert_eq!(b.starts().len(), 1);
+    assert_eq!(b.stops(), vec![(worker("w1"), FIRST, 1)]);
+}
+
+/// A start that is due again is stopped in its place, which has to wait for the cancel as any stop does.
+#[test]
+fn a_stop_in_place_of_a_start_without_an_answer_leaves_only_once_the_cancel_is_committed() {
+    let mut b = Bench::new("");
+    b.join("w1", 4);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    answer_nothing(&mut b, "w1", FIRST, 1);
+    b.call_path("/q/0000000000000001", Verb::Cancel);
+    tick_without_commit(&mut b, Millis(500));
+    assert!(b.stops().is_empty());
+    b.commit();
+    assert_stopped(&b, &("w1".into(), FIRST), 1);
+}
+
 /// Gives a gang of two, one member on each of two workers, whose starts have left.
 fn gang_of_two() -> Bench {
     let mut b = Bench::new("");
