--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -14,12 +14,13 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use clock::Millis;
 use common::{Bench, news, row, spec, step, task};
 use dispatch::{AdviceAsk, RunRow};
 use model::Size;
-use workload::{StepSpec, WorkerId};
+use workload::{JobSpec, StepSpec, WorkerId};
 
 /// How long a call for advice takes, as the queues' policy says.
 const CALL: Millis = Millis(430);
@@ -39,8 +40,8 @@
 }
 
 impl Fleet {
-    fn new(callers: usize) -> Fleet {
-        let mut bench = Bench::new("advice, long");
+    fn new(config: &str, callers: usize) -> Fleet {
+        let mut bench = Bench::new(config);
         let names: Vec<String> = (0..callers).map(|i| format!("e{i}")).collect();
         bench.helpers(&names.iter().map(String::as_str).collect::<Vec<_>>());
         Fleet {
@@ -125,7 +126,7 @@
 #[test]
 fn a_backlog_that_waits_for_full_workers_leaves_calls_for_advice_to_a_job_whose_workers_are_free() {
     let whole = Size::new(16_000, 32_000, 8);
-    let mut f = Fleet::new(6);
+    let mut f = Fleet::new("advice, long", 6);
     f.join("full", 4, whole);
     f.join("free", 8, whole);
     for id in 1..=40 {
@@ -138,3 +139,37 @@
     f.pass(Millis(2_000));
     assert!(f.has_started(99), "a free call and its answer take less than a second");
 }
+
+/// A plan looks at a bounded number of open steps. What lies behind them must have its turn all the same.
+#[test]
+fn a_backlog_longer_than_a_plan_looks_at_does_not_hide_a_job_whose_workers_are_free() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("", 0);
+    f.join("full", 2, whole);
+    f.join("free", 2, whole);
+    for id in 1..=300 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.bench.submit_bulk(999, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(1_000));
+    assert!(f.has_started(999));
+}
+
+/// The rounds of a timed job are all known when it is accepted. Those that are not due are not work that waits.
+#[test]
+fn rounds_that_are_not_due_yet_do_not_hide_other_work() {
+    let mut f = Fleet::new("", 0);
+    f.join("free", 2, Size::new(16_000, 32_000, 8));
+    let timed = JobSpec {
+        spec: "text".into(),
+        steps: vec![step(1)],
+        rounds: 300,
+        first_due: f.bench.moment().wall + Millis(60_000),
+        interval: Millis(60_000),
+    };
+    f.bench.submit(1, Arc::new(timed));
+    f.bench.submit(2, spec(vec![step(1)]));
+    f.pass(Millis(100));
+    assert!(f.has_started(2));
+    assert!(!f.has_started(1));
+}
