Let a plan also look at some steps behind the most urgent ones, by turns, and at due rounds only

Cause: a plan took the first 200 open steps in the order of urgency, whether they could start or not. 300 steps for full workers hid a job for free ones until some of them had run, and the rounds of a timed job counted although they were not due: one urgent job of 300 rounds stopped everything else for good.

Change: as many urgent steps as before, plus 50 of those behind by turns; rounds that are not due are passed over, and with them the later rounds of their job. Steps looked at by turns get calls for advice only if a task could start. No change where at most 200 steps are open and nothing is timed.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
 use crate::place::Need;
 use crate::speed::StepSpeeds;
 use crate::view::{Order, Stage, View};
+use crate::window::Window;
 
 /// Names a call until it is answered.
 pub type Token = u64;
@@ -243,6 +244,7 @@
     pub(crate) looks: u64,
     /// For how many steps the plan under way has looked for room to be kept free.
     pub(crate) rooms_made: u32,
+    pub(crate) window: Window,
     /// How many steps that wanted advice waited for room in the last plan.
     pub(crate) waiting_for_room: u64,
     /// The steps of the plan under way that want advice and wait for room, with whom a call would name if
@@ -285,6 +287,7 @@
             looks: 0,
             put_back: Vec::new(),
             waiting_for_room: 0,
+            window: Window::default(),
         };
         d.inherit(m);
         d
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod speed;
 mod stragglers;
 mod view;
+mod window;
 mod workers;
 
 pub use advice::AdviceAsk;
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -17,10 +17,8 @@
 };
 use crate::seats::{Seated, fits, most_more};
 use crate::view::{Order, Stage, View};
+use crate::window::Looked;
 
-/// The most open steps that are looked at in one go, the most urgent first. It bounds the time that
-/// a decision takes when far more waits than can run.
-const MOST_STEPS: usize = 200;
 /// For what part of a ticket's time advice on a step may come before the step is likely to open.
 /// Declared run times are often too long, and advice that comes too early costs another call, while
 /// advice that comes too late costs its whole time.
@@ -52,21 +50,22 @@
     /// Gives out what can be given out, and asks for the advice that is missing. Gives what that took,
     /// in looks at a worker.
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
-        let mut open: Vec<OpenStep> = self.book.open().iter().take(MOST_STEPS).copied().collect();
-        self.looks = open.len() as u64 * LOOKS_A_STEP;
-        open.sort_by_cached_key(|e| self.urgency(m, e));
+        let Looked { mut urgent, mut by_turns, passed_over } = self.look_at(m);
+        let steps = (urgent.len() + by_turns.len()) as u64;
+        self.looks = passed_over + steps * LOOKS_A_STEP;
+        urgent.sort_by_cached_key(|e| self.urgency(m, e));
+        by_turns.sort_by_cached_key(|e| self.urgency(m, e));
         self.scans = 0;
         self.without_caller = 0;
         self.kept_free.clear();
         self.rooms_made = 0;
         self.put_back.clear();
         let mut orders = self.orders_under_way();
-        for entry in open {
-            if orders >= MOST_ORDERS {
-                break;
-            }
-            orders += self.plan_step(m, entry);
-        }
+        self.plan_steps(m, urgent, &mut orders);
+        // Tickets are kept at hand for those that come first when room does.
+        let waiting = self.put_back.len();
+        self.plan_steps(m, by_turns, &mut orders);
+        self.put_back.truncate(waiting);
         self.ask_for_waiting(m);
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
@@ -74,13 +73,30 @@
         self.looks
     }
 
+    /// Chooses the open steps that a plan looks at.
+    fn look_at(&mut self, m: Moment) -> Looked {
+        let mut window = std::mem::take(&mut self.window);
+        let is_due =
+            |key: &StepKey| self.book.job(key.job).is_some_and(|j| m.wall >= j.spec.due(key.round));
+        let looked = window.next(self.book.open(), is_due);
+        self.window = window;
+        looked
+    }
+
+    /// Places what it can of some steps, and adds the tasks to the starts under way.
+    fn plan_steps(&mut self, m: Moment, steps: Vec<OpenStep>, orders: &mut usize) {
+        for entry in steps {
+            if *orders >= MOST_ORDERS {
+                break;
+            }
+            *orders += self.plan_step(m, entry);
+        }
+    }
+
     /// Places what it can of a step; gives how many tasks that were.
     fn plan_step(&mut self, m: Moment, entry: OpenStep) -> usize {
         let key = entry.key;
         let Some(job) = self.book.job(key.job) else { return 0 };
-        if m.wall < job.spec.due(key.round) {
-            return 0;
-        }
         self.desk.forget_ahead(&key);
         let (queue, job) = (job.queue.clone(), job.spec.clone());
         let spec = &job.steps[key.step as usize];
--- /dev/null
+++ b/components/dispatch/src/window.rs
@@ -0,0 +1,90 @@
+//! Which open steps a plan looks at.
+//!
+//! Load pattern: hundreds of steps wait, and the most urgent of them can start nowhere, because the workers
+//! that they need are full or gone. A plan that looked at the most urgent ones only would never come to those
+//! behind, however many workers are free for them. So each plan also looks at some of the rest, by turns.
+
+use std::collections::BTreeSet;
+use std::ops::Bound;
+
+use workload::{JobId, OpenStep, StepKey};
+
+/// How many of the most urgent steps every plan looks at. It bounds the time that a plan takes when far more
+/// waits than can run.
+const MOST_URGENT: usize = 200;
+/// How many of the steps behind those a plan looks at: with 20 plans a second each of 1,000 such steps has
+/// its turn every second, for a quarter of a plan's time more.
+const BY_TURNS: usize = 50;
+
+/// Where the turns of the steps behind the most urgent ones have come to.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Window {
+    last_turn: Option<OpenStep>,
+}
+
+/// The steps that a plan looks at.
+pub(crate) struct Looked {
+    /// The most urgent ones.
+    pub(crate) urgent: Vec<OpenStep>,
+    /// Those whose turn it is.
+    pub(crate) by_turns: Vec<OpenStep>,
+    /// How many jobs were passed over because no round of theirs is due.
+    pub(crate) passed_over: u64,
+}
+
+impl Window {
+    /// Gives the steps that the next plan looks at. `is_due` tells whether a step's round is due.
+    pub(crate) fn next(
+        &mut self,
+        open: &BTreeSet<OpenStep>,
+        is_due: impl Fn(&StepKey) -> bool,
+    ) -> Looked {
+        let mut due = DueSteps { open, is_due, from: Bound::Unbounded, passed_over: 0 };
+        let urgent: Vec<OpenStep> = due.by_ref().take(MOST_URGENT).collect();
+        let Some(last_urgent) = urgent.last().copied().filter(|_| urgent.len() == MOST_URGENT)
+        else {
+            self.last_turn = None;
+            return Looked { urgent, by_turns: Vec::new(), passed_over: due.passed_over };
+        };
+        let behind = self.last_turn.filter(|t| *t > last_urgent).unwrap_or(last_urgent);
+        due.from = Bound::Excluded(behind);
+        let mut by_turns: Vec<OpenStep> = due.by_ref().take(BY_TURNS).collect();
+        // Behind the last one the turns begin anew.
+        due.from = Bound::Excluded(last_urgent);
+        let anew = due.by_ref().take_while(|e| *e <= behind).take(BY_TURNS - by_turns.len());
+        by_turns.extend(anew);
+        self.last_turn = by_turns.last().copied();
+        Looked { urgent, by_turns, passed_over: due.passed_over }
+    }
+}
+
+/// Goes through the open steps whose round is due.
+struct DueSteps<'a, F> {
+    open: &'a BTreeSet<OpenStep>,
+    is_due: F,
+    from: Bound<OpenStep>,
+    passed_over: u64,
+}
+
+impl<F: Fn(&StepKey) -> bool> Iterator for DueSteps<'_, F> {
+    type Item = OpenStep;
+
+    fn next(&mut self) -> Option<OpenStep> {
+        loop {
+            let entry = *self.open.range((self.from, Bound::Unbounded)).next()?;
+            if (self.is_due)(&entry.key) {
+                self.from = Bound::Excluded(entry);
+                return Some(entry);
+            }
+            // The later rounds of the job are not due either.
+            self.passed_over += 1;
+            self.from = Bound::Included(first_of(entry.priority, entry.order + 1));
+        }
+    }
+}
+
+/// Gives what stands before all steps of the job at a place in the order of acceptance.
+fn first_of(priority: u8, order: u64) -> OpenStep {
+    let key = StepKey { job: JobId(0), round: 0, step: 0 };
+    OpenStep { priority, order, key }
+}
