--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -173,3 +173,23 @@
     assert!(f.has_started(2));
     assert!(!f.has_started(1));
 }
+
+/// Room is kept free for a bounded number of large tasks in a plan. Those that wait for some workers must not
+/// use that up for tasks on others: small tasks would take each part of the room there as it comes.
+#[test]
+fn large_tasks_that_wait_for_full_workers_leave_room_to_be_kept_for_one_elsewhere() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let part = Size::new(4_000, 4_000, 0);
+    let mut f = Fleet::new("", 0);
+    f.join("full", 2, whole);
+    f.join("other", 1, whole);
+    f.bench.submit_bulk(1, spec(vec![lengthy("other", part)]));
+    for id in 2..=40 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.bench.submit_bulk(50, spec(vec![lengthy("other", whole)]));
+    f.bench.submit_bulk(51, spec(vec![lengthy("other", part)]));
+    f.pass(Millis(1_000));
+    assert!(f.has_started(1) && !f.has_started(50));
+    assert!(!f.has_started(51), "it would take the room that the earlier task waits for");
+}
