Keep room free for 20 large steps that wait for the same workers, not for 20 in all

Cause: the bound on the work of a plan counted every large step, so tasks that wait for one service's or label's full workers left none of it to large tasks elsewhere, whose room smaller ones then took.

Change: the count is kept for each service and label. The work of a plan grows by the number of those, which is small; what it looks at is charged to it as before.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -17,6 +17,7 @@
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
 use crate::place::Need;
+use crate::room::Sought;
 use crate::speed::StepSpeeds;
 use crate::view::{Order, Stage, View};
 use crate::window::Window;
@@ -242,8 +243,9 @@
     pub(crate) kept_free: BTreeMap<WorkerId, Size>,
     /// What the plan under way has taken so far, in looks at a worker.
     pub(crate) looks: u64,
-    /// For how many steps the plan under way has looked for room to be kept free.
-    pub(crate) rooms_made: u32,
+    /// For how many steps the plan under way has looked for room to be kept free, by whom they wait for.
+    pub(crate) rooms_made: BTreeMap<Sought, u32>,
+    /// Which open steps plans look at.
     pub(crate) window: Window,
     /// How many steps that wanted advice waited for room in the last plan.
     pub(crate) waiting_for_room: u64,
@@ -283,7 +285,7 @@
             scans: 0,
             without_caller: 0,
             kept_free: BTreeMap::new(),
-            rooms_made: 0,
+            rooms_made: BTreeMap::new(),
             looks: 0,
             put_back: Vec::new(),
             waiting_for_room: 0,
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -173,8 +173,8 @@
 /// From what part of the largest worker on a task counts as large, so that room is kept free for it:
 /// as one in so many. A smaller one fits into what any end leaves.
 pub(crate) const LARGE_PART: u64 = 4;
-/// For how many steps a plan keeps room free. Each looks through all workers, and later ones rarely find
-/// one that is not waited for already.
+/// For how many steps that wait for the same workers a plan keeps room free. Each looks through all workers,
+/// and later ones rarely find one that is not waited for already.
 pub(crate) const MOST_ROOMS_MADE: u32 = 20;
 /// How much time a job must have to spare for one of its runs to be stopped for another: the stop, a call
 /// for advice, the restart from its progress, and a wait for room as long as a batch task runs.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -58,7 +58,7 @@
         self.scans = 0;
         self.without_caller = 0;
         self.kept_free.clear();
-        self.rooms_made = 0;
+        self.rooms_made.clear();
         self.put_back.clear();
         let mut orders = self.orders_under_way();
         self.plan_steps(m, urgent, &mut orders);
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -7,7 +7,7 @@
 
 use clock::Millis;
 use events::kinds;
-use model::{Dimension, Size};
+use model::{Dimension, Name, Size};
 use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
 use crate::dispatcher::{Dispatcher, Moment};
@@ -15,6 +15,14 @@
 use crate::seats::most_more;
 use crate::view::{Stage, View};
 
+/// Which workers a step may go to, whatever room they have. Steps that wait for some workers must not use up
+/// what a plan does for those that wait for others.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Sought {
+    service: Name,
+    label: Option<Name>,
+}
+
 /// A run that may be stopped for another.
 struct Victim {
     task: TaskKey,
@@ -103,7 +111,11 @@
         by_advice: bool,
     ) {
         let off = !self.limits.mechanisms.keeps_room;
-        if off || spec.filler || self.rooms_made >= MOST_ROOMS_MADE {
+        if off || spec.filler {
+            return;
+        }
+        let Some(sought) = self.sought(key, spec) else { return };
+        if self.rooms_made.get(&sought).is_some_and(|made| *made >= MOST_ROOMS_MADE) {
             return;
         }
         // Going through all workers for each step that waits would take a quarter of the leader's processor
@@ -119,7 +131,7 @@
         let places = ids.into_iter().filter_map(|id| self.place(m, key, spec, id));
         let mut places: Vec<Place> = places.collect();
         self.looks += places.len() as u64;
-        self.rooms_made += 1;
+        *self.rooms_made.entry(sought).or_default() += 1;
         for _ in 0..tasks {
             let waits = places.iter_mut().filter_map(|p| Some((p.wait(&spec.size)?, p)));
             match waits.min_by_key(|(wait, _)| *wait) {
@@ -138,6 +150,11 @@
         }
     }
 
+    fn sought(&self, key: &StepKey, spec: &StepSpec) -> Option<Sought> {
+        let service = self.book.job(key.job)?.service.clone();
+        Some(Sought { service, label: spec.constraint.clone() })
+    }
+
     fn preempt(&mut self, worker: &WorkerId, wanted_for: &StepKey, victim: &Victim) {
         let details = format!("run={} worker={worker} for={wanted_for}", victim.run);
         self.note(&kinds::RUN_PREEMPTED, victim.task, details);
