Look again for room a few steps at a time, those first that have waited the longest

Cause: a step found waiting for room was looked at as one that might start again after 500 ms. A plan that has a free instance to call takes ten looks; where instances come free four times in 430 ms, 40 such steps used up all looks, and a step that could start got none.

A worker that joins is found by a backlog within two seconds.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -11,7 +11,7 @@
 use crate::limits::{
     ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_PAUSE,
     ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK, HELPER_REST,
-    HELPERS_A_RESERVED, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    HELPERS_A_RESERVED, LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
 
 /// Gives what a call that names so many workers takes, in milliseconds.
@@ -52,8 +52,15 @@
     barred: BTreeSet<WorkerId>,
     asked: Option<u64>,
     next_at: Millis,
-    /// Until when the step counts as one that waits for room: the last look found nobody who has some.
-    waits_for_room_until: Millis,
+    /// If the last look found nobody with room.
+    waiting: Option<WaitForRoom>,
+}
+
+/// A step for which no room was found.
+#[derive(Clone, Copy, Debug)]
+struct WaitForRoom {
+    looked_at: Millis,
+    policy: AdvicePolicy,
 }
 
 impl StepAdvice {
@@ -124,6 +131,8 @@
     resting: BTreeMap<InstanceId, Millis>,
     rates: BTreeMap<Name, Rate>,
     next_id: u64,
+    /// The steps that wait for room and that the plan under way looks at again as if they could start.
+    again: BTreeSet<StepKey>,
     /// When advice on steps that are not open yet is to be asked for.
     ahead: BTreeMap<StepKey, (Millis, OpenStep)>,
 }
@@ -228,19 +237,51 @@
         !self.steps.get(step).is_some_and(waits)
     }
 
-    /// Tells whether a step surely waits for room, so that a call on it would not let a task start.
-    pub(crate) fn waits_for_room(&self, step: &StepKey, now: Millis) -> bool {
-        self.steps.get(step).is_some_and(|s| now < s.waits_for_room_until)
+    /// Tells whether a step waits for room, so that a call on it would let no task start.
+    pub(crate) fn waits_for_room(&self, step: &StepKey) -> bool {
+        let waits = self.steps.get(step).is_some_and(|s| s.waiting.is_some());
+        waits && !self.again.contains(step)
+    }
+
+    /// Has some of these steps looked at again in the plan that begins: those that have waited for room the
+    /// longest since their last look, if a call on them could be made. Room may have come where they hold no
+    /// ticket.
+    pub(crate) fn look_again<'a>(
+        &mut self,
+        now: Millis,
+        steps: impl Iterator<Item = &'a StepKey>,
+        most: usize,
+    ) {
+        let looked_at = |key: &StepKey| {
+            let waiting = self.steps.get(key)?.waiting?;
+            let rested = now >= waiting.looked_at + LOOK_FOR_ROOM_AGAIN;
+            (rested && self.may_ask(key, &waiting.policy, now)).then_some(waiting.looked_at)
+        };
+        let mut waiting: Vec<(Millis, StepKey)> =
+            steps.filter_map(|key| Some((looked_at(key)?, *key))).collect();
+        waiting.sort_unstable();
+        self.again.extend(waiting.into_iter().take(most).map(|(_, key)| key));
+    }
+
+    /// Forgets which steps the last plan was to look at again.
+    pub(crate) fn begin_plan(&mut self) {
+        self.again.clear();
     }
 
-    /// Chooses whom a call on a step is to name, if one is worth it. If no task could start there, the step
-    /// counts as one that waits for room until `waits_until`.
+    /// Notes that a step has no tasks left that wait.
+    pub(crate) fn all_placed(&mut self, step: &StepKey) {
+        if let Some(known) = self.steps.get_mut(step) {
+            known.waiting = None;
+        }
+    }
+
+    /// Chooses whom a call on a step is to name, if one is worth it, and notes whether a task could start
+    /// there.
     pub(crate) fn choose(
         &mut self,
         now: Millis,
         want: &Want<'_>,
         prospects: Vec<Prospect>,
-        waits_until: Millis,
     ) -> Option<Choice> {
         let known = self.steps.entry(want.step).or_default();
         let fits = |p: &Prospect| p.fits.min(want.tasks);
@@ -255,9 +296,8 @@
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let room_to_ask_about = open.iter().any(|p| p.fits > 0);
         let has_room = room_to_ask_about && (!want.gang || room >= want.tasks);
-        if !has_room {
-            known.waits_for_room_until = waits_until;
-        }
+        let waits = WaitForRoom { looked_at: now, policy: want.policy };
+        known.waiting = (!has_room).then_some(waits);
         let workers = choose(want, open, &known.allowed, rate);
         if workers.is_empty() {
             known.next_at = known.next_look(now, renewal);
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -247,8 +247,6 @@
     pub(crate) rooms_made: BTreeMap<Sought, u32>,
     /// Which open steps plans look at.
     pub(crate) window: Window,
-    /// How many steps that wanted advice waited for room in the last plan.
-    pub(crate) waiting_for_room: u64,
     /// The steps of the plan under way that want advice and wait for room, with whom a call would name if
     /// that was looked up, the most urgent first.
     pub(crate) put_back: Vec<(Need, Option<Choice>)>,
@@ -288,7 +286,6 @@
             rooms_made: BTreeMap::new(),
             looks: 0,
             put_back: Vec::new(),
-            waiting_for_room: 0,
             window: Window::default(),
         };
         d.inherit(m);
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -122,9 +122,9 @@
 /// For how long at least a step for which no room was found is not looked at as one that might start. Room
 /// that comes where no ticket is at hand is found this late, while each look goes through all workers.
 pub(crate) const LOOK_FOR_ROOM_AGAIN: Millis = Millis(500);
-/// By how much each step that waits for room makes that longer: 100 such looks a second leave half of those
-/// that 20 plans a second may take to the steps behind.
-pub(crate) const LOOK_PAUSE_A_STEP: Millis = Millis(10);
+/// How many such steps a plan looks at again: half of the looks that it may take, so that the other half is
+/// left to steps that were not looked at yet.
+pub(crate) const MOST_LOOKS_AGAIN: usize = MOST_SCANS as usize / 2;
 /// How many looks at a worker a plan may take in a millisecond, on average: each takes about a microsecond
 /// of a whole processor, of which the leader has less than half, so that a backlog never keeps it from
 /// taking in answers.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -12,9 +12,7 @@
 
 use crate::advice::{Choice, Prospect, Want, cost_ms};
 use crate::dispatcher::{Action, Dispatcher, Moment};
-use crate::limits::{
-    LOOK_FOR_ROOM_AGAIN, LOOK_PAUSE_A_STEP, LOOKS_A_STEP, MOST_ORDERS, MOST_SCANS,
-};
+use crate::limits::{LOOKS_A_STEP, MOST_LOOKS_AGAIN, MOST_ORDERS, MOST_SCANS};
 use crate::seats::{Seated, fits, most_more};
 use crate::view::{Order, Stage, View};
 use crate::window::Looked;
@@ -60,6 +58,9 @@
         self.kept_free.clear();
         self.rooms_made.clear();
         self.put_back.clear();
+        self.desk.begin_plan();
+        self.desk.look_again(m.now, urgent.iter().map(|e| &e.key), MOST_LOOKS_AGAIN);
+        self.desk.look_again(m.now, by_turns.iter().map(|e| &e.key), by_turns.len());
         let mut orders = self.orders_under_way();
         self.plan_steps(m, urgent, &mut orders);
         // Tickets are kept at hand for those that come first when room does.
@@ -115,6 +116,7 @@
             self.give_out(m, &key, spec, placed, next_run);
         }
         if left == 0 {
+            self.desk.all_placed(&key);
             self.look_ahead(m, entry);
             return found;
         }
@@ -289,7 +291,7 @@
     /// step is put back: steps that wait for room would use up all calls there are, however many workers are
     /// free for the steps behind them.
     fn ask(&mut self, m: Moment, need: Need) {
-        if self.desk.waits_for_room(&need.key, m.now) {
+        if self.desk.waits_for_room(&need.key) {
             self.put_back.push((need, None));
             return;
         }
@@ -308,9 +310,7 @@
     /// Has tickets at hand for steps that wait for room, the most urgent first, as far as the steps that
     /// could start have left instances free to make calls.
     fn ask_for_waiting(&mut self, m: Moment) {
-        let put_back = std::mem::take(&mut self.put_back);
-        self.waiting_for_room = put_back.len() as u64;
-        for (need, choice) in put_back {
+        for (need, choice) in std::mem::take(&mut self.put_back) {
             let choice = match choice {
                 Some(choice) => Some(choice),
                 None if self.may_scan(m, &need) => self.choose(m, &need),
@@ -325,14 +325,7 @@
     fn choose(&mut self, m: Moment, need: &Need) -> Option<Choice> {
         self.scans += 1;
         let prospects = self.prospects(m, &need.key, need.spec());
-        let waits_until = m.now + self.look_again_after();
-        self.desk.choose(m.now, &need.want(), prospects, waits_until)
-    }
-
-    /// Gives after what time a step that waits for room is looked at again: the more of them there are, the
-    /// later, so that they do not use up the looks of all plans either.
-    fn look_again_after(&self) -> Millis {
-        LOOK_FOR_ROOM_AGAIN.max(Millis(LOOK_PAUSE_A_STEP.0 * self.waiting_for_room))
+        self.desk.choose(m.now, &need.want(), prospects)
     }
 
     fn call(&mut self, m: Moment, need: &Need, choice: Choice) {
--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -57,8 +57,8 @@
 
     /// Lets workers join that bear a label.
     fn join(&mut self, label: &str, count: usize, capacity: Size) {
-        for i in 0..count {
-            let name = format!("{label}-{i}");
+        for _ in 0..count {
+            let name = format!("{label}-{}", self.workers.len());
             let mut news = news(&name, 1);
             news.info.capacity = capacity;
             news.info.labels = vec![label.into()];
@@ -193,3 +193,36 @@
     assert!(f.has_started(1) && !f.has_started(50));
     assert!(!f.has_started(51), "it would take the room that the earlier task waits for");
 }
+
+/// A gang needs room for all of its tasks at once. Some room for it is not a reason to ask before others.
+#[test]
+fn gangs_that_find_room_for_a_part_only_leave_calls_for_advice_to_others() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", 6);
+    f.join("few", 3, whole);
+    f.join("free", 2, whole);
+    let gang = StepSpec { count: 4, gang: true, ..lengthy("few", whole) };
+    for id in 1..=40 {
+        f.bench.submit_mid(id, spec(vec![gang.clone()]));
+    }
+    f.pass(Millis(8_000));
+    f.bench.submit_bulk(99, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(2_000));
+    assert!(f.has_started(99));
+}
+
+/// Steps that wait for room are asked for last, so room that comes where they hold no ticket has to be found.
+#[test]
+fn a_worker_that_joins_is_found_by_a_backlog_that_waits_for_room() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", 6);
+    f.join("full", 4, whole);
+    for id in 1..=40 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.pass(Millis(8_000));
+    f.join("full", 1, whole);
+    f.pass(Millis(2_000));
+    let started = (1..=40).filter(|id| f.has_started(*id)).count();
+    assert_eq!(started, 5);
+}
