Untie gang from planner and index from ledger in placement

Tied: `planner` held the `Reservation` that `gang` defined, and `gang` used `planner`; `ledger` kept the `FreeIndex` of `index`, which used the `WorkerIndex` that `ledger` defined.

Change: `Reservation` stands in `reservation`, `WorkerIndex` and `WorkerInfo` in `worker`, both below the modules that use them. What the crate exports is the same, and so is its behaviour.

--- a/components/placement/src/baseline.rs
+++ b/components/placement/src/baseline.rs
@@ -1,7 +1,8 @@
 //! Plain versions to compare with: the same decision without an index, and two naive policies.
 
-use crate::ledger::{Ledger, WorkerIndex};
+use crate::ledger::Ledger;
 use crate::search::{Ask, preference_key};
+use crate::worker::WorkerIndex;
 
 /// A naive policy.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/components/placement/src/gang.rs
+++ b/components/placement/src/gang.rs
@@ -3,26 +3,16 @@
 //! A gang that does not fit gets a reservation: the workers that can hold it soonest, and when. No
 //! capacity is taken. Other work may start on those workers only if it is expected to end in time.
 
-use std::collections::BTreeSet;
-
 use clock::Millis;
-use model::{JobName, JobSpec, Size};
+use model::{JobSpec, Size};
 
-use crate::ledger::WorkerIndex;
 use crate::planner::Planner;
+use crate::reservation::Reservation;
+use crate::worker::WorkerIndex;
 
 /// How long a reservation stands before it is worked out again.
 const REFRESH: Millis = Millis(1_000);
 
-/// The workers that a gang waits for.
-#[derive(Clone, Debug)]
-pub(crate) struct Reservation {
-    pub(crate) job: JobName,
-    pub(crate) workers: BTreeSet<WorkerIndex>,
-    pub(crate) starts_by: Millis,
-    pub(crate) made_at: Millis,
-}
-
 impl Planner {
     /// Tells whether a task of `spec` that ends at `end` must stay off worker `ix`.
     pub(crate) fn is_kept_for_gang(&self, spec: &JobSpec, ix: WorkerIndex, end: Millis) -> bool {
--- a/components/placement/src/index.rs
+++ b/components/placement/src/index.rs
@@ -8,7 +8,7 @@
 
 use model::Size;
 
-use crate::ledger::WorkerIndex;
+use crate::worker::WorkerIndex;
 
 /// Classes for each doubling of an amount.
 const CLASSES_PER_DOUBLING: u64 = 2;
--- a/components/placement/src/ledger.rs
+++ b/components/placement/src/ledger.rs
@@ -5,21 +5,7 @@
 use model::{Name, Size};
 
 use crate::index::FreeIndex;
-
-/// A worker's place in the ledger.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct WorkerIndex(pub u32);
-
-/// What the platform tells of a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct WorkerInfo {
-    /// Its name.
-    pub name: Name,
-    /// Its rack.
-    pub rack: Name,
-    /// What it has.
-    pub total: Size,
-}
+use crate::worker::{WorkerIndex, WorkerInfo};
 
 #[derive(Clone, Debug)]
 struct Slot {
--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -11,11 +11,14 @@
 mod planner;
 mod preempt;
 mod queue;
+mod reservation;
 mod search;
+mod worker;
 
 pub use baseline::{Baseline, place_plainly};
 pub use estimate::Estimator;
-pub use ledger::{Ledger, WorkerIndex, WorkerInfo};
+pub use ledger::Ledger;
 pub use planner::{Decision, Placed, Planner, Policy};
 pub use queue::{Bundle, Queue};
 pub use search::{Ask, Preference, SpreadCounts};
+pub use worker::{WorkerIndex, WorkerInfo};
--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -8,10 +8,11 @@
 
 use crate::baseline::Baseline;
 use crate::estimate::Estimator;
-use crate::gang::Reservation;
-use crate::ledger::{Ledger, WorkerIndex};
+use crate::ledger::Ledger;
 use crate::queue::Queue;
+use crate::reservation::Reservation;
 use crate::search::{Ask, NO_TASKS, Preference, SpreadCounts};
+use crate::worker::WorkerIndex;
 
 /// How many stuck jobs of one team are passed over in one round before its line is left alone.
 const LOOK_PAST: usize = 64;
--- a/components/placement/src/preempt.rs
+++ b/components/placement/src/preempt.rs
@@ -4,8 +4,9 @@
 
 use model::{Class, JobKind, JobSpec, Size, TaskId};
 
-use crate::ledger::{WorkerIndex, copies};
+use crate::ledger::copies;
 use crate::planner::{Decision, Planner};
+use crate::worker::WorkerIndex;
 
 /// How many workers are looked at for one urgent task.
 const MAX_LOOKED_AT: usize = 512;
--- a/components/placement/src/search.rs
+++ b/components/placement/src/search.rs
@@ -5,7 +5,8 @@
 use model::{Name, Size};
 
 use crate::index::weight;
-use crate::ledger::{Ledger, WorkerIndex};
+use crate::ledger::Ledger;
+use crate::worker::WorkerIndex;
 
 /// Which of the workers that fit is taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
