Untie the wait queue from the router in routing

Tied: `router` keeps the `WaitQueue` of `queue`, which used the `RequestInfo` that `router` defined.

Change: `RequestInfo` stands in `request`, below both. What the crate exports is the same, and so is its behaviour.

--- a/components/routing/src/queue.rs
+++ b/components/routing/src/queue.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use model::Class;
 
-use crate::router::RequestInfo;
+use crate::request::RequestInfo;
 
 /// A request that waits.
 #[derive(Clone, Debug)]
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -11,6 +11,7 @@
 use crate::budget::RetryBudget;
 use crate::pick::{Candidate, Pick};
 use crate::queue::{WaitQueue, Waiting};
+use crate::request::RequestInfo;
 use crate::share::{ShareWay, base_share};
 use crate::upstream::{MICROS, Target, TargetState};
 
@@ -43,19 +44,6 @@
     pub retry_percent: u32,
 }
 
-/// A request as the router sees it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RequestInfo {
-    /// The router's own number for it.
-    pub id: u64,
-    /// Its class.
-    pub class: Class,
-    /// When its answer is of no more use.
-    pub deadline: Millis,
-    /// Upstreams that it has been to.
-    pub tried: BTreeSet<Name>,
-}
-
 /// What becomes of a request that arrives.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Admission {
