Untie jobs and sync from the allocator in zone

Tied: `allocator` keeps the `HeldJob` of `jobs` and the `WorkerLink` of `sync`, and both modules used the `Allocator`.

Change: `HeldJob` stands in `held_job` and `WorkerLink` in `link`; neither knows the allocator. `jobs` and `sync` are left with what the allocator does about them. Behaviour is the same.

--- a/components/zone/src/allocator.rs
+++ b/components/zone/src/allocator.rs
@@ -10,9 +10,9 @@
 use upstream::{ListedWorker, SyncRequest, WorkerState};
 
 use crate::health::{Health, Standing};
-use crate::jobs::HeldJob;
+use crate::held_job::HeldJob;
 use crate::lease::Right;
-use crate::sync::WorkerLink;
+use crate::link::WorkerLink;
 
 /// How many starts one tick may decide, so that a tick stays short.
 const STARTS_PER_TICK: usize = 2_000;
--- a/components/zone/src/jobs.rs
+++ b/components/zone/src/jobs.rs
@@ -1,41 +1,15 @@
-//! The jobs whose tasks this zone holds.
+//! Taking in what the cell says of jobs and their tasks.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use cell::{Job, TaskEnd, TaskOutcome};
 use clock::Millis;
-use model::{JobName, JobSpec, TaskId};
+use model::{JobName, TaskId};
 use upstream::RunningTask;
 
 use crate::allocator::Allocator;
-
-/// A job of which this zone holds tasks.
-#[derive(Clone, Debug)]
-pub(crate) struct HeldJob {
-    pub(crate) spec: Arc<JobSpec>,
-    pub(crate) generation: u64,
-    /// The tasks that this zone holds and that have not ended.
-    open: BTreeSet<u32>,
-    /// The not repeatable tasks that the cell knows as perhaps started.
-    claimed: BTreeSet<u32>,
-    /// When this zone took the job in; waits are told from here.
-    pub(crate) since: Millis,
-}
-
-impl HeldJob {
-    pub(crate) fn holds(&self, index: u32) -> bool {
-        self.open.contains(&index)
-    }
-
-    pub(crate) fn is_claimed(&self, index: u32) -> bool {
-        self.claimed.contains(&index)
-    }
-
-    pub(crate) fn open_tasks(&self) -> impl Iterator<Item = u32> {
-        self.open.iter().copied()
-    }
-}
+use crate::held_job::HeldJob;
 
 impl Allocator {
     /// Takes in a job that was created, moved or cancelled, or that was there before this epoch.
--- a/components/zone/src/lib.rs
+++ b/components/zone/src/lib.rs
@@ -5,8 +5,10 @@
 
 mod allocator;
 mod health;
+mod held_job;
 mod jobs;
 mod lease;
+mod link;
 mod reports;
 mod sync;
 
