Untie leading from control in node

Tied: `control` held the `Leading` of `leading`, which used the `Control`, `Event` and `TICK` that `control` defined; `entry`, the other role, took its constants from `control`.

Change: what an instance holds for a term stands in `leader_term` and keeps its fields to itself, the events of a control instance in `control_event`, and the times of both roles in `timing`, where the tick stands once. Behaviour is the same.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -16,8 +16,9 @@
 use workload::PolicyReader;
 
 use crate::advising::{AdviceCall, spawn_advice};
+use crate::control_event::ControlEvent;
 use crate::gate::{Arrival, Gate, Signal};
-use crate::leading::Leading;
+use crate::leader_term::LeaderTerm;
 use crate::leaving::LeavingWaits;
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
 use crate::log_store::{self, OpenedLog};
@@ -27,14 +28,9 @@
 use crate::ports::Ports;
 use crate::relay::{Relay, RelayAction};
 use crate::settings::NodeSettings;
+use crate::timing::{LAST_ANSWERS, READ_SETTINGS_EVERY, TICK};
 use crate::waiters::Waiters;
 
-/// How often time passes when nothing happens.
-pub(crate) const TICK: Millis = Millis(50);
-/// How long answers that were just handed out take to leave.
-pub(crate) const LAST_ANSWERS: Millis = Millis(100);
-/// How often the settings file is looked at: it may change without a signal.
-pub(crate) const READ_SETTINGS_EVERY: Millis = Millis(2_000);
 /// How often the gauges are set.
 const MEASURE_EVERY: Millis = Millis(1_000);
 /// How long an announcement is told to new leaders: a little more than two of a worker's periods.
@@ -43,22 +39,6 @@
 /// what it has taken in is answered.
 const STOP_AFTER: Millis = Millis(1_500);
 
-/// Everything that a control instance waits for.
-pub(crate) enum Event {
-    Packet(Result<Packet<Message>>),
-    Arrival(Arrival),
-    Log(LogEvent),
-    /// What came of a call that the leader of a term made.
-    Called {
-        term: u64,
-        input: Input,
-    },
-    Advised {
-        to: InstanceId,
-        message: Message,
-    },
-}
-
 pub(crate) struct Control {
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Arc<SystemClock>,
@@ -71,8 +51,8 @@
     pub(crate) ports: Ports,
     pub(crate) reader: Arc<dyn PolicyReader>,
     pub(crate) gate: Gate,
-    pub(crate) events: UnboundedSender<Event>,
-    pub(crate) leading: Option<Leading>,
+    pub(crate) events: UnboundedSender<ControlEvent>,
+    pub(crate) leading: Option<LeaderTerm>,
     /// What workers have announced here lately, and when, for a leader that has not heard it.
     pub(crate) news: BTreeMap<workload::WorkerId, (Millis, dispatch::WorkerNews)>,
     pub(crate) leaving_waits: LeavingWaits,
@@ -102,7 +82,7 @@
     F: FnOnce(Gate) -> Result<S>,
 {
     let clock = Arc::new(SystemClock::default());
-    let (tx, rx) = unbounded_channel::<Event>();
+    let (tx, rx) = unbounded_channel::<ControlEvent>();
     let opening_at = clock.now();
     let opened = open_log(&settings, &clock).await?;
     let details = format!(
@@ -119,7 +99,7 @@
     let links = open_links(&settings, {
         let tx = tx.clone();
         // The process ends soon if nobody listens.
-        move |packet| drop(tx.send(Event::Packet(packet)))
+        move |packet| drop(tx.send(ControlEvent::Packet(packet)))
     })?;
     let (log_tx, log_rx) = unbounded_channel();
     let log = log_thread::spawn(opened, settings.clone(), clock.clone(), links.clone(), log_tx)?;
@@ -153,8 +133,8 @@
         settings,
     };
     let _server = serve(gate)?;
-    ntex::rt::spawn(pass_on(gate_rx, tx.clone(), Event::Arrival));
-    ntex::rt::spawn(pass_on(log_rx, tx, Event::Log));
+    ntex::rt::spawn(pass_on(gate_rx, tx.clone(), ControlEvent::Arrival));
+    ntex::rt::spawn(pass_on(log_rx, tx, ControlEvent::Log));
     control.run(rx).await
 }
 
@@ -180,7 +160,7 @@
 }
 
 impl Control {
-    async fn run(mut self, mut rx: UnboundedReceiver<Event>) -> Result<()> {
+    async fn run(mut self, mut rx: UnboundedReceiver<ControlEvent>) -> Result<()> {
         let (listen, disk) = (self.settings.listen, self.log.disk);
         let details = format!("role=control listen={listen} disk={:016x}", disk.0);
         tell(&kinds::NODE_STARTED, &self.settings.name, &details);
@@ -215,19 +195,19 @@
         Moment { now: self.clock.now(), wall: wall_now(), leads_until }
     }
 
-    fn take(&mut self, event: Event) {
+    fn take(&mut self, event: ControlEvent) {
         match event {
-            Event::Packet(Ok(packet)) => self.on_packet(packet),
-            Event::Packet(Err(e)) => tell_unreadable(&e),
-            Event::Arrival(arrival) => self.on_arrival(arrival),
-            Event::Log(event) => self.on_log(event),
-            Event::Called { term, input } => {
+            ControlEvent::Packet(Ok(packet)) => self.on_packet(packet),
+            ControlEvent::Packet(Err(e)) => tell_unreadable(&e),
+            ControlEvent::Arrival(arrival) => self.on_arrival(arrival),
+            ControlEvent::Log(event) => self.on_log(event),
+            ControlEvent::Called { term, input } => {
                 // A later term settles what an earlier one had under way by itself.
                 if self.leading.as_ref().is_some_and(|l| l.term == term) {
                     self.feed(input);
                 }
             }
-            Event::Advised { to, message } => self.links.send(&to, 0, message),
+            ControlEvent::Advised { to, message } => self.links.send(&to, 0, message),
         }
     }
 
@@ -406,7 +386,8 @@
                 let events = self.events.clone();
                 let call = AdviceCall { leader: from, id, step, workers };
                 // The process ends soon if nobody listens.
-                let hand_on = move |to, message| drop(events.send(Event::Advised { to, message }));
+                let hand_on =
+                    move |to, message| drop(events.send(ControlEvent::Advised { to, message }));
                 spawn_advice(&self.ports, call, hand_on);
             }
             Message::Advised { id, valid, allowed } => {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -12,7 +12,6 @@
 use transport::{Links, Packet};
 
 use crate::advising::{AdviceCall, spawn_advice};
-use crate::control::{LAST_ANSWERS, READ_SETTINGS_EVERY};
 use crate::gate::{Arrival, Gate, Signal};
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
 use crate::message::Message;
@@ -20,10 +19,9 @@
 use crate::ports::Ports;
 use crate::relay::{Relay, RelayAction};
 use crate::settings::NodeSettings;
+use crate::timing::{LAST_ANSWERS, READ_SETTINGS_EVERY, TICK};
 use crate::waiters::Waiters;
 
-/// How often time passes when nothing happens.
-const TICK: Millis = Millis(50);
 /// How long before the end of its grace a process that is told to stop ends by itself, so that it is
 /// never killed in the middle of an answer.
 const STOP_MARGIN: Millis = Millis(900);
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -1,32 +1,18 @@
 //! What a control instance does while it leads: it feeds the dispatcher, does what that wants done,
 //! and answers the calls of all instances.
 
-use std::collections::{BTreeMap, VecDeque};
-
 use clock::{Clock, Millis};
 use dispatch::{Action, Answer, Dispatcher, Input, Setup};
 use events::{kinds, tell};
 use model::InstanceId;
 
-use crate::control::{Control, Event, TICK};
+use crate::control::Control;
+use crate::control_event::ControlEvent;
+use crate::leader_term::{Asker, LeaderTerm};
 use crate::log_thread::LogInput;
 use crate::message::Message;
 use crate::ports::LocalFuture;
-
-/// Where the answer to a call at the leader goes.
-pub(crate) enum Asker {
-    Peer { id: InstanceId, token: u64 },
-    Own(u64),
-}
-
-pub(crate) struct Leading {
-    pub(crate) term: u64,
-    pub(crate) dispatcher: Dispatcher,
-    askers: BTreeMap<u64, Asker>,
-    last_token: u64,
-    /// When the batches under way were proposed.
-    proposed_at: VecDeque<(u64, Millis)>,
-}
+use crate::timing::TICK;
 
 impl Control {
     pub(crate) fn lead(&mut self, term: u64, book: workload::Book) {
@@ -36,13 +22,7 @@
         let m = self.moment();
         let setup = Setup { limits: self.settings.limits, term, reader: self.reader.clone(), book };
         let dispatcher = Dispatcher::new(setup, m);
-        self.leading = Some(Leading {
-            term,
-            dispatcher,
-            askers: BTreeMap::new(),
-            last_token: 0,
-            proposed_at: VecDeque::new(),
-        });
+        self.leading = Some(LeaderTerm::new(term, dispatcher));
         self.peers.follow(self.settings.id(), term, m.now);
         self.relay.leader_changed(m.now);
         self.fresh_news().into_iter().for_each(|news| self.feed(Input::News(news)));
@@ -54,8 +34,7 @@
 
     pub(crate) fn measure_commit(&mut self, now: Millis, batch: u64) {
         let Some(leading) = &mut self.leading else { return };
-        while leading.proposed_at.front().is_some_and(|(n, _)| *n <= batch) {
-            let Some((_, at)) = leading.proposed_at.pop_front() else { return };
+        while let Some(at) = leading.pop_committed(batch) {
             self.metrics.note_ms("heathvale_commit_seconds", now.since(at).0);
         }
     }
@@ -115,9 +94,7 @@
             self.answer(asker, Answer::NotDone { retry_after });
             return;
         };
-        leading.last_token += 1;
-        let token = leading.last_token;
-        leading.askers.insert(token, asker);
+        let token = leading.add_asker(asker);
         self.feed(Input::Call { token, call });
     }
 
@@ -141,7 +118,7 @@
         let term = leading.term;
         if let Some((batch, commands)) = batch {
             self.metrics.add("heathvale_commands_total", "proposed", commands.len() as u64);
-            leading.proposed_at.push_back((batch, m.now));
+            leading.note_proposed(m.now, batch);
             self.log.send(LogInput::Propose { term, batch, commands });
         }
         for action in actions {
@@ -152,7 +129,7 @@
     fn act(&mut self, action: Action) {
         match action {
             Action::Reply { token, answer } => {
-                let asker = self.leading.as_mut().and_then(|l| l.askers.remove(&token));
+                let asker = self.leading.as_mut().and_then(|l| l.take_asker(token));
                 if let Some(asker) = asker {
                     self.answer(asker, answer);
                 }
@@ -202,7 +179,7 @@
         ntex::rt::spawn(async move {
             let input = wrap(call.await);
             // The process ends soon if nobody listens.
-            let _ = events.send(Event::Called { term, input });
+            let _ = events.send(ControlEvent::Called { term, input });
         });
     }
 }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod advising;
 mod control;
+mod control_event;
 mod descriptors;
 mod entry;
 mod gate;
+mod leader_term;
 mod leading;
 mod leaving;
 mod linking;
@@ -19,6 +21,7 @@
 pub mod ports;
 mod relay;
 mod settings;
+mod timing;
 mod waiters;
 
 pub use control::run_control;
