Split starting and the recent news out of node's control

Tied: nothing; `control` held three jobs in one file of some 450 lines.

`control` is left with what an instance does with its inputs. Behaviour is the same.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -1,7 +1,6 @@
 //! A control instance: it keeps the log, takes in what workers and operators say, and leads if it is
 //! elected.
 
-use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use clock::{Clock, Millis, SystemClock, wall_now};
@@ -10,7 +9,7 @@
 use events::{kinds, tell};
 use metrics::Registry;
 use model::InstanceId;
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::time::{sleep, timeout};
 use transport::{Links, Packet};
 use workload::PolicyReader;
@@ -20,12 +19,12 @@
 use crate::gate::{Arrival, Gate, Signal};
 use crate::leader_term::LeaderTerm;
 use crate::leaving::LeavingWaits;
-use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
-use crate::log_store::{self, OpenedLog};
-use crate::log_thread::{self, DISK_RETRY, LogEvent, LogHandle, LogInput};
+use crate::linking::{sync_links, tell_leader, tell_reload, tell_unreadable};
+use crate::log_thread::{LogEvent, LogHandle, LogInput};
 use crate::message::Message;
-use crate::peers::{Peers, PeersConfig};
+use crate::peers::Peers;
 use crate::ports::Ports;
+use crate::recent_news::RecentNews;
 use crate::relay::{Relay, RelayAction};
 use crate::settings::NodeSettings;
 use crate::timing::{LAST_ANSWERS, READ_SETTINGS_EVERY, TICK};
@@ -33,12 +32,11 @@
 
 /// How often the gauges are set.
 const MEASURE_EVERY: Millis = Millis(1_000);
-/// How long an announcement is told to new leaders: a little more than two of a worker's periods.
-const NEWS_FRESH: Millis = Millis(4_000);
 /// How long a control instance serves on after it was told to stop, so that another one leads and
 /// what it has taken in is answered.
 const STOP_AFTER: Millis = Millis(1_500);
 
+/// The state of a control instance.
 pub(crate) struct Control {
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Arc<SystemClock>,
@@ -53,8 +51,7 @@
     pub(crate) gate: Gate,
     pub(crate) events: UnboundedSender<ControlEvent>,
     pub(crate) leading: Option<LeaderTerm>,
-    /// What workers have announced here lately, and when, for a leader that has not heard it.
-    pub(crate) news: BTreeMap<workload::WorkerId, (Millis, dispatch::WorkerNews)>,
+    pub(crate) news: RecentNews,
     pub(crate) leaving_waits: LeavingWaits,
     /// The instances that vote, as far as this one knows.
     pub(crate) voters: Vec<InstanceId>,
@@ -67,100 +64,12 @@
     pub(crate) reload: Box<dyn Fn() -> Option<NodeSettings>>,
 }
 
-/// Runs a control instance until it is told to stop. `serve` opens the listeners on the gate.
-///
-/// # Errors
-/// If the instance cannot start, or if its disk fails while it runs.
-pub async fn run_control<F, S>(
-    settings: NodeSettings,
-    ports: Ports,
-    reader: Arc<dyn PolicyReader>,
-    serve: F,
-    reload: Box<dyn Fn() -> Option<NodeSettings>>,
-) -> Result<()>
-where
-    F: FnOnce(Gate) -> Result<S>,
-{
-    let clock = Arc::new(SystemClock::default());
-    let (tx, rx) = unbounded_channel::<ControlEvent>();
-    let opening_at = clock.now();
-    let opened = open_log(&settings, &clock).await?;
-    let details = format!(
-        "entries={} snapshot_bytes={} took_ms={}",
-        opened.entries,
-        opened.snapshot_bytes,
-        clock.now().since(opening_at).0
-    );
-    tell(&kinds::LOG_OPENED, &settings.name, &details);
-    if opened.cut > 0 {
-        tell(&kinds::TAIL_CUT, &settings.name, &format!("bytes={}", opened.cut));
-    }
-    let disk = opened.disk;
-    let links = open_links(&settings, {
-        let tx = tx.clone();
-        // The process ends soon if nobody listens.
-        move |packet| drop(tx.send(ControlEvent::Packet(packet)))
-    })?;
-    let (log_tx, log_rx) = unbounded_channel();
-    let log = log_thread::spawn(opened, settings.clone(), clock.clone(), links.clone(), log_tx)?;
-    let (gate_tx, gate_rx) = unbounded_channel();
-    let metrics = Arc::new(Registry::default());
-    let gate = Gate::new(gate_tx, metrics.clone());
-    crate::watch_signals(&gate)?;
-    let cfg = PeersConfig { id: settings.id(), disk: Some(disk), helps: true };
-    let control = Control {
-        peers: Peers::new(cfg, settings.seeds.clone(), clock.now()),
-        relay: Relay::new(u64::from(rand::random::<u32>())),
-        waiters: Waiters::new(metrics.clone()),
-        metrics,
-        clock,
-        links,
-        log,
-        ports,
-        reader,
-        gate: gate.clone(),
-        events: tx.clone(),
-        leading: None,
-        news: BTreeMap::new(),
-        leaving_waits: LeavingWaits::default(),
-        voters: Vec::new(),
-        stops_at: None,
-        tick_at: Millis::ZERO,
-        measure_at: Millis::ZERO,
-        read_at: Millis::ZERO,
-        failed: None,
-        reload,
-        settings,
-    };
-    let _server = serve(gate)?;
-    ntex::rt::spawn(pass_on(gate_rx, tx.clone(), ControlEvent::Arrival));
-    ntex::rt::spawn(pass_on(log_rx, tx, ControlEvent::Log));
-    control.run(rx).await
-}
-
-/// Opens the log; waits while the disk has no room or the process no descriptor. A process that ended for
-/// that would only be started again, with the same outcome.
-async fn open_log(settings: &NodeSettings, clock: &SystemClock) -> Result<OpenedLog> {
-    let mut told = false;
-    loop {
-        match log_store::open(settings, clock) {
-            Err(e) if log_store::may_pass(&e) => {
-                if !std::mem::replace(&mut told, true) {
-                    tell_disk_unusable(settings, &e);
-                }
-                sleep(DISK_RETRY.duration()).await;
-            }
-            opened => return opened,
-        }
-    }
-}
-
-fn tell_disk_unusable(settings: &NodeSettings, e: &Error) {
+pub(crate) fn tell_disk_unusable(settings: &NodeSettings, e: &Error) {
     tell(&kinds::DISK_UNUSABLE, &settings.name, &format!("fault={:?}", e.to_string()));
 }
 
 impl Control {
-    async fn run(mut self, mut rx: UnboundedReceiver<ControlEvent>) -> Result<()> {
+    pub(crate) async fn run(mut self, mut rx: UnboundedReceiver<ControlEvent>) -> Result<()> {
         let (listen, disk) = (self.settings.listen, self.log.disk);
         let details = format!("role=control listen={listen} disk={:016x}", disk.0);
         tell(&kinds::NODE_STARTED, &self.settings.name, &details);
@@ -262,7 +171,7 @@
 
     fn on_news(&mut self, news: dispatch::WorkerNews, direct: bool) {
         if direct {
-            self.news.insert(news.info.id.clone(), (self.clock.now(), news.clone()));
+            self.news.add(self.clock.now(), news.clone());
             self.to_leader(Message::News(news.clone()));
         }
         self.feed(Input::News(news));
@@ -315,18 +224,11 @@
 
     /// Tells a new leader what workers have announced here.
     fn retell_news(&self) {
-        for news in self.fresh_news() {
+        for news in self.news.fresh(self.clock.now()) {
             self.to_leader(Message::News(news));
         }
     }
 
-    /// Older news may be of lives that are long over.
-    pub(crate) fn fresh_news(&self) -> Vec<dispatch::WorkerNews> {
-        let now = self.clock.now();
-        let fresh = self.news.values().filter(|(at, _)| now.since(*at) < NEWS_FRESH);
-        fresh.map(|(_, news)| news.clone()).collect()
-    }
-
     pub(crate) fn welcome(&self) -> Message {
         let now = self.clock.now();
         let leader = self.peers.leader(now).cloned();
@@ -402,7 +304,7 @@
             self.peers.confirm_leader(now);
         }
         sync_links(&self.links, &mut self.peers, now);
-        self.news.retain(|_, (at, _)| now.since(*at) < NEWS_FRESH);
+        self.news.forget_old(now);
         self.leaving_waits.forget_closed();
         for (to, hello) in self.peers.hellos(now) {
             self.links.send(&to, 0, hello);
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -25,7 +25,8 @@
         self.leading = Some(LeaderTerm::new(term, dispatcher));
         self.peers.follow(self.settings.id(), term, m.now);
         self.relay.leader_changed(m.now);
-        self.fresh_news().into_iter().for_each(|news| self.feed(Input::News(news)));
+        let news = self.news.fresh(m.now);
+        news.into_iter().for_each(|news| self.feed(Input::News(news)));
         let welcome = self.welcome();
         for id in self.peers.ids() {
             self.links.send(id, 0, welcome.clone());
--- /dev/null
+++ b/components/node/src/recent_news.rs
@@ -0,0 +1,42 @@
+//! What workers have announced at this instance lately, for a leader that has not heard it.
+
+use std::collections::BTreeMap;
+
+use clock::Millis;
+use dispatch::WorkerNews;
+use workload::WorkerId;
+
+/// How long an announcement is told to new leaders: a little more than two of a worker's periods.
+/// Older news may be of lives that are long over.
+const NEWS_FRESH: Millis = Millis(4_000);
+
+/// The last announcement of each worker, and when it came.
+#[derive(Debug, Default)]
+pub(crate) struct RecentNews {
+    by_worker: BTreeMap<WorkerId, (Millis, WorkerNews)>,
+}
+
+impl RecentNews {
+    pub(crate) fn add(&mut self, now: Millis, news: WorkerNews) {
+        self.by_worker.insert(news.info.id.clone(), (now, news));
+    }
+
+    /// Drops what a worker that has left announced.
+    pub(crate) fn remove(&mut self, worker: &WorkerId) {
+        self.by_worker.remove(worker);
+    }
+
+    /// Gives what may still be told.
+    pub(crate) fn fresh(&self, now: Millis) -> Vec<WorkerNews> {
+        let fresh = self.by_worker.values().filter(|(at, _)| is_fresh(now, *at));
+        fresh.map(|(_, news)| news.clone()).collect()
+    }
+
+    pub(crate) fn forget_old(&mut self, now: Millis) {
+        self.by_worker.retain(|_, (at, _)| is_fresh(now, *at));
+    }
+}
+
+fn is_fresh(now: Millis, at: Millis) -> bool {
+    now.since(at) < NEWS_FRESH
+}
