--- a/components/consensus/src/care.rs
+++ b/components/consensus/src/care.rs
@@ -4,7 +4,7 @@
 use clock::Millis;
 use model::{Incarnation, InstanceId};
 
-use crate::node::Output;
+use crate::output::Output;
 use crate::progress::Progress;
 use crate::{Learner, MemberRole, Membership, Node, Notice, Payload, Role};
 
--- a/components/consensus/src/lib.rs
+++ b/components/consensus/src/lib.rs
@@ -5,21 +5,27 @@
 //! docs/design/consensus.md says what was weighed.
 
 mod care;
+mod config;
 mod disk;
 mod election;
 mod entry;
+mod incoming;
 mod log;
 mod membership;
 mod message;
 mod node;
+mod output;
 mod progress;
+mod receiving;
 mod replica;
 mod replication;
 mod snapshot;
 
+pub use config::{NodeConfig, Timing};
 pub use disk::{Disk, FileDisk, MemoryDisk, Restored};
 pub use entry::{Entry, HardState, Payload, Record, Snapshot};
 pub use membership::{Learner, MemberRole, Membership};
 pub use message::{Body, Envelope};
-pub use node::{ChangeError, Node, NodeConfig, NotLeader, Notice, Output, Role, Timing};
+pub use node::{Node, Role};
+pub use output::{ChangeError, NotLeader, Notice, Output};
 pub use replica::{Committed, Flushed, Replica};
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -8,63 +8,14 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::incoming::Incoming;
 use crate::log::Log;
 use crate::progress::Progress;
-use crate::snapshot::Incoming;
 use crate::{
-    Body, Entry, Envelope, HardState, MemberRole, Membership, Payload, Record, Restored, Snapshot,
+    Body, ChangeError, Entry, Envelope, HardState, MemberRole, Membership, NodeConfig, NotLeader,
+    Notice, Output, Payload, Record, Restored, Snapshot,
 };
 
-/// How long things may take.
-#[derive(Clone, Copy, Debug)]
-pub struct Timing {
-    /// How often a leader sends heartbeats.
-    pub heartbeat: Millis,
-    /// The shortest silence of a leader after which a voter may stand or vote.
-    pub election_min: Millis,
-    /// The longest silence of a leader before a voter stands.
-    pub election_max: Millis,
-    /// By how many percent two clocks may run apart.
-    pub drift_percent: u64,
-}
-
-impl Default for Timing {
-    fn default() -> Self {
-        Timing {
-            heartbeat: Millis(100),
-            election_min: Millis(1_000),
-            election_max: Millis(2_000),
-            drift_percent: 5,
-        }
-    }
-}
-
-/// Who this member is and whom it knows from its settings.
-#[derive(Clone, Debug)]
-pub struct NodeConfig {
-    /// This member.
-    pub id: InstanceId,
-    /// This member's disk.
-    pub incarnation: Incarnation,
-    /// The instances with disks, which found the cell together.
-    pub founders: BTreeSet<InstanceId>,
-    /// The instances that a member without state asks for the cell, besides the founders.
-    pub contacts: BTreeSet<InstanceId>,
-    /// The instances without disks, which follow the log and are no members.
-    pub observers: BTreeSet<InstanceId>,
-    /// How many voters are kept even if some of them are silent.
-    pub keep_voters: usize,
-    /// After what silence a voter beyond those is removed; `None` leaves that to operators.
-    pub silent_after: Option<Millis>,
-    /// After what silence a voter's place goes to a caught-up learner from the reserve; `None` keeps
-    /// the voter.
-    pub replace_after: Option<Millis>,
-    /// How long things may take.
-    pub timing: Timing,
-    /// Seeds the election timeouts.
-    pub seed: u64,
-}
-
 /// What a member is at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Role {
@@ -80,63 +31,6 @@
     Leader,
 }
 
-/// A change of a member's standing that others may want to log.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Notice {
-    /// The cell was founded with this member.
-    Founded,
-    /// This member leads from now on.
-    Leads {
-        /// The term it leads in.
-        term: u64,
-    },
-    /// This member stopped leading.
-    Resigned {
-        /// The term it led in.
-        term: u64,
-        /// Why.
-        reason: &'static str,
-    },
-    /// A membership entry was appended.
-    MembershipChanged(Membership),
-}
-
-/// What follows from an input. The records and the snapshot are made lasting first, the messages
-/// sent and the committed entries applied only then.
-#[derive(Debug, Default)]
-pub struct Output {
-    /// A snapshot that replaces the log on disk and the state machine's state.
-    pub snapshot: Option<Snapshot>,
-    /// Records to append to the disk.
-    pub records: Vec<Record>,
-    /// Messages to send.
-    pub messages: Vec<Envelope>,
-    /// Entries to apply, in order.
-    pub committed: Vec<Entry>,
-    /// What changed.
-    pub notices: Vec<Notice>,
-}
-
-/// The proposal reached a member that does not lead.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NotLeader {
-    /// Who leads, if known.
-    pub leader: Option<InstanceId>,
-}
-
-/// Why a change of members was not taken up.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ChangeError {
-    /// This member does not lead.
-    NotLeader(NotLeader),
-    /// An earlier change is not committed yet.
-    Busy,
-    /// The instance has not been heard from, so its disk is unknown.
-    Unknown,
-    /// The change would leave no voter.
-    NoVoter,
-}
-
 /// The most entries a leader keeps uncommitted before it refuses proposals.
 pub(crate) const MAX_UNCOMMITTED: u64 = 20_000;
 
@@ -413,84 +307,6 @@
         }
     }
 
-    fn dispatch(&mut self, msg: Envelope) {
-        let Envelope { from, incarnation, body, .. } = msg;
-        if let Body::Vote { transfer, .. } = body
-            && !transfer
-            && self.is_bound_to_leader()
-        {
-            // Neither the vote nor its higher term may disturb a leader that is heard.
-            return;
-        }
-        if let Some(term) = body.term()
-            && !self.accept_term(&from, term, &body)
-        {
-            return;
-        }
-        match body {
-            Body::Hello { formed } => self.on_hello(from, incarnation, formed),
-            Body::PreVote { term, last_index, last_term } => {
-                self.on_pre_vote(&from, incarnation, term, (last_term, last_index));
-            }
-            Body::PreVoteReply { term, granted } => {
-                self.on_pre_vote_reply(from, incarnation, term, granted);
-            }
-            Body::Vote { term, last_index, last_term, .. } => {
-                self.on_vote(&from, incarnation, term, (last_term, last_index));
-            }
-            Body::VoteReply { granted, .. } => self.on_vote_reply(from, incarnation, granted),
-            Body::Append { prev_index, prev_term, entries, commit, sent_at, .. } => {
-                self.on_append(&from, (prev_index, prev_term), entries, commit, sent_at);
-            }
-            Body::AppendReply { matched, index, sent_at, .. } => {
-                self.on_append_reply(&from, incarnation, matched, index, sent_at);
-            }
-            Body::SnapshotChunk {
-                last_index,
-                last_term,
-                membership,
-                offset,
-                total,
-                data,
-                sent_at,
-                ..
-            } => {
-                let head = Snapshot { last_index, last_term, membership, data: Arc::new([]) };
-                self.on_chunk(&from, head, offset, total, &data, sent_at);
-            }
-            Body::SnapshotReply { last_index, next_offset, sent_at, .. } => {
-                self.on_snapshot_reply(&from, incarnation, last_index, next_offset, sent_at);
-            }
-            Body::TimeoutNow { .. } => self.on_timeout_now(&from),
-        }
-    }
-
-    /// Compares the sender's term with ours. Gives false if the message is from a past term and
-    /// has been answered or dropped.
-    fn accept_term(&mut self, from: &InstanceId, term: u64, body: &Body) -> bool {
-        if term > self.hard.term {
-            // A member that cannot vote yet must not forget that it was never asked.
-            let leads = matches!(body, Body::Append { .. } | Body::SnapshotChunk { .. });
-            self.become_follower(term, leads.then(|| from.clone()));
-            return true;
-        }
-        if term == self.hard.term {
-            return true;
-        }
-        let ours = self.hard.term;
-        match body {
-            // The old leader learns of the new term from the answer.
-            Body::Append { sent_at, .. } | Body::SnapshotChunk { sent_at, .. } => {
-                let sent_at = *sent_at;
-                let reply = Body::AppendReply { term: ours, matched: false, index: 0, sent_at };
-                self.send(from, reply);
-            }
-            Body::Vote { .. } => self.send(from, Body::VoteReply { term: ours, granted: false }),
-            _ => {}
-        }
-        false
-    }
-
     pub(crate) fn become_follower(&mut self, term: u64, leader: Option<InstanceId>) {
         if self.role == Role::Leader {
             self.resign("a newer term");
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -6,7 +6,7 @@
 use errors::Result;
 use model::{Incarnation, InstanceId};
 
-use crate::node::Output;
+use crate::output::Output;
 use crate::{
     ChangeError, Disk, Entry, Envelope, MemberRole, Node, NotLeader, Notice, Record, Snapshot,
 };
--- a/components/consensus/src/snapshot.rs
+++ b/components/consensus/src/snapshot.rs
@@ -1,10 +1,9 @@
 //! Sending and taking in snapshots, piece by piece.
 
-use std::sync::Arc;
-
 use clock::Millis;
 use model::{Incarnation, InstanceId};
 
+use crate::incoming::Incoming;
 use crate::{Body, Node, Role, Snapshot};
 
 /// The bytes of one piece.
@@ -12,14 +11,6 @@
 /// The largest snapshot that is taken in.
 const MAX_SNAPSHOT: u64 = 256 << 20;
 
-/// A snapshot that is coming in.
-#[derive(Debug)]
-pub(crate) struct Incoming {
-    head: Snapshot,
-    total: u64,
-    data: Vec<u8>,
-}
-
 impl Node {
     pub(crate) fn send_chunk(&mut self, id: &InstanceId) {
         let base = self.log.base().clone();
@@ -77,25 +68,15 @@
 
     /// Adds a piece if it is the next one, and gives how many bytes there are.
     fn take_chunk(&mut self, head: Snapshot, offset: u64, total: u64, data: &[u8]) -> u64 {
-        let same = |i: &Incoming| {
-            i.total == total
-                && i.head.last_index == head.last_index
-                && i.head.last_term == head.last_term
-        };
-        if !self.incoming.as_ref().is_some_and(same) {
-            self.incoming = Some(Incoming { head, total, data: Vec::new() });
-        }
-        let Some(incoming) = self.incoming.as_mut() else { return 0 };
-        let have = incoming.data.len() as u64;
-        if offset == have && have + data.len() as u64 <= total {
-            incoming.data.extend_from_slice(data);
+        if !self.incoming.as_ref().is_some_and(|i| i.is_of(&head, total)) {
+            self.incoming = Some(Incoming::new(head, total));
         }
-        incoming.data.len() as u64
+        self.incoming.as_mut().map_or(0, |incoming| incoming.take(offset, data))
     }
 
     fn install_incoming(&mut self) {
-        let Some(Incoming { head, data, .. }) = self.incoming.take() else { return };
-        let snapshot = Snapshot { data: Arc::from(data), ..head };
+        let Some(incoming) = self.incoming.take() else { return };
+        let snapshot = incoming.into_snapshot();
         self.commit = snapshot.last_index;
         self.log.install(snapshot.clone());
         self.out.snapshot = Some(snapshot);
