--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,9 +6,11 @@
 
 mod advising;
 mod control;
+mod control_event;
 mod descriptors;
 mod entry;
 mod gate;
+mod leader_term;
 mod leading;
 mod leaving;
 mod linking;
@@ -17,11 +19,13 @@
 mod message;
 mod peers;
 pub mod ports;
+mod recent_news;
 mod relay;
 mod settings;
+mod start_control;
+mod timing;
 mod waiters;
 
-pub use control::run_control;
 pub use descriptors::{Descriptors, limit_in};
 pub use entry::run_entry;
 pub use gate::{Gate, Signal, watch_signals};
@@ -29,3 +33,4 @@
 pub use peers::{Peers, PeersConfig, Reach};
 pub use relay::{Relay, RelayAction};
 pub use settings::{NodeSettings, Role};
+pub use start_control::run_control;
