A failing test: steps that no plan has looked at wait while calls go to those found waiting for room

Found by a review of the mend: after a burst or with a new leader no step is known to wait for room. A plan looks through all workers for ten steps, and then gives the free calls to those of them that wait.

--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -20,10 +20,14 @@
 use common::{Bench, news, row, spec, step, task};
 use dispatch::{AdviceAsk, RunRow};
 use model::Size;
+use rstest::rstest;
 use workload::{JobSpec, StepSpec, WorkerId};
 
-/// How long a call for advice takes, as the queues' policy says.
+/// How long a call for advice takes, as the queues' policy says, and by how much one call differs from the
+/// next, so that instances do not come free all at once.
 const CALL: Millis = Millis(430);
+const CALL_STEP: u64 = 10;
+const CALL_STEPS: u64 = 17;
 /// How often every worker reports, well within its lease.
 const REPORT: Millis = Millis(500);
 
@@ -93,7 +97,8 @@
         let asks = self.bench.asks(None).split_off(self.asks_seen);
         self.asks_seen += asks.len();
         let now = self.bench.now;
-        self.under_way.extend(asks.into_iter().map(|a| (now + CALL, a)));
+        let until = |a: &AdviceAsk| now + CALL + Millis(a.id % CALL_STEPS * CALL_STEP);
+        self.under_way.extend(asks.into_iter().map(|a| (until(&a), a)));
         let due = |(at, _): &(Millis, AdviceAsk)| *at <= now;
         let (due, rest) = std::mem::take(&mut self.under_way).into_iter().partition(due);
         self.under_way = rest;
@@ -226,3 +231,28 @@
     let started = (1..=40).filter(|id| f.has_started(*id)).count();
     assert_eq!(started, 5);
 }
+
+/// A burst, or a new leader, knows of no step yet whether it waits for room, and a plan has few looks. While
+/// some steps were not looked at, no call may go to those that were and wait.
+#[rstest]
+#[case::few_callers(3)]
+#[case::more_callers(6)]
+#[case::many_callers(13)]
+fn a_burst_that_waits_for_full_workers_is_looked_through_before_it_gets_calls(
+    #[case] callers: usize,
+) {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", callers);
+    f.join("full", 4, whole);
+    f.join("free", 8, whole);
+    for id in 1..=4 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.pass(Millis(4_000));
+    for id in 5..=190 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.bench.submit_bulk(999, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(2_500));
+    assert!(f.has_started(999));
+}
