Make no call for steps that wait for room while others were not looked at

Cause: a look that finds no room costs one of a plan's ten looks and no call. With the looks used up, the free calls went to the steps just found waiting, and those behind were not looked at before the next plan that had a free instance, and so on.

Change: calls for steps that wait are left out of a plan that could not look at all urgent steps. A look in that second round no longer counts as the last look at a step: what the step itself keeps free hides room from it. The figures tell how many steps a plan had no look for.

--- a/components/dispatch/src/asking.rs
+++ b/components/dispatch/src/asking.rs
@@ -102,7 +102,9 @@
         }
         if !self.may_scan(m, &need) {
             let lacks_caller = self.desk.lacks_caller(&need.key, &need.policy, m.now);
+            let lacks_look = self.desk.may_ask(&need.key, &need.policy, m.now);
             self.without_caller += u64::from(lacks_caller);
+            self.without_look += u64::from(lacks_look);
             return;
         }
         let choice = self.choose(m, &need);
@@ -119,11 +121,7 @@
         for (need, choice) in std::mem::take(&mut self.put_back) {
             let choice = match choice {
                 Some(choice) => choice,
-                None if self.may_scan(m, &need) => {
-                    let choice = self.choose(m, &need);
-                    self.desk.note_room(m.now, &need.want(), choice.has_room);
-                    choice
-                }
+                None if self.may_scan(m, &need) => self.choose(m, &need),
                 None => continue,
             };
             self.call(m, &need, choice);
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -182,8 +182,11 @@
     pub advice_callers: u64,
     /// Those of them that wait for an answer.
     pub advice_callers_busy: u64,
-    /// The steps that wanted a call for advice in the last plan and found no instance free to make it.
+    /// The steps that wanted a call for advice in the last plan and found no instance free to make it,
+    /// without those known to wait for room.
     pub steps_without_caller: u64,
+    /// The steps for which the last plan had no look left to find out whether a task could start.
+    pub steps_without_look: u64,
 }
 
 /// What a dispatcher begins with.
@@ -239,6 +242,8 @@
     pub(crate) scans: u32,
     /// How many steps wanted a call for advice in the last plan and found no instance free to make it.
     pub(crate) without_caller: u64,
+    /// For how many steps the last plan had no look left to find out whether a task could start.
+    pub(crate) without_look: u64,
     /// What the plan under way keeps free on workers for large tasks that wait.
     pub(crate) kept_free: BTreeMap<WorkerId, Size>,
     /// What the plan under way has taken so far, in looks at a worker.
@@ -282,6 +287,7 @@
             plan_at: m.now,
             scans: 0,
             without_caller: 0,
+            without_look: 0,
             kept_free: BTreeMap::new(),
             rooms_made: BTreeMap::new(),
             looks: 0,
@@ -400,6 +406,7 @@
             advice_callers: self.desk.callers() as u64,
             advice_callers_busy: self.desk.busy_callers() as u64,
             steps_without_caller: self.without_caller,
+            steps_without_look: self.without_look,
         }
     }
 
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -25,6 +25,7 @@
         by_turns.sort_by_cached_key(|e| self.urgency(m, e));
         self.scans = 0;
         self.without_caller = 0;
+        self.without_look = 0;
         self.kept_free.clear();
         self.rooms_made.clear();
         self.put_back.clear();
@@ -33,8 +34,10 @@
         self.desk.look_again(m.now, by_turns.iter().map(|e| &e.key), by_turns.len());
         let mut orders = self.orders_under_way();
         self.plan_steps(m, urgent, &mut orders);
-        // Tickets are kept at hand for those that come first when room does.
-        let waiting = self.put_back.len();
+        // While some steps were not looked at for want of looks, as after a burst, these might start, so
+        // they come before steps that wait. And tickets are kept at hand only for those that come first
+        // when room does.
+        let waiting = if self.without_look == 0 { self.put_back.len() } else { 0 };
         self.plan_steps(m, by_turns, &mut orders);
         self.put_back.truncate(waiting);
         self.ask_for_waiting(m);
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -59,12 +59,13 @@
         self.metrics.set("heathvale_advice_callers", figures.advice_callers);
         self.metrics.set("heathvale_advice_callers_busy", figures.advice_callers_busy);
         self.metrics.set("heathvale_steps_without_caller", figures.steps_without_caller);
+        self.metrics.set("heathvale_steps_without_look", figures.steps_without_look);
         let connections = self.ports.workers.connections();
         self.metrics.set("heathvale_connections_open", connections.open as u64);
         self.metrics.set("heathvale_connections_limit", connections.limit as u64);
         self.metrics.set("heathvale_connections_opened_total", connections.opened);
         let details = format!(
-            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} advice_callers={}/{} without_caller={} connections={}/{} opened={}",
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} advice_callers={}/{} without_caller={} without_look={} connections={}/{} opened={}",
             figures.used.cpu_milli,
             figures.capacity.cpu_milli,
             figures.used.memory_mb,
@@ -78,6 +79,7 @@
             figures.advice_callers_busy,
             figures.advice_callers,
             figures.steps_without_caller,
+            figures.steps_without_look,
             connections.open,
             connections.limit,
             connections.opened,
