--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -256,3 +256,24 @@
     f.pass(Millis(2_500));
     assert!(f.has_started(999));
 }
+
+/// Tasks that want whole workers have room kept free for them until what runs there has ended. Kept free on all
+/// workers at once, it would hold up everything else on a fleet that is nearly idle.
+#[test]
+fn room_kept_free_for_large_tasks_is_a_part_of_all_room() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let small = Size::new(2_000, 2_000, 0);
+    let mut f = Fleet::new("", 0);
+    f.join("some", 20, whole);
+    for id in 1..=20 {
+        f.bench.submit_bulk(id, spec(vec![lengthy("some", small)]));
+    }
+    f.pass(Millis(500));
+    for id in 21..=40 {
+        f.bench.submit_mid(id, spec(vec![lengthy("some", whole)]));
+    }
+    f.bench.submit_bulk(99, spec(vec![lengthy("some", small)]));
+    f.pass(Millis(1_000));
+    assert!((1..=20).all(|id| f.has_started(id)));
+    assert!(f.has_started(99), "an eighth of the room is taken");
+}
