--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A dispatcher with a hand-driven log, clock and workers.
 #![allow(dead_code)]
 
+pub mod worker;
+
 use std::sync::Arc;
 
 use clock::Millis;
--- a/components/dispatch/tests/schedules.rs
+++ b/components/dispatch/tests/schedules.rs
@@ -7,66 +7,18 @@
 use std::collections::BTreeMap;
 
 use clock::Millis;
+use common::worker::FakeWorker;
 use common::{Bench, SILENT, spec, step};
-use dispatch::{Action, CallError, Input, Refusal, Report, RunRow, StartOrder, Verb};
+use dispatch::{Action, CallError, Input, Refusal, Report, Verb};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use workload::{End, EndKind, StepSpec, TaskKey, WorkerId};
+use workload::{EndKind, StepSpec, TaskKey, WorkerId};
 
 const SEEDS: u64 = 300;
 const STEPS: usize = 250;
 const CORES: u64 = 4;
 
-/// A worker as the platform's pages describe it, on the test's clock.
-#[derive(Default)]
-struct FakeWorker {
-    life: u32,
-    fence: u64,
-    lease: Millis,
-    running: BTreeMap<TaskKey, u32>,
-    closed: BTreeMap<TaskKey, u32>,
-    ends: Vec<End>,
-    last_end: u64,
-    silent: bool,
-}
-
-impl FakeWorker {
-    fn end(&mut self, key: TaskKey, kind: EndKind) {
-        let Some(run) = self.running.remove(&key) else { return };
-        self.last_end += 1;
-        self.closed.insert(key, run);
-        self.ends.push(common::end(self.last_end, key, run, kind));
-    }
-
-    fn lapse(&mut self, now: Millis) {
-        if now >= self.lease {
-            for key in self.running.keys().copied().collect::<Vec<_>>() {
-                self.end(key, EndKind::Lapsed);
-            }
-        }
-    }
-
-    fn start(&mut self, now: Millis, order: &StartOrder) -> Result<bool, Refusal> {
-        if order.fence < self.fence {
-            return Err(Refusal::Fence);
-        }
-        self.fence = order.fence;
-        if self.running.get(&order.task) == Some(&order.run) {
-            return Ok(false);
-        }
-        if self.closed.get(&order.task).is_some_and(|closed| order.run <= *closed) {
-            return Err(Refusal::Outdated);
-        }
-        if order.deadline <= now {
-            return Err(Refusal::Late);
-        }
-        self.lease = self.lease.max(order.deadline);
-        self.running.insert(order.task, order.run);
-        Ok(true)
-    }
-}
-
 struct World {
     bench: Bench,
     rng: StdRng,
@@ -151,29 +103,11 @@
                 Ok(false) => {}
                 Err(why) => return Err(CallError::Refused(why)),
             },
-            Action::Stop { order, .. } => {
-                if order.fence < worker.fence {
-                    return Err(CallError::Refused(Refusal::Fence));
-                }
-                if worker.running.get(&order.task).is_some_and(|run| *run <= order.run) {
-                    worker.end(order.task, EndKind::Stopped);
-                }
-                let closed = worker.closed.entry(order.task).or_default();
-                *closed = order.run.max(*closed);
-            }
-            Action::Renew { order, .. } => {
-                if order.fence < worker.fence {
-                    return Err(CallError::Refused(Refusal::Fence));
-                }
-                worker.fence = order.fence;
-                worker.lease = worker.lease.max(order.deadline.unwrap_or_default());
-                worker.ends.retain(|e| e.number > order.seen);
-            }
+            Action::Stop { order, .. } => worker.stop(order).map_err(CallError::Refused)?,
+            Action::Renew { order, .. } => worker.renew(order).map_err(CallError::Refused)?,
             _ => {}
         }
-        let row = |(task, run): (&TaskKey, &u32)| RunRow { ..common::row(*task, *run) };
-        let running = worker.running.iter().map(row).collect();
-        let report = Report { clock: now, running, ends: worker.ends.clone() };
+        let report = worker.report(now);
         if let Some(key) = began {
             self.check_start(key);
         }
