Replay load patterns at their worst on the dispatcher

A fleet around the pure dispatcher: workers with room, leases, ends and reports, instances that call for advice one call at a time for as long as the policy says, commits that take 10 ms, time in steps of 10 ms. In each step of each pattern nothing accepted may stand for 3 s while its workers have room for it twice over and are less than half full, and no worker may be over its room; in the end every job is done.

--- /dev/null
+++ b/components/dispatch/tests/common/fleet.rs
@@ -0,0 +1,497 @@
+//! A fleet around the pure dispatcher: workers whose runs take time, instances that call for advice one
+//! call at a time, a log whose commits take time, and callers that come back. Time goes on in steps, and
+//! everything follows from the seed.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::sync::Arc;
+
+use clock::Millis;
+use dispatch::{Action, AdviceAsk, Answer, Call, CallError, Input, StartOrder, Verb, WorkerNews};
+use model::{InstanceId, Size};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use workload::{
+    Command, JobId, JobSpec, JobState, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
+};
+
+use super::host::Host;
+use super::watch::Watch;
+use super::{Bench, SILENT};
+
+/// By how much time goes on at once, which is also what the way to a worker takes.
+pub const STEP: Millis = Millis(10);
+/// How long before it ends a worker says that it leaves.
+pub const NOTICE: Millis = Millis(2_000);
+/// What it takes to commit a batch.
+const COMMIT: Millis = Millis(10);
+/// For how long a ticket holds, and what calls for advice take, in microseconds: as the queues' policy
+/// says.
+const TICKET: Millis = Millis(2_000);
+const SHORT_CALL: (u64, u64) = (20_000, 500);
+const LONG_CALL: (u64, u64) = (400_000, 5_000);
+/// How many of a hundred workers the advice service allows for a step.
+const ALLOWED: u64 = 70;
+
+/// Gives a number that follows from others and has nothing to do with them.
+fn draw(seed: u64, parts: &[u64]) -> u64 {
+    parts.iter().fold(seed, |n, part| {
+        let n = (n ^ part).wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let n = (n ^ (n >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        let n = (n ^ (n >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        n ^ (n >> 31)
+    })
+}
+
+/// The service that says which workers may run a step.
+pub struct Service {
+    seed: u64,
+    numbers: BTreeMap<WorkerId, u64>,
+}
+
+impl Service {
+    /// Gives the number of a worker, which is what the service goes by.
+    pub fn number(&self, worker: &WorkerId) -> u64 {
+        self.numbers.get(worker).copied().unwrap_or(0)
+    }
+
+    pub fn allows(&self, step: &StepKey, number: u64) -> bool {
+        draw(self.seed, &[step.job.0, u64::from(step.step), number]) % 100 < ALLOWED
+    }
+}
+
+/// What a job stands for in the figures.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Kind {
+    Quick,
+    Batch,
+    Gang,
+    Lasting,
+    Wide,
+}
+
+/// A job as its caller knows it.
+pub struct Handed {
+    pub kind: Kind,
+    path: String,
+    spec: Arc<JobSpec>,
+    pub at: Millis,
+    accepted: bool,
+    pub first_start: Option<Millis>,
+}
+
+/// A call for advice under way.
+struct Asked {
+    due: Millis,
+    ask: AdviceAsk,
+}
+
+pub struct Fleet {
+    pub bench: Bench,
+    pub hosts: BTreeMap<WorkerId, Host>,
+    pub rng: StdRng,
+    pub jobs: BTreeMap<JobId, Handed>,
+    pub watch: Watch,
+    seed: u64,
+    service: Service,
+    callers: Vec<String>,
+    /// Until when each instance is busy with calls for advice.
+    busy_until: BTreeMap<InstanceId, Millis>,
+    asked: Vec<Asked>,
+    committing: VecDeque<(Millis, u64, Vec<Command>)>,
+    /// Orders on their way to workers.
+    orders: Vec<Action>,
+    /// Orders that get no answer, and when that is noticed.
+    unanswered: Vec<(Millis, Action)>,
+    has_leader: bool,
+    term: u64,
+    /// The decisions that the dispatcher told of: what each is about, and the rest.
+    notes: Vec<(String, String)>,
+}
+
+impl Fleet {
+    /// Makes a fleet with so many instances that can call for advice.
+    pub fn new(seed: u64, callers: usize) -> Fleet {
+        let mut fleet = Fleet {
+            bench: Bench::new("advice, long"),
+            hosts: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            jobs: BTreeMap::new(),
+            watch: Watch::default(),
+            seed,
+            service: Service { seed, numbers: BTreeMap::new() },
+            callers: (0..callers).map(|i| format!("e{i:02}")).collect(),
+            busy_until: BTreeMap::new(),
+            asked: Vec::new(),
+            committing: VecDeque::new(),
+            orders: Vec::new(),
+            unanswered: Vec::new(),
+            has_leader: true,
+            term: 1,
+            notes: Vec::new(),
+        };
+        fleet.tell_callers();
+        fleet
+    }
+
+    fn tell_callers(&mut self) {
+        let names: Vec<&str> = self.callers.iter().map(String::as_str).collect();
+        self.bench.helpers(&names);
+    }
+
+    /// Lets workers join that bear a label, in turn in each of three zones.
+    pub fn join(&mut self, label: &str, count: usize, capacity: Size) {
+        for i in 0..count {
+            let name = format!("{label}{i:02}");
+            let zone = format!("z{}", i % 3);
+            let info = WorkerInfo {
+                id: WorkerId::from(name.as_str()),
+                machine: format!("m-{name}").as_str().into(),
+                address: format!("{name}:1").as_str().into(),
+                service: "s".into(),
+                zone: zone.as_str().into(),
+                capacity,
+                labels: vec![label.into(), format!("{zone}-r{}", i % 6).as_str().into()],
+            };
+            let number = self.service.numbers.len() as u64;
+            self.service.numbers.insert(info.id.clone(), number);
+            self.hosts.insert(info.id.clone(), Host::new(info.clone()));
+            self.news(info, 1);
+        }
+    }
+
+    fn news(&mut self, info: WorkerInfo, number: u64) {
+        let leaving = number > 1;
+        let remaining = leaving.then_some(NOTICE);
+        self.handle(Input::News(WorkerNews { info, leaving, remaining, number }));
+    }
+
+    /// Has a worker say that it leaves shortly.
+    pub fn give_notice(&mut self, id: &WorkerId) {
+        let Some(host) = self.hosts.get_mut(id) else { return };
+        host.leaving = true;
+        let info = host.info.clone();
+        self.news(info, 2);
+    }
+
+    /// Ends a worker with all that it runs; nobody answers there any more.
+    pub fn remove(&mut self, id: &WorkerId) {
+        self.handle(Input::Left(id.clone()));
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.fake.running.clear();
+        }
+        self.set_silent(id, true);
+    }
+
+    pub fn set_silent(&mut self, id: &WorkerId, silent: bool) {
+        if let Some(host) = self.hosts.get_mut(id) {
+            host.fake.silent = silent;
+        }
+    }
+
+    pub fn workers(&self, wanted: impl Fn(&Host) -> bool) -> Vec<WorkerId> {
+        self.hosts.iter().filter(|(_, h)| wanted(h)).map(|(id, _)| id.clone()).collect()
+    }
+
+    fn handle(&mut self, input: Input) {
+        let m = self.bench.moment();
+        self.bench.dispatcher.handle(m, input);
+    }
+
+    /// Hands in a job at a queue; without a leader the caller keeps it and comes back.
+    pub fn hand_in(&mut self, kind: Kind, queue: &str, steps: Vec<StepSpec>) -> JobId {
+        let id = JobId(self.jobs.len() as u64 + 1);
+        let (path, spec) = (format!("/{queue}/{id}"), super::spec(steps));
+        let at = self.bench.now;
+        let job = Handed { kind, path, spec, at, accepted: false, first_start: None };
+        self.jobs.insert(id, job);
+        self.send(id);
+        id
+    }
+
+    fn send(&mut self, id: JobId) {
+        let job = &self.jobs[&id];
+        let verb = Verb::Submit(job.spec.clone());
+        self.call(id, job.path.clone(), verb);
+    }
+
+    /// A call's token is the number of its job.
+    fn call(&mut self, id: JobId, path: String, verb: Verb) {
+        if self.has_leader {
+            let call = Call::Job { host: "h".into(), path: path.as_str().into(), size: 100, verb };
+            self.handle(Input::Call { token: id.0, call });
+        }
+    }
+
+    /// Loses the leader with everything that was not committed.
+    pub fn lose_leader(&mut self) {
+        self.has_leader = false;
+        self.committing.clear();
+        self.orders.clear();
+        self.unanswered.clear();
+        self.asked.clear();
+        self.hosts.values_mut().for_each(Host::drop_held);
+    }
+
+    /// Another instance leads, with what is committed; callers whose jobs were not accepted come back.
+    pub fn take_over(&mut self) {
+        self.term += 1;
+        let committed = self.bench.committed.clone();
+        self.bench = Bench::take_over(committed, self.term, self.bench.now);
+        self.has_leader = true;
+        self.tell_callers();
+        let open = self.jobs.iter().filter(|(_, j)| !j.accepted).map(|(id, _)| *id);
+        for id in open.collect::<Vec<_>>() {
+            self.send(id);
+        }
+    }
+
+    /// Lets time pass by one step.
+    pub fn step(&mut self) {
+        self.bench.now += STEP;
+        let present = self.present();
+        let now = self.bench.now;
+        self.hosts.values_mut().for_each(|h| h.come_on(now, &present));
+        if self.has_leader {
+            self.commit();
+            self.answer_asks();
+            self.carry_out_orders();
+            self.tell_silence();
+            self.answer_renewals();
+            self.bench.feed(Input::Tick);
+            self.collect();
+        }
+        self.check();
+    }
+
+    pub fn pass(&mut self, span: Millis) {
+        let until = self.bench.now + span;
+        while self.bench.now < until {
+            self.step();
+        }
+    }
+
+    /// Gives how many members of each gang run.
+    fn present(&self) -> BTreeMap<StepKey, u32> {
+        let mut present = BTreeMap::new();
+        for step in self.hosts.values().flat_map(Host::members) {
+            *present.entry(step).or_default() += 1;
+        }
+        present
+    }
+
+    fn commit(&mut self) {
+        let now = self.bench.now;
+        while self.committing.front().is_some_and(|(due, ..)| *due <= now) {
+            let Some((_, number, commands)) = self.committing.pop_front() else { return };
+            commands.iter().for_each(|c| self.bench.committed.apply(c));
+            self.handle(Input::Committed(number));
+        }
+    }
+
+    fn answer_asks(&mut self) {
+        let now = self.bench.now;
+        let (due, rest): (Vec<Asked>, _) =
+            std::mem::take(&mut self.asked).into_iter().partition(|a| a.due <= now);
+        self.asked = rest;
+        let ticket: model::Name = (now + TICKET).0.to_string().as_str().into();
+        for Asked { ask, .. } in due {
+            let allows = |w: &&WorkerId| self.service.allows(&ask.step, self.service.number(w));
+            let allowed = ask.workers.iter().filter(allows);
+            let allowed = Some(allowed.map(|w| (w.clone(), ticket.clone())).collect());
+            self.handle(Input::Advised { id: ask.id, valid: Some(TICKET), allowed });
+        }
+    }
+
+    fn carry_out_orders(&mut self) {
+        for action in std::mem::take(&mut self.orders) {
+            match &action {
+                Action::Renew { worker, order, .. } => {
+                    let now = self.bench.now;
+                    let Some(host) = self.hosts.get_mut(worker) else { continue };
+                    if let Err(why) = host.renew(now, now.since(STEP), order) {
+                        self.renewed(worker, now.since(STEP), Err(CallError::Refused(why)));
+                    }
+                }
+                Action::Start { worker, order, .. } if self.is_silent(worker) => {
+                    self.unanswered.push((self.bench.now + order.answer_within, action));
+                }
+                Action::Stop { worker, order, .. } if self.is_silent(worker) => {
+                    self.unanswered.push((self.bench.now + order.answer_within, action));
+                }
+                Action::Start { worker, order, .. } => {
+                    let result = self.start(worker, order);
+                    self.answer_order(&action, result);
+                }
+                Action::Stop { worker, order, .. } => {
+                    let now = self.bench.now;
+                    let Some(host) = self.hosts.get_mut(worker) else { continue };
+                    let result = host.stop(now, order).map_err(CallError::Refused);
+                    self.answer_order(&action, result);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn is_silent(&self, id: &WorkerId) -> bool {
+        self.hosts.get(id).is_none_or(|h| h.fake.silent)
+    }
+
+    fn start(&mut self, worker: &WorkerId, order: &StartOrder) -> Result<(), CallError> {
+        let now = self.bench.now;
+        let TaskKey { step, index } = order.task;
+        let Some(job) = self.jobs.get_mut(&step.job) else { return Ok(()) };
+        let spec = job.spec.steps[step.step as usize].clone();
+        // Declared run times are off by up to a third.
+        let which = if spec.gang { 0 } else { u64::from(index) + 1 };
+        let percent = 70 + draw(self.seed, &[step.job.0, u64::from(step.step), which]) % 61;
+        let takes = Millis(spec.estimate.0 * percent / 100);
+        let Some(host) = self.hosts.get_mut(worker) else { return Ok(()) };
+        let began = host.start(now, order, spec, takes).map_err(CallError::Refused)?;
+        if began {
+            job.first_start.get_or_insert(now);
+        }
+        Ok(())
+    }
+
+    fn answer_order(&mut self, action: &Action, result: Result<(), CallError>) {
+        let result = result.map(|()| self.bench.now);
+        match action.clone() {
+            Action::Start { worker, order, .. } => {
+                let (task, run) = (order.task, order.run);
+                self.handle(Input::Started { worker, task, run, result });
+            }
+            Action::Stop { worker, order, .. } => {
+                let (task, run) = (order.task, order.run);
+                self.handle(Input::Stopped { worker, task, run, result });
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_silence(&mut self) {
+        let now = self.bench.now;
+        let (due, rest): (Vec<(Millis, Action)>, _) =
+            std::mem::take(&mut self.unanswered).into_iter().partition(|(due, _)| *due <= now);
+        self.unanswered = rest;
+        for (_, action) in due {
+            self.answer_order(&action, Err(SILENT()));
+        }
+    }
+
+    fn answer_renewals(&mut self) {
+        let now = self.bench.now;
+        let answers =
+            self.hosts.iter_mut().filter_map(|(id, h)| Some((id.clone(), h.answer(now)?)));
+        for (id, (sent_at, result)) in answers.collect::<Vec<_>>() {
+            self.renewed(&id, sent_at, result);
+        }
+    }
+
+    fn renewed(
+        &mut self,
+        worker: &WorkerId,
+        sent_at: Millis,
+        result: Result<dispatch::Report, CallError>,
+    ) {
+        self.handle(Input::Renewed { worker: worker.clone(), sent_at, result });
+    }
+
+    /// Takes up what the dispatcher wants done.
+    fn collect(&mut self) {
+        let due = self.bench.now + COMMIT;
+        let batches = self.bench.pending.drain(..);
+        self.committing.extend(batches.map(|(number, commands)| (due, number, commands)));
+        for action in std::mem::take(&mut self.bench.actions) {
+            match action {
+                Action::Ask(ask) => self.ask(ask),
+                Action::Reply { token, answer: Answer::Accepted } => {
+                    if let Some(job) = self.jobs.get_mut(&JobId(token)) {
+                        job.accepted = true;
+                    }
+                }
+                Action::Note { kind, subject, details } => {
+                    let text = format!("{:?} {} {subject} {details}", self.bench.now, kind.name);
+                    self.notes.push((subject, text));
+                }
+                Action::Reply { .. } => {}
+                order => self.orders.push(order),
+            }
+        }
+    }
+
+    /// The service takes the calls of an instance one after the other.
+    fn ask(&mut self, ask: AdviceAsk) {
+        let is_quick = self.jobs.get(&ask.step.job).is_some_and(|j| j.path.starts_with("/q/"));
+        let (base, each) = if is_quick { SHORT_CALL } else { LONG_CALL };
+        let takes = Millis((base + each * ask.workers.len() as u64) / 1_000);
+        let free_at = self.busy_until.entry(ask.helper.clone()).or_default();
+        let due = self.bench.now.max(*free_at) + takes;
+        *free_at = due;
+        self.asked.push(Asked { due, ask });
+    }
+
+    fn check(&mut self) {
+        for (id, host) in &self.hosts {
+            let (used, capacity) = (host.used(), host.info.capacity);
+            assert!(used.fits(&capacity), "{id} is over its room: {used} of {capacity}");
+        }
+        if !self.has_leader {
+            self.watch.reset();
+            return;
+        }
+        let (now, book) = (self.bench.now, self.bench.dispatcher.book());
+        let standing = self.watch.look(now, book, &self.hosts, &self.service);
+        if let Some(standing) = standing {
+            let figures = self.bench.dispatcher.figures();
+            let trace = self.trace(standing.task.step.job);
+            panic!("seed {}, {now:?}: {standing:#?}\n{figures:#?}\n{trace}", self.seed);
+        }
+    }
+
+    /// Gives what the dispatcher told of a job.
+    fn trace(&self, job: JobId) -> String {
+        let about = job.to_string();
+        let notes = self.notes.iter().filter(|(subject, _)| subject.starts_with(&about));
+        notes.map(|(_, text)| text.as_str()).collect::<Vec<_>>().join("\n")
+    }
+
+    /// Lets the load go down: what lasts is cancelled, and everything else must come to its end.
+    pub fn settle(&mut self, within: Millis) {
+        let lasting = self.jobs.iter().filter(|(_, j)| j.kind == Kind::Lasting);
+        for (id, path) in lasting.map(|(id, j)| (*id, j.path.clone())).collect::<Vec<_>>() {
+            self.call(id, path, Verb::Cancel);
+        }
+        let until = self.bench.now + within;
+        while self.bench.now < until && !self.is_over() {
+            self.step();
+        }
+        for (id, job) in &self.jobs {
+            let state = self.bench.committed.job(*id).map(|j| j.state);
+            let wanted = match job.kind {
+                Kind::Lasting => JobState::Cancelled,
+                _ => JobState::Completed,
+            };
+            assert_eq!(state, Some(wanted), "seed {}: {id}, {:?}", self.seed, job.kind);
+        }
+    }
+
+    fn is_over(&self) -> bool {
+        let is_final = |id| self.bench.committed.job(id).is_some_and(|j| j.state.is_final());
+        self.jobs.keys().all(|id| is_final(*id))
+    }
+
+    /// Gives the waits from hand-in to the first start of the jobs of a kind, in order.
+    pub fn waits(&self, kind: Kind) -> Vec<Millis> {
+        let of_kind = self.jobs.values().filter(|j| j.kind == kind);
+        let mut waits: Vec<Millis> =
+            of_kind.filter_map(|j| Some(j.first_start?.since(j.at))).collect();
+        waits.sort_unstable();
+        waits
+    }
+
+    /// Draws a number below another one.
+    pub fn below(&mut self, end: u64) -> u64 {
+        self.rng.random_range(0..end)
+    }
+}
--- /dev/null
+++ b/components/dispatch/tests/common/host.rs
@@ -0,0 +1,198 @@
+//! A worker whose runs take time, come on and keep their progress.
+
+use std::collections::BTreeMap;
+
+use clock::Millis;
+use dispatch::{CallError, Refusal, RenewOrder, Report, StartOrder, StopOrder};
+use model::Size;
+use workload::{EndKind, StepKey, StepSpec, TaskKey, WorkerInfo};
+
+use super::worker::FakeWorker;
+
+/// A run and how far it is.
+struct Progress {
+    spec: StepSpec,
+    /// What the whole of its work takes.
+    takes: Millis,
+    /// How much of it an earlier run has done, in percent.
+    from: u64,
+    /// Since when it comes on; the members of a gang wait for each other.
+    since: Option<Millis>,
+}
+
+impl Progress {
+    fn percent(&self, now: Millis) -> u64 {
+        let ran = self.since.map_or(Millis::ZERO, |at| now.since(at));
+        (self.from + ran.0 * 100 / self.takes.0.max(1)).min(100)
+    }
+}
+
+/// A renewal that waits at its worker.
+struct Held {
+    sent_at: Millis,
+    answer_at: Millis,
+    answer_within: Millis,
+}
+
+pub struct Host {
+    pub info: WorkerInfo,
+    pub fake: FakeWorker,
+    /// Whether it has said that it leaves.
+    pub leaving: bool,
+    runs: BTreeMap<TaskKey, Progress>,
+    held: Option<Held>,
+}
+
+impl Host {
+    pub fn new(info: WorkerInfo) -> Host {
+        let (fake, runs) = (FakeWorker::default(), BTreeMap::new());
+        Host { info, fake, leaving: false, runs, held: None }
+    }
+
+    pub fn used(&self) -> Size {
+        self.runs.values().fold(Size::ZERO, |sum, p| sum.plus(&p.spec.room()))
+    }
+
+    pub fn free(&self) -> Size {
+        self.info.capacity.minus(&self.used())
+    }
+
+    /// Tells whether it could take new work if it was told to.
+    pub fn is_usable(&self) -> bool {
+        !self.fake.silent && !self.leaving
+    }
+
+    /// Gives the members of gangs that run here.
+    pub fn members(&self) -> impl Iterator<Item = StepKey> + '_ {
+        self.runs.iter().filter(|(_, p)| p.spec.gang).map(|(key, _)| key.step)
+    }
+
+    /// Gives the tasks that last and run here.
+    pub fn lasting(&self) -> impl Iterator<Item = TaskKey> + '_ {
+        self.runs.iter().filter(|(_, p)| p.spec.long_running).map(|(key, _)| *key)
+    }
+
+    /// Lets runs come on and end; `present` gives how many members of each gang run anywhere.
+    pub fn come_on(&mut self, now: Millis, present: &BTreeMap<StepKey, u32>) {
+        self.fake.lapse(now);
+        self.drop_ended();
+        let mut over = Vec::new();
+        for (key, p) in &mut self.runs {
+            let here = present.get(&key.step).copied().unwrap_or(0);
+            let complete = !p.spec.gang || here == p.spec.count;
+            match (p.since, complete) {
+                (None, true) => p.since = Some(now),
+                (Some(_), false) => over.push((*key, EndKind::Broken)),
+                _ if !p.spec.long_running && p.percent(now) >= 100 => {
+                    over.push((*key, EndKind::Done));
+                }
+                _ => {}
+            }
+        }
+        for (key, kind) in over {
+            self.end(now, key, kind);
+        }
+    }
+
+    /// Ends a run, which keeps its progress if its step says so.
+    pub fn end(&mut self, now: Millis, key: TaskKey, kind: EndKind) {
+        let progress = self.saved(now, &key);
+        let before = self.fake.ends.len();
+        self.fake.end(key, kind);
+        for end in &mut self.fake.ends[before..] {
+            end.checkpoint = progress.as_str().into();
+        }
+        self.drop_ended();
+    }
+
+    fn saved(&self, now: Millis, key: &TaskKey) -> String {
+        let kept = self.runs.get(key).filter(|p| p.spec.checkpointing);
+        kept.map(|p| p.percent(now).to_string()).unwrap_or_default()
+    }
+
+    fn drop_ended(&mut self) {
+        let running = &self.fake.running;
+        self.runs.retain(|key, _| running.contains_key(key));
+    }
+
+    /// Carries out a start; tells whether a run began.
+    pub fn start(
+        &mut self,
+        now: Millis,
+        order: &StartOrder,
+        spec: StepSpec,
+        takes: Millis,
+    ) -> Result<bool, Refusal> {
+        let holds = |t: &str| t.parse().is_ok_and(|until| now <= Millis(until));
+        if !order.ticket.as_deref().is_some_and(holds) {
+            return Err(Refusal::Ticket);
+        }
+        if !self.fake.start(now, order)? {
+            return Ok(false);
+        }
+        let since = (!spec.gang).then_some(now);
+        let from = order.checkpoint.parse().unwrap_or(0);
+        self.runs.insert(order.task, Progress { spec, takes, from, since });
+        Ok(true)
+    }
+
+    pub fn stop(&mut self, now: Millis, order: &StopOrder) -> Result<(), Refusal> {
+        let progress = self.saved(now, &order.task);
+        let before = self.fake.ends.len();
+        self.fake.stop(order)?;
+        for end in &mut self.fake.ends[before..] {
+            end.checkpoint = progress.as_str().into();
+        }
+        self.drop_ended();
+        Ok(())
+    }
+
+    /// Takes a renewal, which is answered once a run has ended or its wait is over.
+    pub fn renew(
+        &mut self,
+        now: Millis,
+        sent_at: Millis,
+        order: &RenewOrder,
+    ) -> Result<(), Refusal> {
+        if !self.fake.silent {
+            self.fake.renew(order)?;
+        }
+        let (answer_at, answer_within) = (now + order.wait, order.answer_within);
+        self.held = Some(Held { sent_at, answer_at, answer_within });
+        Ok(())
+    }
+
+    /// Gives the answer to the renewal that waits, and when that was sent.
+    pub fn answer(&mut self, now: Millis) -> Option<(Millis, Result<Report, CallError>)> {
+        let held = self.held.as_ref()?;
+        let sent_at = held.sent_at;
+        if self.fake.silent {
+            let given_up = now >= held.answer_at + held.answer_within;
+            return given_up.then(|| self.answered(sent_at, Err(super::SILENT())));
+        }
+        if self.fake.ends.is_empty() && now < held.answer_at {
+            return None;
+        }
+        let mut report = self.fake.report(now);
+        for row in &mut report.running {
+            let percent = self.runs.get(&row.task).map_or(0, |p| p.percent(now));
+            row.percent = percent as u32;
+            row.checkpoint = self.saved(now, &row.task).as_str().into();
+        }
+        Some(self.answered(sent_at, Ok(report)))
+    }
+
+    fn answered(
+        &mut self,
+        sent_at: Millis,
+        result: Result<Report, CallError>,
+    ) -> (Millis, Result<Report, CallError>) {
+        self.held = None;
+        (sent_at, result)
+    }
+
+    /// Forgets the renewal of a leader that is gone.
+    pub fn drop_held(&mut self) {
+        self.held = None;
+    }
+}
--- /dev/null
+++ b/components/dispatch/tests/common/mix.rs
@@ -0,0 +1,92 @@
+//! The jobs that callers hand in: a mix of kinds at a share of the workers' room.
+
+use clock::Millis;
+use model::Size;
+use workload::StepSpec;
+
+use super::fleet::{Fleet, Kind, STEP};
+use super::step;
+
+/// What a job of each kind takes on average, in thousandths of a core for a millisecond.
+const QUICK_COST: f64 = 8.0 * 1_000.0 * 550.0;
+const BATCH_COST: f64 = 6.0 * 2_000.0 * 4_000.0 + 3.0 * 2_000.0 * 2_500.0;
+const GANG_COST: f64 = 4.0 * 4_000.0 * 3_000.0;
+
+/// What share of the room each kind of job takes, and how far the next one of each is off.
+#[derive(Clone, Copy, Default)]
+pub struct Mix {
+    pub quick: f64,
+    pub batch: f64,
+    pub gang: f64,
+    due: [f64; 3],
+}
+
+impl Mix {
+    pub fn new(quick: f64, batch: f64, gang: f64) -> Mix {
+        Mix { quick, batch, gang, due: [0.0; 3] }
+    }
+
+    /// The everyday mix at a share of the room.
+    pub fn everyday(share: f64) -> Mix {
+        Mix::new(0.4 * share, 0.45 * share, 0.15 * share)
+    }
+
+    /// Hands in what falls due in each step of a span.
+    pub fn play(&mut self, fleet: &mut Fleet, span: Millis) {
+        let until = fleet.bench.now + span;
+        while fleet.bench.now < until {
+            self.hand_in(fleet);
+            fleet.step();
+        }
+    }
+
+    fn hand_in(&mut self, fleet: &mut Fleet) {
+        let room = fleet.hosts.values().map(|h| h.info.capacity.cpu_milli).sum::<u64>();
+        let cores = room as f64 * STEP.0 as f64;
+        let shares = [self.quick / QUICK_COST, self.batch / BATCH_COST, self.gang / GANG_COST];
+        for (kind, share) in shares.into_iter().enumerate() {
+            self.due[kind] += share * cores;
+            while self.due[kind] >= 1.0 {
+                self.due[kind] -= 1.0;
+                match kind {
+                    0 => quick(fleet),
+                    1 => batch(fleet),
+                    _ => gang(fleet),
+                }
+            }
+        }
+    }
+}
+
+/// A job that somebody waits for: many small tasks.
+pub fn quick(fleet: &mut Fleet) {
+    let count = 4 + fleet.below(9) as u32;
+    let estimate = Millis(300 + fleet.below(501));
+    fleet.hand_in(Kind::Quick, "q", vec![StepSpec { estimate, ..step(count) }]);
+}
+
+/// A larger job of two steps, of which every other one keeps its progress.
+pub fn batch(fleet: &mut Fleet) {
+    let size = Size::new(2_000, 4_000, 0);
+    let checkpointing = fleet.below(2) == 0;
+    let count = 4 + fleet.below(5) as u32;
+    let estimate = Millis(3_000 + fleet.below(2_001));
+    let first = StepSpec { size, checkpointing, estimate, ..step(count) };
+    let estimate = Millis(2_000 + fleet.below(1_001));
+    let second = StepSpec { size, checkpointing, estimate, depends_on: vec![0], ..step(3) };
+    fleet.hand_in(Kind::Batch, "bulk", vec![first, second]);
+}
+
+/// Four tasks that work only together.
+pub fn gang(fleet: &mut Fleet) {
+    let size = Size::new(4_000, 4_000, 0);
+    let members = StepSpec { size, gang: true, estimate: Millis(3_000), ..step(4) };
+    fleet.hand_in(Kind::Gang, "mid", vec![members]);
+}
+
+/// Two tasks that run until they are cancelled.
+pub fn lasting(fleet: &mut Fleet, constraint: Option<&str>) {
+    let constraint = constraint.map(Into::into);
+    let tasks = StepSpec { long_running: true, constraint, estimate: Millis(20_000), ..step(2) };
+    fleet.hand_in(Kind::Lasting, "mid", vec![tasks]);
+}
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -1,6 +1,10 @@
 //! A dispatcher with a hand-driven log, clock and workers.
 #![allow(dead_code)]
 
+pub mod fleet;
+pub mod host;
+pub mod mix;
+pub mod watch;
 pub mod worker;
 
 use std::sync::Arc;
--- /dev/null
+++ b/components/dispatch/tests/loads.rs
@@ -0,0 +1,234 @@
+//! Each load pattern at its worst, replayed on the dispatcher with a fleet around it.
+//!
+//! In every pattern and at every step [`common::watch`] checks that nothing accepted stands without a run
+//! while its workers have room, and that no worker is over its room; in the end every job must be done.
+//! `--nocapture` prints the waits from hand-in to first start.
+
+mod common;
+
+use clock::Millis;
+use common::fleet::{Fleet, Kind, NOTICE};
+use common::host::Host;
+use common::mix::{self, Mix};
+use common::step;
+use model::Size;
+use workload::{EndKind, StepSpec, TaskKey, WorkerId};
+
+/// The seeds that each pattern is replayed with.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=3;
+const CORES: u64 = 8;
+/// How long the everyday mix runs before the pattern begins.
+const WARM_UP: Millis = Millis(4_000);
+/// For how long a task that lasts may be away where there is room for it.
+const LONGEST_RESTART: Millis = Millis(3_000);
+
+fn worker_size() -> Size {
+    Size::new(CORES * 1_000, CORES * 2_000, 0)
+}
+
+/// A fleet of 48 workers in three zones, with some tasks that last.
+fn fleet(seed: u64, callers: usize) -> Fleet {
+    let mut f = Fleet::new(seed, callers);
+    f.join("w", 48, worker_size());
+    f.pass(Millis(100));
+    for _ in 0..12 {
+        mix::lasting(&mut f, None);
+    }
+    f
+}
+
+/// What may be asked of the waits of one kind of job, in milliseconds.
+struct Bound {
+    kind: Kind,
+    p95: u64,
+    longest: u64,
+}
+
+/// Gives the wait that 95 of 100 jobs of a kind stay below, and the longest one.
+fn waits(f: &Fleet, kind: Kind) -> (Millis, Millis) {
+    let waits = f.waits(kind);
+    let p95 = waits.get(waits.len() * 95 / 100).or(waits.last());
+    (p95.copied().unwrap_or_default(), waits.last().copied().unwrap_or_default())
+}
+
+fn print(f: &Fleet, pattern: &str) {
+    for kind in [Kind::Quick, Kind::Batch, Kind::Gang, Kind::Lasting, Kind::Wide] {
+        let jobs = f.waits(kind).len();
+        let (p95, longest) = waits(f, kind);
+        if jobs > 0 {
+            println!("{pattern}: {kind:?} {jobs} jobs, p95 {} ms, longest {} ms", p95.0, longest.0);
+        }
+    }
+    println!("{pattern}: longest wait beside room {} ms", f.watch.longest.0);
+}
+
+/// Lets the fleet come to rest, and checks how long jobs have waited.
+fn finish(mut f: Fleet, pattern: &str, bounds: &[Bound]) {
+    f.settle(Millis(120_000));
+    print(&f, pattern);
+    for bound in bounds {
+        let (p95, longest) = waits(&f, bound.kind);
+        let kind = bound.kind;
+        assert!(p95 <= Millis(bound.p95), "{pattern}: 95% of {kind:?} start within {p95:?}");
+        assert!(longest <= Millis(bound.longest), "{pattern}: a {kind:?} waits for {longest:?}");
+    }
+}
+
+fn quick(p95: u64, longest: u64) -> Bound {
+    Bound { kind: Kind::Quick, p95, longest }
+}
+
+fn batch(p95: u64, longest: u64) -> Bound {
+    Bound { kind: Kind::Batch, p95, longest }
+}
+
+fn gang(longest: u64) -> Bound {
+    Bound { kind: Kind::Gang, p95: longest, longest }
+}
+
+fn wide(longest: u64) -> Bound {
+    Bound { kind: Kind::Wide, p95: longest, longest }
+}
+
+/// Quick jobs at twice the room on top of batch jobs at twice the room. Half of the quick work must wait
+/// for the burst to be over, none of it for the batch jobs behind it.
+#[test]
+fn two_bursts_one_on_the_other() {
+    for seed in SEEDS {
+        let mut f = fleet(seed, 12);
+        Mix::everyday(0.6).play(&mut f, WARM_UP);
+        Mix::new(0.25, 2.0, 0.0).play(&mut f, Millis(2_000));
+        Mix::new(2.0, 2.0, 0.0).play(&mut f, Millis(2_000));
+        Mix::everyday(0.6).play(&mut f, Millis(4_000));
+        finish(f, "two bursts", &[quick(6_000, 6_500), batch(14_000, 15_000)]);
+    }
+}
+
+/// One worker in seven says that it leaves and ends two seconds later. Tasks that it takes with it wait for
+/// its lease, the others must not wait with them.
+#[test]
+fn a_seventh_of_the_workers_leave_at_short_notice() {
+    for seed in SEEDS {
+        let mut f = fleet(seed, 12);
+        let mut mix = Mix::everyday(0.8);
+        mix.play(&mut f, WARM_UP);
+        let leaving: Vec<WorkerId> = f.workers(|_| true).into_iter().step_by(7).collect();
+        leaving.iter().for_each(|id| f.give_notice(id));
+        mix.play(&mut f, NOTICE);
+        leaving.iter().for_each(|id| f.remove(id));
+        mix.play(&mut f, Millis(8_000));
+        finish(f, "short notice", &[quick(200, 500), batch(3_000, 3_500), gang(16_000)]);
+    }
+}
+
+/// Every lease runs out, and all that callers kept back comes at once, before any worker was heard.
+#[test]
+fn no_leader_for_six_seconds() {
+    for seed in SEEDS {
+        let mut f = fleet(seed, 12);
+        let mut mix = Mix::everyday(0.7);
+        mix.play(&mut f, WARM_UP);
+        f.lose_leader();
+        mix.play(&mut f, Millis(6_000));
+        f.take_over();
+        mix.play(&mut f, Millis(6_000));
+        finish(f, "no leader", &[quick(7_500, 9_000), batch(15_000, 19_000), gang(18_000)]);
+    }
+}
+
+/// A third of the workers is out of reach for longer than a lease, and their work joins what waits.
+#[test]
+fn a_zone_is_cut_off_at_full_load() {
+    for seed in SEEDS {
+        let mut f = fleet(seed, 12);
+        let mut mix = Mix::everyday(1.0);
+        mix.play(&mut f, WARM_UP);
+        let cut = f.workers(|h| *h.info.zone == *"z1");
+        cut.iter().for_each(|id| f.set_silent(id, true));
+        mix.play(&mut f, Millis(6_000));
+        cut.iter().for_each(|id| f.set_silent(id, false));
+        mix.play(&mut f, Millis(4_000));
+        finish(f, "a zone cut off", &[quick(800, 8_500), batch(12_000, 14_000), gang(17_000)]);
+    }
+}
+
+/// A step that is always open must not keep later ones from the room that comes.
+#[test]
+fn steps_wider_than_the_room_before_other_work() {
+    for seed in SEEDS {
+        let mut f = fleet(seed, 12);
+        f.pass(Millis(2_000));
+        // Two of these fit on a worker, and some 32 workers are allowed.
+        let size = Size::new(CORES * 500, CORES * 1_000, 0);
+        let too_wide = StepSpec { size, estimate: Millis(2_000), ..step(200) };
+        for _ in 0..3 {
+            f.hand_in(Kind::Wide, "mid", vec![too_wide.clone()]);
+        }
+        Mix::everyday(0.3).play(&mut f, Millis(8_000));
+        finish(f, "wide steps", &[quick(200, 500), batch(3_500, 3_500), wide(12_000)]);
+    }
+}
+
+/// A step that holds much of a worker for long.
+fn lengthy(label: &str, estimate: Millis) -> StepSpec {
+    let size = Size::new(CORES * 500, CORES * 1_000, 0);
+    let constraint = Some(label.into());
+    StepSpec { size, constraint, estimate, ..step(4) }
+}
+
+/// Gives the tasks that last and run on some worker.
+fn lasting(f: &Fleet) -> Vec<(WorkerId, TaskKey)> {
+    let on =
+        |(id, h): (&WorkerId, &Host)| h.lasting().map(|key| (id.clone(), key)).collect::<Vec<_>>();
+    f.hosts.iter().flat_map(on).collect()
+}
+
+/// Lets one of the tasks that last fail.
+fn fail_one(f: &mut Fleet) -> TaskKey {
+    let running = lasting(f);
+    let at = f.below(running.len() as u64) as usize;
+    let (worker, task) = &running[at];
+    let now = f.bench.now;
+    if let Some(host) = f.hosts.get_mut(worker) {
+        host.end(now, *task, EndKind::Failed);
+    }
+    *task
+}
+
+/// Lets tasks that last fail one after the other behind steps that wait for full workers, beside quick
+/// jobs at a share of the room.
+fn fail_behind_a_backlog(seed: u64, quick_share: f64) {
+    let mut f = fleet(seed, 6);
+    // There is always room on these, where the backlog may not go.
+    f.join("keep", 12, worker_size());
+    f.pass(Millis(2_000));
+    for _ in 0..12 {
+        mix::lasting(&mut f, Some("keep"));
+    }
+    f.pass(Millis(6_000));
+    let all = lasting(&f).len();
+    for _ in 0..80 {
+        f.hand_in(Kind::Wide, "mid", vec![lengthy("w", Millis(6_000))]);
+    }
+    let mut mix = Mix::new(quick_share, 0.0, 0.0);
+    mix.play(&mut f, Millis(2_000));
+    let mut failed: Vec<(Millis, TaskKey)> = Vec::new();
+    for _ in 0..40 {
+        let task = fail_one(&mut f);
+        failed.push((f.bench.now, task));
+        mix.play(&mut f, Millis(250));
+        let running = lasting(&f);
+        failed.retain(|(_, task)| !running.iter().any(|(_, t)| t == task));
+        let late = failed.iter().find(|(at, _)| f.bench.now.since(*at) > LONGEST_RESTART);
+        assert_eq!(late, None, "seed {seed}: a task that lasts is not started again");
+    }
+    f.pass(LONGEST_RESTART);
+    assert_eq!((all, lasting(&f).len()), (48, 48), "seed {seed}: all run again");
+    finish(f, "tasks that last", &[quick(200, 500), wide(30_000)]);
+}
+
+/// Tasks that last must get their calls for advice before the steps that wait for room.
+#[test]
+fn tasks_that_last_fail_behind_a_backlog() {
+    SEEDS.for_each(|seed| fail_behind_a_backlog(seed, 0.1));
+}
