Failing tests: a backlog of 100 steps and more still keeps advice from work whose workers are free

Cause, as far as seen: a plan looks for whom to ask for ten steps (MOST_SCANS), and only while an instance is free. A step known to wait for room is looked at anew after 10 ms for each such step (here 1.3 s), so some 100 looks a second are needed to keep 132 of them known. Four instances with calls of 420 to 580 ms are free about 8 times a second, which gives 80 looks; the plan never comes to the steps at the end. Those looked at are put back and get the free instance at the end of the same plan all the same.

starvation.rs has it minimised: 100 steps, one job, no other load.

--- a/components/dispatch/tests/loads.rs
+++ b/components/dispatch/tests/loads.rs
@@ -176,6 +176,37 @@
     StepSpec { size, constraint, estimate, ..step(4) }
 }
 
+/// Hands in 150 steps for some workers at once, and after a while jobs for others that stay nearly empty.
+fn hand_in_behind_many_steps(f: &mut Fleet, estimate: Millis, after: Millis, pause: Millis) {
+    f.join("free", 12, worker_size());
+    f.pass(Millis(2_000));
+    for _ in 0..150 {
+        f.hand_in(Kind::Wide, "mid", vec![lengthy("w", estimate)]);
+    }
+    let mut quick_jobs = Mix::new(0.03, 0.0, 0.0);
+    quick_jobs.play(f, after);
+    // With so much time to spare they come after all steps that wait for room.
+    let estimate = Millis(12_000);
+    let free = StepSpec { constraint: Some("free".into()), estimate, ..step(2) };
+    for _ in 0..10 {
+        quick_jobs.play(f, pause);
+        f.hand_in(Kind::Batch, "bulk", vec![free.clone()]);
+    }
+    quick_jobs.play(f, Millis(3_000));
+}
+
+/// Steps that wait for room want more calls for advice than can be made, those for which room comes half of
+/// them. Jobs whose workers are free need one call each.
+#[test]
+fn many_steps_wait_for_advice() {
+    for seed in SEEDS {
+        let mut f = fleet(seed, 6);
+        let (estimate, after) = (Millis(12_000), Millis(6_000));
+        hand_in_behind_many_steps(&mut f, estimate, after, Millis(1_000));
+        finish(f, "many steps", &[quick(200, 500), batch(1_500, 1_500), wide(100_000)]);
+    }
+}
+
 /// Gives the tasks that last and run on some worker.
 fn lasting(f: &Fleet) -> Vec<(WorkerId, TaskKey)> {
     let on =
--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -138,3 +138,21 @@
     f.pass(Millis(2_000));
     assert!(f.has_started(99), "a free call and its answer take less than a second");
 }
+
+/// Before a call is made for a step that waits for room, the steps behind it that could start must have been
+/// looked at. A plan looks for whom to ask for ten steps, and only while an instance is free; with four
+/// calls of 430 ms under way that is less often than 100 steps need to stay known as waiting.
+#[test]
+fn a_backlog_larger_than_a_plan_looks_at_leaves_calls_for_advice_to_a_job_whose_workers_are_free() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new(6);
+    f.join("full", 4, whole);
+    f.join("free", 8, whole);
+    for id in 1..=100 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.pass(Millis(8_000));
+    f.bench.submit_bulk(999, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(3_000));
+    assert!(f.has_started(999), "a free call and its answer take less than a second");
+}
