A failing test: a task that lasts waits where others failed long before

Minimised here to four workers, eight jobs that last and one failure in 30 s: the fifth fails the check, 3 s after it.

Cause: a worker is set aside for 4 s, doubled up to 16 s, once two runs of different jobs have failed there since the last one that was done (Record::note_failed). Tasks that last are never done, so on workers that run nothing else failures add up for ever, however far apart they are.

Ruled out: advice, as no instance was busy and none was lacking in the minimised run.

--- a/components/dispatch/tests/loads.rs
+++ b/components/dispatch/tests/loads.rs
@@ -263,3 +263,20 @@
 fn tasks_that_last_fail_behind_a_backlog() {
     SEEDS.for_each(|seed| fail_behind_a_backlog(seed, 0.1));
 }
+
+/// Two failures that lie long apart say nothing of a worker whose tasks never end otherwise. What lasts there
+/// must not wait for it as for one that fails task after task.
+#[test]
+fn a_task_that_lasts_is_started_again_where_another_one_failed_long_before() {
+    let mut f = Fleet::new(1, 2);
+    f.join("keep", 4, worker_size());
+    f.pass(Millis(100));
+    for _ in 0..8 {
+        mix::lasting(&mut f, Some("keep"));
+    }
+    f.pass(Millis(5_000));
+    for _ in 0..16 {
+        fail_one(&mut f);
+        f.pass(Millis(30_000));
+    }
+}
