Keep at most a quarter of the room free for large tasks that wait, whatever the first of them takes

Cause: room was kept free for up to 20 steps that wait for the same workers, on as many workers as they want, until what runs there ends. On a fleet of which an eighth was taken nothing else could start.

Change: what stands idle for them is bounded by a quarter of what all workers of the service and label have; the first step that waits, and a whole gang if it is the first, is always served. What decides whether a call for advice may be made asks the cheap question first.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -224,12 +224,12 @@
 
     /// Tells whether a call on a step could be made now, before anyone looks for prospects.
     pub(crate) fn may_ask(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
-        self.free_helper(now, policy).is_some() && self.is_due(step, now)
+        self.is_due(step, now) && self.free_helper(now, policy).is_some()
     }
 
     /// Tells whether a call on a step is due and no instance is free to make it.
     pub(crate) fn lacks_caller(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
-        self.free_helper(now, policy).is_none() && self.is_due(step, now)
+        self.is_due(step, now) && self.free_helper(now, policy).is_none()
     }
 
     fn is_due(&self, step: &StepKey, now: Millis) -> bool {
@@ -255,12 +255,16 @@
         let looked_at = |key: &StepKey| {
             let waiting = self.steps.get(key)?.waiting?;
             let rested = now >= waiting.looked_at + LOOK_FOR_ROOM_AGAIN;
-            (rested && self.may_ask(key, &waiting.policy, now)).then_some(waiting.looked_at)
+            rested.then_some((waiting.looked_at, waiting.policy))
         };
-        let mut waiting: Vec<(Millis, StepKey)> =
-            steps.filter_map(|key| Some((looked_at(key)?, *key))).collect();
-        waiting.sort_unstable();
-        self.again.extend(waiting.into_iter().take(most).map(|(_, key)| key));
+        let mut waiting: Vec<(Millis, StepKey, AdvicePolicy)> =
+            steps.filter_map(|key| looked_at(key).map(|(at, policy)| (at, *key, policy))).collect();
+        waiting.sort_unstable_by_key(|(at, key, _)| (*at, *key));
+        let may_ask =
+            |(_, key, policy): &(Millis, StepKey, AdvicePolicy)| self.may_ask(key, policy, now);
+        let again = waiting.into_iter().filter(may_ask).take(most).map(|(_, key, _)| key);
+        let again: Vec<StepKey> = again.collect();
+        self.again.extend(again);
     }
 
     /// Forgets which steps the last plan was to look at again.
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -17,7 +17,7 @@
 use crate::call::{Answer, Call};
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
-use crate::room::Sought;
+use crate::room::{Kept, Sought};
 use crate::speed::StepSpeeds;
 use crate::view::{Order, Stage, View};
 use crate::window::Window;
@@ -248,8 +248,8 @@
     pub(crate) kept_free: BTreeMap<WorkerId, Size>,
     /// What the plan under way has taken so far, in looks at a worker.
     pub(crate) looks: u64,
-    /// For how many steps the plan under way has looked for room to be kept free, by whom they wait for.
-    pub(crate) rooms_made: BTreeMap<Sought, u32>,
+    /// What the plan under way keeps free in all, by which workers it is sought on.
+    pub(crate) rooms_made: BTreeMap<Sought, Kept>,
     /// Which open steps plans look at.
     pub(crate) window: Window,
     /// The steps of the plan under way that want advice and wait for room, with whom a call would name if
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -176,6 +176,9 @@
 /// For how many steps that wait for the same workers a plan keeps room free. Each looks through all workers,
 /// and later ones rarely find one that is not waited for already.
 pub(crate) const MOST_ROOMS_MADE: u32 = 20;
+/// What part of the room of all workers that steps seek may stand idle for large tasks that wait, as one in so
+/// many: a quarter, so that on a fleet that is less than half full as much again is there for the others.
+pub(crate) const MOST_KEPT_PART: u64 = 4;
 /// How much time a job must have to spare for one of its runs to be stopped for another: the stop, a call
 /// for advice, the restart from its progress, and a wait for room as long as a batch task runs.
 pub(crate) const PREEMPT_SLACK: Millis = Millis(9_000);
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -8,10 +8,12 @@
 use clock::Millis;
 use events::kinds;
 use model::{Dimension, Name, Size};
-use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId};
+use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId, WorkerInfo};
 
 use crate::dispatcher::{Dispatcher, Moment};
-use crate::limits::{LARGE_PART, MOST_ROOMS_MADE, PREEMPT_SLACK, SHORTEST_PREEMPTOR};
+use crate::limits::{
+    LARGE_PART, MOST_KEPT_PART, MOST_ROOMS_MADE, PREEMPT_SLACK, SHORTEST_PREEMPTOR,
+};
 use crate::seats::most_more;
 use crate::view::{Stage, View};
 
@@ -23,6 +25,24 @@
     label: Option<Name>,
 }
 
+/// What a plan keeps free on the workers that some steps seek.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Kept {
+    /// For how many steps it was looked for.
+    steps: u32,
+    /// What stands idle for them by now.
+    idle: Size,
+    /// What all those workers have.
+    of: Size,
+}
+
+impl Kept {
+    /// Tells whether so much more may stand idle. Whatever it takes may for the first.
+    fn allows(&self, idle: &Size) -> bool {
+        self.idle == Size::ZERO || self.idle.plus(idle).times(MOST_KEPT_PART).fits(&self.of)
+    }
+}
+
 /// A run that may be stopped for another.
 struct Victim {
     task: TaskKey,
@@ -35,6 +55,8 @@
     worker: WorkerId,
     /// What is free or will be once runs that are being stopped are gone, less what is kept free.
     free: Size,
+    /// What of that is free now.
+    idle: Size,
     /// The runs that may be stopped, those that free the most first.
     victims: Vec<Victim>,
     /// What everything else on the worker takes that ends by itself.
@@ -96,6 +118,11 @@
         self.free = self.free.minus(size);
         self.taken += 1;
     }
+
+    /// Gives what stands idle here until the tasks start.
+    fn kept_idle(&self, size: &Size) -> Size {
+        self.idle.least(&size.times(self.taken))
+    }
 }
 
 impl Dispatcher {
@@ -115,7 +142,11 @@
             return;
         }
         let Some(sought) = self.sought(key, spec) else { return };
-        if self.rooms_made.get(&sought).is_some_and(|made| *made >= MOST_ROOMS_MADE) {
+        let mut kept = match self.rooms_made.get(&sought) {
+            Some(kept) => *kept,
+            None => Kept { of: self.room_of(&sought), ..Kept::default() },
+        };
+        if kept.steps >= MOST_ROOMS_MADE {
             return;
         }
         // Going through all workers for each step that waits would take a quarter of the leader's processor
@@ -131,7 +162,8 @@
         let places = ids.into_iter().filter_map(|id| self.place(m, key, spec, id));
         let mut places: Vec<Place> = places.collect();
         self.looks += places.len() as u64;
-        *self.rooms_made.entry(sought).or_default() += 1;
+        kept.steps += 1;
+        self.rooms_made.insert(sought.clone(), kept);
         for _ in 0..tasks {
             let waits = places.iter_mut().filter_map(|p| Some((p.wait(&spec.size)?, p)));
             match waits.min_by_key(|(wait, _)| *wait) {
@@ -140,14 +172,39 @@
                 None => break,
             }
         }
-        for place in places.into_iter().filter(|p| p.taken > 0) {
-            let wanted = spec.size.times(place.taken);
-            let kept = self.kept_free.entry(place.worker.clone()).or_default();
-            *kept = kept.plus(&wanted);
-            for victim in place.stopped {
-                self.preempt(&place.worker, key, &victim);
+        places.retain(|p| p.taken > 0);
+        let sum = |a: Size, p: &Place| a.plus(&p.kept_idle(&spec.size));
+        if spec.gang && !kept.allows(&places.iter().fold(Size::ZERO, sum)) {
+            return;
+        }
+        for place in places {
+            let idle = place.kept_idle(&spec.size);
+            if !spec.gang && !kept.allows(&idle) {
+                break;
             }
+            kept.idle = kept.idle.plus(&idle);
+            self.keep(key, spec, place);
         }
+        self.rooms_made.insert(sought, kept);
+    }
+
+    /// Keeps room free at a place, and stops what has to be stopped for it.
+    fn keep(&mut self, key: &StepKey, spec: &StepSpec, place: Place) {
+        let wanted = spec.size.times(place.taken);
+        let kept = self.kept_free.entry(place.worker.clone()).or_default();
+        *kept = kept.plus(&wanted);
+        for victim in place.stopped {
+            self.preempt(&place.worker, key, &victim);
+        }
+    }
+
+    /// Gives what all the workers have that some steps seek.
+    fn room_of(&self, sought: &Sought) -> Size {
+        let Sought { service, label } = sought;
+        let infos = self.book.workers().values().map(|w| &w.info);
+        let labelled = |i: &WorkerInfo| label.as_ref().is_none_or(|l| i.labels.contains(l));
+        let sought = infos.filter(|i| i.service == *service && labelled(i));
+        sought.fold(Size::ZERO, |a, i| a.plus(&i.capacity))
     }
 
     fn sought(&self, key: &StepKey, spec: &StepSpec) -> Option<Sought> {
@@ -165,10 +222,12 @@
         let worker = self.suitable(m, key, spec, id)?;
         let view = self.views.get(id)?;
         let (victims, coming, ending) = self.sort_runs(m, key, worker, view);
-        let free = worker.free().plus(&coming).minus(&self.kept_free_on(id));
+        let kept_free = self.kept_free_on(id);
+        let free = worker.free().plus(&coming).minus(&kept_free);
         Some(Place {
             worker: id.clone(),
             free,
+            idle: worker.free().minus(&kept_free),
             victims,
             ending,
             most: most_more(key, spec, worker),
--- a/components/model/src/size.rs
+++ b/components/model/src/size.rs
@@ -72,6 +72,15 @@
         }
     }
 
+    /// Gives the lesser of both in each dimension.
+    pub fn least(&self, other: &Size) -> Size {
+        Size {
+            cpu_milli: self.cpu_milli.min(other.cpu_milli),
+            memory_mb: self.memory_mb.min(other.memory_mb),
+            accelerators: self.accelerators.min(other.accelerators),
+        }
+    }
+
     /// Gives `n` times this size.
     pub fn times(&self, n: u64) -> Size {
         Size {
