Forget failures of a worker's runs after 15 s without another one

Cause: failures counted until a run was done there. Where all that runs is meant to last nothing is ever done, so two failures 30 s apart, of different jobs, set a good worker aside for 4 s, later for 16 s, and what lasts there was not started again in time.

Ruled out: advice and room (12 free workers, two instances that call); with workers never set aside the test passed (trial). Change: failures fade, counted from when the worker last stood aside.

--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -165,6 +165,9 @@
 pub(crate) const ADVICE_LEAST_WORKERS: usize = 10;
 /// How many tasks that fail in a row, of more than one job, set a worker aside.
 pub(crate) const FAILS_IN_A_ROW: u32 = 2;
+/// After what time without another failure those of a worker are forgotten, counted from when it last stood
+/// aside: longer than the longest tasks that are not meant to last run, so that one that fails them all is found.
+pub(crate) const FAILS_FADE: Millis = Millis(15_000);
 /// For how long a worker is set aside first; doubled each time it happens again.
 pub(crate) const SET_ASIDE: Millis = Millis(4_000);
 /// How often that is doubled at most. Without a try nobody learns that a worker is well again, and a
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -129,7 +129,7 @@
                 zone: worker.info.zone.clone(),
                 rack: worker.info.labels.last().cloned(),
                 ticket,
-                fails: self.views.get(id).map_or(0, |v| v.record.recent_fails()),
+                fails: self.views.get(id).map_or(0, |v| v.record.recent_fails(m.now)),
             })
         };
         match by_ticket {
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -6,7 +6,7 @@
 use workload::{JobId, TaskKey};
 
 use crate::lease::Reading;
-use crate::limits::{FAILS_IN_A_ROW, MOST_DOUBLINGS, SET_ASIDE};
+use crate::limits::{FAILS_FADE, FAILS_IN_A_ROW, MOST_DOUBLINGS, SET_ASIDE};
 use crate::order::RunRow;
 use crate::speed::Progress;
 
@@ -52,6 +52,7 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Record {
     fails: u32,
+    failed_at: Millis,
     failed_jobs: BTreeSet<JobId>,
     times: u32,
     aside_until: Millis,
@@ -66,6 +67,12 @@
 
     /// Notes a failed run; gives until when the worker is set aside if that follows.
     pub(crate) fn note_failed(&mut self, now: Millis, job: JobId) -> Option<Millis> {
+        // Where all that runs lasts, nothing is ever done. Without this two failures that lie long apart would
+        // set a good worker aside.
+        if self.recent_fails(now) == 0 {
+            self.note_done();
+        }
+        self.failed_at = now;
         self.fails += 1;
         self.failed_jobs.insert(job);
         if self.fails < FAILS_IN_A_ROW || self.failed_jobs.len() < 2 {
@@ -82,9 +89,10 @@
         self.aside_until = self.aside_until.max(until);
     }
 
-    /// Gives how many runs have failed since the last one that was done.
-    pub(crate) fn recent_fails(&self) -> u32 {
-        self.fails
+    /// Gives how many runs have failed since the last one that was done, if one has failed lately.
+    pub(crate) fn recent_fails(&self, now: Millis) -> u32 {
+        let lately = now.since(self.failed_at.max(self.aside_until)) < FAILS_FADE;
+        if lately { self.fails } else { 0 }
     }
 
     pub(crate) fn is_aside(&self, now: Millis) -> bool {
