Placement: jobs behind stuck ones of their team have their turn

Cause: a round passed over the first 64 stuck jobs of a team's line and then left the line alone, and the planner then counted as settled until room was freed; the next round tried the same 64. Ruled out: the search itself, which finds the room as soon as the job is tried.

Change: a line holds where its turns have come to.

Ran: fmt, clippy, the tests of placement, routing and zone, all passed.

--- a/components/placement/src/lib.rs
+++ b/components/placement/src/lib.rs
@@ -8,6 +8,7 @@
 mod gang;
 mod index;
 mod ledger;
+mod line;
 mod planner;
 mod preempt;
 mod queue;
--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -9,13 +9,12 @@
 use crate::baseline::Baseline;
 use crate::estimate::Estimator;
 use crate::ledger::Ledger;
+use crate::line::Walk;
 use crate::queue::Queue;
 use crate::reservation::Reservation;
 use crate::search::{Ask, NO_TASKS, Preference, SpreadCounts};
 use crate::worker::WorkerIndex;
 
-/// How many stuck jobs of one team are passed over in one round before its line is left alone.
-const LOOK_PAST: usize = 64;
 /// The part of the processors kept free of bulk work when waiting weighs most, in percent.
 const HEADROOM_PERCENT: u64 = 5;
 
@@ -252,39 +251,29 @@
         for class in Class::ALL {
             self.plan_class(now, class, budget, &mut round);
         }
-        if round.decisions.len() < budget && !self.policy.only_fixed {
+        let tried_all = round.decisions.len() < budget && self.queue.fits_one_round();
+        if tried_all && !self.policy.only_fixed {
             self.settled_at = Some(self.ledger.freed());
         }
         round.decisions
     }
 
     fn plan_class(&mut self, now: Millis, class: Class, budget: usize, round: &mut Round) {
-        // For each team, the order of the job it has been passed over to.
-        let mut cursors: BTreeMap<Name, (Option<u64>, usize)> = BTreeMap::new();
+        let mut walks: BTreeMap<Name, Walk> = BTreeMap::new();
         while round.decisions.len() < budget {
-            let Some((team, job)) = self.next_job(class, &cursors) else { return };
-            let Some(order) = self.queue.get(&job).map(|b| b.order) else { return };
-            if self.try_job(now, &job, round) {
-                continue;
+            let Some((team, job)) = self.next_job(class, &walks) else { return };
+            if !self.try_job(now, &job, round) {
+                self.queue.pass_over(&job, walks.entry(team).or_default());
             }
-            let cursor = cursors.entry(team).or_default();
-            *cursor = (Some(order), cursor.1 + 1);
         }
     }
 
     /// Gives the next job of the team that uses the least, passing over jobs already tried.
-    fn next_job(
-        &self,
-        class: Class,
-        cursors: &BTreeMap<Name, (Option<u64>, usize)>,
-    ) -> Option<(Name, JobName)> {
+    fn next_job(&self, class: Class, walks: &BTreeMap<Name, Walk>) -> Option<(Name, JobName)> {
         let mut best: Option<(u64, &Name, &JobName)> = None;
         for team in self.queue.teams(class) {
-            let (after, passed) = cursors.get(team).copied().unwrap_or_default();
-            if passed >= LOOK_PAST {
-                continue;
-            }
-            let Some(bundle) = self.queue.next_in_line(class, team, after) else { continue };
+            let walk = walks.get(team).copied().unwrap_or_default();
+            let Some(bundle) = self.queue.next_in_line(class, team, &walk) else { continue };
             let share = self.dominant_share(team);
             if best.is_none_or(|(s, t, _)| (share, team) < (s, t)) {
                 best = Some((share, team, &bundle.spec.name));
--- a/components/placement/src/queue.rs
+++ b/components/placement/src/queue.rs
@@ -6,6 +6,8 @@
 use clock::Millis;
 use model::{Class, JobName, JobSpec, Name};
 
+use crate::line::{Line, Walk};
+
 /// The waiting tasks of one job.
 #[derive(Clone, Debug)]
 pub struct Bundle {
@@ -27,7 +29,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     bundles: BTreeMap<JobName, Bundle>,
-    lines: BTreeMap<Class, BTreeMap<Name, BTreeMap<u64, JobName>>>,
+    lines: BTreeMap<Class, BTreeMap<Name, Line>>,
     next_order: u64,
     waiting: usize,
 }
@@ -83,7 +85,7 @@
         if let Some(teams) = self.lines.get_mut(&bundle.spec.class)
             && let Some(line) = teams.get_mut(&bundle.spec.team)
         {
-            line.remove(&bundle.order);
+            line.remove(bundle.order);
             if line.is_empty() {
                 teams.remove(&bundle.spec.team);
             }
@@ -119,16 +121,23 @@
         self.lines.get(&class).into_iter().flat_map(|teams| teams.keys())
     }
 
-    /// Gives the team's first job behind `after` in the line.
-    pub(crate) fn next_in_line(
-        &self,
-        class: Class,
-        team: &Name,
-        after: Option<u64>,
-    ) -> Option<&Bundle> {
-        let line = self.lines.get(&class)?.get(team)?;
-        let from = after.map_or(0, |o| o + 1);
-        let (_, job) = line.range(from..).next()?;
+    /// Gives the job that a round tries next in a team's line.
+    pub(crate) fn next_in_line(&self, class: Class, team: &Name, walk: &Walk) -> Option<&Bundle> {
+        let job = self.lines.get(&class)?.get(team)?.next(walk)?;
         self.bundles.get(job)
     }
+
+    /// Notes that a round passes over a job that cannot start now.
+    pub(crate) fn pass_over(&mut self, job: &JobName, walk: &mut Walk) {
+        let Some(bundle) = self.bundles.get(job) else { return };
+        let teams = self.lines.get_mut(&bundle.spec.class);
+        if let Some(line) = teams.and_then(|t| t.get_mut(&bundle.spec.team)) {
+            line.pass_over(bundle.order, walk);
+        }
+    }
+
+    /// Tells whether a round that started nothing tried every job.
+    pub(crate) fn fits_one_round(&self) -> bool {
+        self.lines.values().flat_map(BTreeMap::values).all(Line::fits_one_round)
+    }
 }
