Test: room for urgent work is made behind workers that have none to make (fails)

With 511 workers before the one with bulk work it is stopped in the first plan. With 512 and 3,000 it is not in 2 and 6 plans, whether those run services only or bulk work that is too small. That a worker which opens behind the search is seen passes already; it guards the mend.

--- a/components/placement/tests/starvation.rs
+++ b/components/placement/tests/starvation.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use model::{JobKind, JobSpec, Size};
-use placement::{Decision, Planner, Policy, WorkerInfo};
+use model::{Class, JobKind, JobSpec, Size, TaskId};
+use placement::{Decision, Planner, Policy, WorkerIndex, WorkerInfo};
 
 /// How many decisions one plan may take here.
 const BUDGET: usize = 100;
@@ -94,3 +94,98 @@
     submit(&mut planner, spec("late", JobKind::Batch, 1_000));
     assert!(plans_until_start(&mut planner, "late", 10).is_some(), "not within 10 plans");
 }
+
+/// What a worker runs that takes all of it.
+#[derive(Clone, Copy)]
+enum Runs {
+    /// A service, which is never stopped.
+    Service,
+    /// A service, and so little bulk work that stopping it makes too little room.
+    LittleBulk,
+    /// Bulk work.
+    Bulk,
+}
+
+/// Lets `worker` run a task of `kind` that takes `cpu`.
+fn run(planner: &mut Planner, worker: WorkerIndex, kind: JobKind, cpu: u64) {
+    let name = format!("{kind:?} on {}", planner.ledger.info(worker).name);
+    let class = if kind == JobKind::Batch { Class::Bulk } else { Class::Normal };
+    let spec = JobSpec { class, ..spec(&name, kind, cpu) };
+    planner.adopt(Millis(0), &Arc::new(spec), 1, 0, worker);
+}
+
+/// A fleet whose first `before` workers run what makes no room, and whose last one runs bulk work.
+fn bulk_behind(before: usize, first: Runs) -> Planner {
+    let mut planner = planner(before + 1);
+    let workers: Vec<_> = planner.ledger.workers().collect();
+    for (i, worker) in workers.into_iter().enumerate() {
+        match if i < before { first } else { Runs::Bulk } {
+            Runs::Service => run(&mut planner, worker, JobKind::Service, 4_000),
+            Runs::LittleBulk => {
+                run(&mut planner, worker, JobKind::Service, 3_000);
+                run(&mut planner, worker, JobKind::Batch, 1_000);
+            }
+            Runs::Bulk => run(&mut planner, worker, JobKind::Batch, 4_000),
+        }
+    }
+    planner
+}
+
+fn submit_urgent(planner: &mut Planner, name: &str, cpu: u64) {
+    submit(planner, JobSpec { class: Class::Urgent, ..spec(name, JobKind::Batch, cpu) });
+}
+
+/// Gives the number of the worker on which the next plan stops something, if it does.
+fn stops_on(planner: &mut Planner, now: u64) -> Option<u32> {
+    let decisions = planner.plan(Millis(now), BUDGET);
+    decisions.iter().find_map(|d| match d {
+        Decision::Evict { worker, .. } => Some(worker.0),
+        _ => None,
+    })
+}
+
+/// Urgent work has room made for it within so many plans, however many workers before that have none.
+macro_rules! makes_room_behind {
+    ($($name:ident: $before:expr, $first:ident => $plans:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut planner = bulk_behind($before, Runs::$first);
+            submit_urgent(&mut planner, "urgent", 2_000);
+            let stopped = (1..=$plans).find_map(|now| stops_on(&mut planner, now));
+            assert_eq!(stopped, Some($before), "within {} plans", $plans);
+        }
+    )*};
+}
+
+makes_room_behind! {
+    room_is_made_behind_511_workers_with_services_at_once: 511, Service => 1;
+    room_is_made_behind_512_workers_with_services: 512, Service => 2;
+    room_is_made_behind_3000_workers_with_services: 3_000, Service => 6;
+    room_is_made_behind_3000_workers_with_little_bulk_work: 3_000, LittleBulk => 6;
+}
+
+#[test]
+fn two_urgent_jobs_that_take_turns_both_see_every_worker() {
+    let mut planner = bulk_behind(1_000, Runs::LittleBulk);
+    let last = planner.ledger.find("w1000").expect("it is the last one");
+    planner.ledger.set_open(last, false);
+    submit_urgent(&mut planner, "first", 3_500);
+    submit_urgent(&mut planner, "second", 2_000);
+    assert!((1..=10).all(|now| stops_on(&mut planner, now).is_none()));
+    planner.ledger.set_open(last, true);
+    assert_eq!((11..=20).find_map(|now| stops_on(&mut planner, now)), Some(1_000));
+}
+
+#[test]
+fn a_worker_that_opens_behind_the_search_is_seen_in_the_next_one() {
+    let mut planner = bulk_behind(1_500, Runs::Service);
+    let (first, last) = (WorkerIndex(0), WorkerIndex(1_500));
+    planner.release(&TaskId { job: "Service on w0".into(), index: 0 });
+    run(&mut planner, first, JobKind::Batch, 4_000);
+    planner.ledger.set_open(first, false);
+    planner.ledger.set_open(last, false);
+    submit_urgent(&mut planner, "urgent", 2_000);
+    assert_eq!(stops_on(&mut planner, 1), None);
+    planner.ledger.set_open(first, true);
+    assert_eq!((2..=8).find_map(|now| stops_on(&mut planner, now)), Some(0));
+}
