Placement: the search for room for urgent work comes to every worker

Cause: the search for tasks to stop looked at the first 512 open workers each time. Where those run only what cannot be stopped, or too little, urgent work waited for good beside bulk work. Ruled out: what is stopped on a worker that is looked at; with 511 such workers the bulk work was stopped at once.

Change: each job keeps where its search has come to, so that two jobs do not take each other's turns. A plan looks at 512 workers as before, the next one goes on behind them, and the job counts as stuck only at the end, as of the freed room at the beginning. With that taken as of the end instead, the test of a worker that opens behind the search fails.

Before: behind 512 and 3,000 such workers nothing was stopped in 2 and 6 plans. Ran: fmt, clippy, the tests of placement, routing and zone, all passed.

--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -114,6 +114,8 @@
 struct Round {
     decisions: Vec<Decision>,
     no_room: Vec<NoRoom>,
+    /// Whether a job has workers left that were not looked at to make room for it.
+    is_search_left: bool,
 }
 
 /// A task that found no room in this round.
@@ -252,7 +254,7 @@
             self.plan_class(now, class, budget, &mut round);
         }
         let tried_all = round.decisions.len() < budget && self.queue.fits_one_round();
-        if tried_all && !self.policy.only_fixed {
+        if tried_all && !round.is_search_left && !self.policy.only_fixed {
             self.settled_at = Some(self.ledger.freed());
         }
         round.decisions
@@ -328,16 +330,27 @@
     }
 
     fn note_stuck(&mut self, now: Millis, spec: &Arc<JobSpec>, tasks: &[u32], round: &mut Round) {
-        if let Some(bundle) = self.queue.get_mut(&spec.name) {
-            bundle.stuck_at = Some(self.ledger.freed());
-        }
         if spec.kind == JobKind::Gang && self.reservation.is_none() {
             self.reserve_for_gang(now, spec, tasks.len());
         }
-        if spec.class == Class::Urgent {
-            let waiting = self.queue.get(&spec.name).map_or(0, |b| b.waiting.len());
-            round.decisions.extend(self.make_room(spec, waiting));
+        let freed = self.ledger.freed();
+        let stuck_at = match spec.class {
+            Class::Urgent => self.make_room_for(spec, round),
+            Class::Normal | Class::Bulk => Some(freed),
+        };
+        if let Some(bundle) = self.queue.get_mut(&spec.name) {
+            bundle.stuck_at = stuck_at;
         }
+        round.is_search_left |= stuck_at != Some(freed);
+    }
+
+    /// Makes room for the waiting tasks of a job, and gives the ledger's count at which it is stuck.
+    fn make_room_for(&mut self, spec: &JobSpec, round: &mut Round) -> Option<u64> {
+        let bundle = self.queue.get(&spec.name)?;
+        let made = self.make_room(spec, bundle.waiting.len(), bundle.room_search);
+        round.decisions.extend(made.decisions);
+        self.queue.get_mut(&spec.name)?.room_search = made.search;
+        made.stuck_at
     }
 
     /// Says why a job can never run here, if so.
--- a/components/placement/src/preempt.rs
+++ b/components/placement/src/preempt.rs
@@ -1,6 +1,7 @@
 //! Making room for urgent work by checkpointing what can wait.
 
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 use model::{Class, JobKind, JobSpec, Size, TaskId};
 
@@ -8,31 +9,74 @@
 use crate::planner::{Decision, Planner};
 use crate::worker::WorkerIndex;
 
-/// How many workers are looked at for one urgent task.
-const MAX_LOOKED_AT: usize = 512;
+/// How many workers a plan looks at for one urgent job. The next plans go on behind them: else urgent work would
+/// wait for good beside bulk work if the first workers run only what cannot be stopped.
+const WINDOW: usize = 512;
 /// For how many tasks of one job room is made at once.
 const MAX_ROOMS: usize = 64;
 
+/// How far the search for workers on which to make room for a job has come.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RoomSearch {
+    /// The last worker looked at.
+    behind: Option<WorkerIndex>,
+    /// The ledger's count when it began: what was freed since may stand on workers that it has passed.
+    begun_at: u64,
+}
+
+/// What came of one look for room.
+pub(crate) struct RoomMade {
+    pub(crate) decisions: Vec<Decision>,
+    /// Where the next look goes on; none if it begins anew.
+    pub(crate) search: Option<RoomSearch>,
+    /// The ledger's count up to which looking again is of no use; none if workers are left to look at.
+    pub(crate) stuck_at: Option<u64>,
+}
+
 impl Planner {
     /// Stops tasks until room is being made for `wanted` tasks of `spec`, each time on the worker
     /// where the least has to stop.
-    pub(crate) fn make_room(&mut self, spec: &JobSpec, wanted: usize) -> Vec<Decision> {
-        let mut decisions = Vec::new();
-        if self.policy.baseline.is_some() {
-            return decisions;
+    pub(crate) fn make_room(
+        &mut self,
+        spec: &JobSpec,
+        wanted: usize,
+        search: Option<RoomSearch>,
+    ) -> RoomMade {
+        let freed = self.ledger.freed();
+        let mut made = RoomMade { decisions: Vec::new(), search, stuck_at: Some(freed) };
+        let under_way = self.rooms_under_way(spec);
+        let wanted = wanted.min(MAX_ROOMS);
+        if self.policy.baseline.is_some() || under_way >= wanted {
+            return made;
         }
-        for _ in self.rooms_under_way(spec)..wanted.min(MAX_ROOMS) {
-            let Some((worker, victims)) = self.cheapest_victims(spec) else { break };
+        let search = search.unwrap_or(RoomSearch { behind: None, begun_at: freed });
+        let window = self.window(&search);
+        for _ in under_way..wanted {
+            let Some((worker, victims)) = self.cheapest_victims(spec, &window) else {
+                made.search = search.behind_window(&window);
+                made.stuck_at = made.search.is_none().then_some(search.begun_at);
+                break;
+            };
             self.evicting.extend(victims.iter().cloned());
-            decisions.extend(victims.into_iter().map(|task| Decision::Evict { task, worker }));
+            made.decisions.extend(victims.into_iter().map(|task| Decision::Evict { task, worker }));
         }
-        decisions
+        made
     }
 
-    fn cheapest_victims(&self, spec: &JobSpec) -> Option<(WorkerIndex, Vec<TaskId>)> {
-        let open = self.by_worker.keys().copied().filter(|&ix| self.ledger.is_open(ix));
+    /// Gives the open workers that the search looks at next.
+    fn window(&self, search: &RoomSearch) -> Vec<WorkerIndex> {
+        let from = search.behind.map_or(Bound::Unbounded, Bound::Excluded);
+        let behind = self.by_worker.range((from, Bound::Unbounded)).map(|(&ix, _)| ix);
+        behind.filter(|&ix| self.ledger.is_open(ix)).take(WINDOW).collect()
+    }
+
+    fn cheapest_victims(
+        &self,
+        spec: &JobSpec,
+        window: &[WorkerIndex],
+    ) -> Option<(WorkerIndex, Vec<TaskId>)> {
         let mut best: Option<(u64, WorkerIndex, Vec<TaskId>)> = None;
-        for ix in open.take(MAX_LOOKED_AT) {
+        for &ix in window {
             if let Some((cost, victims)) = self.victims(ix, &spec.size)
                 && best.as_ref().is_none_or(|b| cost < b.0)
             {
@@ -80,6 +124,14 @@
     }
 }
 
+impl RoomSearch {
+    /// Gives the search behind `window`, unless no worker is left there.
+    fn behind_window(self, window: &[WorkerIndex]) -> Option<RoomSearch> {
+        let last = window.last().copied().filter(|_| window.len() == WINDOW);
+        last.map(|ix| RoomSearch { behind: Some(ix), ..self })
+    }
+}
+
 /// Only repeatable batch work below the urgent class is stopped; a gang would lose all its tasks.
 fn is_evictable(spec: &JobSpec) -> bool {
     spec.kind == JobKind::Batch && spec.class != Class::Urgent && spec.repeatable
--- a/components/placement/src/queue.rs
+++ b/components/placement/src/queue.rs
@@ -7,6 +7,7 @@
 use model::{Class, JobName, JobSpec, Name};
 
 use crate::line::{Line, Walk};
+use crate::preempt::RoomSearch;
 
 /// The waiting tasks of one job.
 #[derive(Clone, Debug)]
@@ -23,6 +24,8 @@
     pub(crate) order: u64,
     /// The ledger's count of freed room when the job last found none.
     pub(crate) stuck_at: Option<u64>,
+    /// The search for workers on which to make room for the job, while it is under way.
+    pub(crate) room_search: Option<RoomSearch>,
 }
 
 /// All bundles: by class, then team, then age.
@@ -51,6 +54,7 @@
             since: now,
             order,
             stuck_at: None,
+            room_search: None,
         });
         let before = bundle.waiting.len();
         bundle.waiting.extend(tasks);
