Test: a retry that may not go where there is room holds up nobody (fails)

A retry that is barred from the only free upstream keeps a fresh request behind it waiting there, of its class and of a lesser one; so do 50. Three tests fail. Three pass and guard the mend: a retry still goes first where it may, and who arrives takes nothing that it may use.

--- /dev/null
+++ b/components/routing/tests/starvation.rs
@@ -0,0 +1,126 @@
+//! A request that may not go where there is room never keeps that room from those behind it.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::Millis;
+use model::{Class, Name};
+use routing::{
+    Admission, Dispatch, Ending, Pick, RequestInfo, Router, RouterConfig, ShareWay, TargetState,
+};
+
+/// How many requests an upstream takes from this instance.
+const SHARE: u64 = 4;
+/// From here on the numbers of the requests that the tests look at begin.
+const FIRST_ID: u64 = 1_000;
+const DEADLINE: Millis = Millis(9_000);
+const OK: Ending = Ending::Answered { micros: 10_000, load: None };
+
+fn name(i: u64) -> Name {
+    format!("w{i}").as_str().into()
+}
+
+fn live(upstreams: u64) -> BTreeMap<Name, TargetState> {
+    (0..upstreams).map(|i| (name(i), TargetState::Live)).collect()
+}
+
+/// A router whose share of two upstreams is in use.
+fn full_router() -> Router {
+    let cfg = RouterConfig {
+        way: ShareWay::Fixed,
+        pick: Pick::ShortestWait,
+        slots: 8,
+        instances: 2,
+        queue_limit: Millis(200),
+        retry_percent: 10,
+    };
+    let mut router = Router::new(cfg, 1, 1);
+    router.set_targets(&live(2));
+    for id in 0..2 * SHARE {
+        assert!(matches!(router.arrive(Millis(0), fresh(id, Class::Normal)), Admission::Send(_)));
+    }
+    router
+}
+
+fn fresh(id: u64, class: Class) -> RequestInfo {
+    RequestInfo { id, class, deadline: DEADLINE, tried: BTreeSet::new() }
+}
+
+/// A request that has been to the first upstream.
+fn retry(id: u64, class: Class) -> RequestInfo {
+    RequestInfo { tried: BTreeSet::from([name(0)]), ..fresh(id, class) }
+}
+
+/// Lets requests wait, numbered in their order.
+fn wait(router: &mut Router, requests: Vec<RequestInfo>) {
+    for request in requests {
+        assert_eq!(router.arrive(Millis(0), request), Admission::Wait);
+    }
+}
+
+/// Ends one request at an upstream and gives what is sent where.
+fn end_one_at(router: &mut Router, upstream: u64) -> Vec<(u64, Name)> {
+    let sent = |d: Dispatch| match d {
+        Dispatch::Send { id, upstream, .. } => (id, upstream),
+        Dispatch::Refuse { id, .. } => panic!("{id} is refused"),
+    };
+    router.ended(Millis(5), &name(upstream), OK).into_iter().map(sent).collect()
+}
+
+/// So many retries of a class that may not go to the only free upstream hold up nobody behind them: neither
+/// who waits nor who arrives.
+macro_rules! held_up_by_none {
+    ($($name:ident: $retries:expr, $class:ident, then $behind:ident;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut r = full_router();
+            wait(&mut r, (0..$retries).map(|i| retry(FIRST_ID + i, Class::$class)).collect());
+            let (waits, arrives) = (FIRST_ID + $retries, FIRST_ID + $retries + 1);
+            wait(&mut r, vec![fresh(waits, Class::$behind)]);
+            assert_eq!(end_one_at(&mut r, 0), [(waits, name(0))], "who waits is sent");
+            assert_eq!(end_one_at(&mut r, 0), [], "the retries may not go there");
+            let arrival = r.arrive(Millis(5), fresh(arrives, Class::$behind));
+            assert_eq!(arrival, Admission::Send(name(0)), "who arrives is sent");
+            assert_eq!(r.waiting() as u64, $retries);
+        }
+    )*};
+}
+
+held_up_by_none! {
+    a_retry_holds_up_none_of_its_class: 1, Normal, then Normal;
+    an_urgent_retry_holds_up_no_bulk_request: 1, Urgent, then Bulk;
+    fifty_retries_hold_up_nobody: 50, Normal, then Normal;
+}
+
+#[test]
+fn a_retry_goes_first_where_it_may() {
+    let mut r = full_router();
+    wait(&mut r, vec![retry(FIRST_ID, Class::Normal), fresh(FIRST_ID + 1, Class::Normal)]);
+    assert_eq!(end_one_at(&mut r, 1), [(FIRST_ID, name(1))]);
+    assert_eq!(end_one_at(&mut r, 1), [(FIRST_ID + 1, name(1))]);
+}
+
+#[test]
+fn who_arrives_takes_no_room_that_a_waiting_retry_may_use() {
+    let mut r = full_router();
+    wait(&mut r, vec![retry(FIRST_ID, Class::Normal)]);
+    r.set_targets(&live(3));
+    assert_eq!(r.arrive(Millis(5), fresh(FIRST_ID + 1, Class::Normal)), Admission::Wait);
+    let sent: Vec<u64> = r
+        .tick(Millis(6))
+        .into_iter()
+        .filter_map(|d| match d {
+            Dispatch::Send { id, .. } => Some(id),
+            Dispatch::Refuse { .. } => None,
+        })
+        .collect();
+    assert_eq!(sent, [FIRST_ID, FIRST_ID + 1]);
+}
+
+#[test]
+fn a_more_urgent_arrival_does_not_mind_what_a_lesser_one_may_use() {
+    let mut r = full_router();
+    wait(&mut r, vec![retry(FIRST_ID, Class::Bulk)]);
+    r.set_targets(&live(3));
+    let arrival = r.arrive(Millis(5), fresh(FIRST_ID + 1, Class::Normal));
+    assert_eq!(arrival, Admission::Send(name(2)));
+}
