Routing: a retry that may not go where there is room is passed over

Cause: dispatch looked at the first of the queue only and stopped if that found no upstream, and a newcomer was sent only if nobody stood before it. A retry that is barred from the only free upstream so kept all behind it waiting, to the end of queue_limit. Ruled out: that the upstream had no room; the same requests are sent there once they are looked at.

Change: what is free goes to the first in the queue that may use it. A newcomer is sent at once where it takes nothing from those before it. Only retries are ever passed over, and none is looked at while no upstream has room. With the old rule for newcomers three of the tests fail; with none, one does.

Before: a fresh request behind 1 and behind 50 such retries was not sent.

--- a/components/routing/src/queue.rs
+++ b/components/routing/src/queue.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use clock::Millis;
-use model::Class;
+use model::{Class, Name};
 
 use crate::request::RequestInfo;
 
@@ -14,6 +14,13 @@
     pub(crate) since: Millis,
 }
 
+/// Where a request stands in the queue.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Spot {
+    class: Class,
+    place: usize,
+}
+
 /// First come, first served within each class; the more urgent class first.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct WaitQueue {
@@ -25,13 +32,26 @@
         self.lines.entry(info.class).or_default().push_back(Waiting { info, since: now });
     }
 
-    /// Gives the request that is next.
-    pub(crate) fn first(&self) -> Option<&Waiting> {
-        self.lines.values().find_map(|line| line.front())
+    /// Gives where the first request stands that may go.
+    pub(crate) fn find(&self, may_go: impl Fn(&Waiting) -> bool) -> Option<Spot> {
+        self.lines.iter().find_map(|(&class, line)| {
+            let place = line.iter().position(&may_go)?;
+            Some(Spot { class, place })
+        })
+    }
+
+    pub(crate) fn get(&self, spot: Spot) -> Option<&Waiting> {
+        self.lines.get(&spot.class)?.get(spot.place)
+    }
+
+    pub(crate) fn remove(&mut self, spot: Spot) -> Option<Waiting> {
+        self.lines.get_mut(&spot.class)?.remove(spot.place)
     }
 
-    pub(crate) fn pop(&mut self) -> Option<Waiting> {
-        self.lines.values_mut().find_map(|line| line.pop_front())
+    /// Tells whether a newcomer may go to an upstream, and nobody who goes before it may.
+    pub(crate) fn leaves_to(&self, newcomer: &RequestInfo, upstream: &Name) -> bool {
+        let mut before = self.lines.range(..=newcomer.class).flat_map(|(_, line)| line);
+        newcomer.may_go_to(upstream) && !before.any(|w| w.info.may_go_to(upstream))
     }
 
     /// Gives how many wait that go before a newcomer of `class`.
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -17,3 +17,10 @@
     /// Upstreams that it has been to.
     pub tried: BTreeSet<Name>,
 }
+
+impl RequestInfo {
+    /// Tells whether it may go to an upstream: a retry never goes where it has been.
+    pub(crate) fn may_go_to(&self, upstream: &Name) -> bool {
+        !self.tried.contains(upstream)
+    }
+}
--- a/components/routing/src/router.rs
+++ b/components/routing/src/router.rs
@@ -1,6 +1,6 @@
 //! The router: admission, dispatch, shedding and retries.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use clock::Millis;
 use model::{Class, Epoch, InstanceId, Name, Refusal};
@@ -10,7 +10,7 @@
 use crate::broker::{Demand, LoanBook, Wish};
 use crate::budget::RetryBudget;
 use crate::pick::{Candidate, Pick};
-use crate::queue::{WaitQueue, Waiting};
+use crate::queue::{Spot, WaitQueue, Waiting};
 use crate::request::RequestInfo;
 use crate::share::{ShareWay, base_share};
 use crate::upstream::{MICROS, Target, TargetState};
@@ -194,9 +194,7 @@
             let retry_after = SHORTEST_RETRY_AFTER;
             return Admission::Refuse { reason: Refusal::DeadlinePassed, retry_after };
         }
-        if self.queue.ahead_of(info.class) == 0
-            && let Some(place) = self.choose(now, &info.tried)
-        {
+        if let Some(place) = self.choose(now, |queue, name| queue.leaves_to(&info, name)) {
             return Admission::Send(self.start(place));
         }
         self.wait_or_refuse(now, info)
@@ -229,15 +227,16 @@
         Millis(self.latency * n as u64 / slots.max(1) / MICROS)
     }
 
-    fn choose(&mut self, now: Millis, tried: &BTreeSet<Name>) -> Option<usize> {
-        let (base, loans) = (self.base(), &self.loans);
+    /// Picks an upstream with room among those for which `may_go` holds.
+    fn choose(&mut self, now: Millis, may_go: impl Fn(&WaitQueue, &Name) -> bool) -> Option<usize> {
+        let (base, loans, queue) = (self.base(), &self.loans, &self.queue);
         let candidates = self.targets.iter().enumerate().map(|(place, target)| Candidate {
             place,
             target,
             share: base + loans.slots(now, &target.name),
         });
-        let fresh = candidates.filter(|c| !tried.contains(&c.target.name));
-        self.cfg.pick.choose(now, &mut self.rng, fresh)
+        let allowed = candidates.filter(|c| may_go(queue, &c.target.name));
+        self.cfg.pick.choose(now, &mut self.rng, allowed)
     }
 
     fn start(&mut self, place: usize) -> Name {
@@ -287,16 +286,32 @@
 
     fn dispatch(&mut self, now: Millis) -> Vec<Dispatch> {
         let mut out = Vec::new();
-        while let Some(first) = self.queue.first() {
-            let tried = first.info.tried.clone();
-            let Some(place) = self.choose(now, &tried) else { break };
-            let Some(w) = self.queue.pop() else { break };
+        while let Some(spot) = self.first_to_send(now) {
+            let may_go = |queue: &WaitQueue, name: &Name| {
+                queue.get(spot).is_some_and(|w| w.info.may_go_to(name))
+            };
+            let Some(place) = self.choose(now, may_go) else { break };
+            let Some(w) = self.queue.remove(spot) else { break };
             let upstream = self.start(place);
             out.push(Dispatch::Send { id: w.info.id, upstream, waited: now.since(w.since) });
         }
         out
     }
 
+    /// Gives the first request that may go where there is room. It passes over retries that may not:
+    /// else one that is barred from the only free upstream would keep all behind it waiting.
+    fn first_to_send(&self, now: Millis) -> Option<Spot> {
+        if self.queue.len() == 0 {
+            return None;
+        }
+        let with_room = self.targets(now).filter(|(t, share)| t.room(now, *share) > 0);
+        let free: Vec<&Name> = with_room.map(|(t, _)| &t.name).collect();
+        if free.is_empty() {
+            return None;
+        }
+        self.queue.find(|w| free.iter().any(|name| w.info.may_go_to(name)))
+    }
+
     /// Makes room in the queue for urgent work by refusing the newest request of a lower class.
     pub fn shed_below(&mut self, now: Millis, class: Class) -> Option<Dispatch> {
         let w = self.queue.shed_below(class)?;
