--- a/components/routing/tests/starvation.rs
+++ b/components/routing/tests/starvation.rs
@@ -4,6 +4,8 @@
 
 use clock::Millis;
 use model::{Class, Name};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 use routing::{
     Admission, Dispatch, Ending, Pick, RequestInfo, Router, RouterConfig, ShareWay, TargetState,
 };
@@ -124,3 +126,55 @@
     let arrival = r.arrive(Millis(5), fresh(FIRST_ID + 1, Class::Normal));
     assert_eq!(arrival, Admission::Send(name(2)));
 }
+
+/// Random arrivals, endings and ticks of fresh requests and retries: after each, nobody waits who may go to
+/// an upstream with room, and no retry is sent where it has been.
+fn no_room_beside_who_may_use_it(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut r = full_router();
+    let mut in_flight: Vec<Name> = (0..2).flat_map(|i| vec![name(i); SHARE as usize]).collect();
+    let mut waiting: BTreeMap<u64, BTreeSet<Name>> = BTreeMap::new();
+    for step in 0..500 {
+        let (now, id) = (Millis(step), FIRST_ID + step);
+        let mut dispatches = Vec::new();
+        match rng.random_range(0..10) {
+            0..5 => {
+                let class = Class::ALL[rng.random_range(0..3)];
+                let tried = (0..2).filter(|_| rng.random_range(0..3) == 0).map(name).collect();
+                let info = RequestInfo { tried, ..fresh(id, class) };
+                match r.arrive(now, info.clone()) {
+                    Admission::Send(to) => {
+                        assert!(!info.tried.contains(&to), "seed {seed}");
+                        in_flight.push(to);
+                    }
+                    Admission::Wait => _ = waiting.insert(id, info.tried),
+                    Admission::Refuse { .. } => {}
+                }
+            }
+            5..9 if !in_flight.is_empty() => {
+                let ended = in_flight.swap_remove(rng.random_range(0..in_flight.len()));
+                dispatches = r.ended(now, &ended, OK);
+            }
+            _ => dispatches = r.tick(now),
+        }
+        for dispatch in dispatches {
+            match dispatch {
+                Dispatch::Send { id, upstream, .. } => {
+                    let tried = waiting.remove(&id).expect("only who waits is sent");
+                    assert!(!tried.contains(&upstream), "seed {seed}");
+                    in_flight.push(upstream);
+                }
+                Dispatch::Refuse { id, .. } => _ = waiting.remove(&id),
+            }
+        }
+        for (upstream, share) in r.targets(now).filter(|(t, share)| t.in_flight < *share) {
+            let may_go = waiting.values().any(|tried| !tried.contains(&upstream.name));
+            assert!(!may_go, "{} of {share} in use, seed {seed}", upstream.in_flight);
+        }
+    }
+}
+
+#[test]
+fn no_room_stays_free_beside_one_who_may_use_it() {
+    (0..200).for_each(no_room_beside_who_may_use_it);
+}
