--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -9,13 +9,12 @@
 use crate::baseline::Baseline;
 use crate::estimate::Estimator;
 use crate::ledger::Ledger;
+use crate::line::Walk;
 use crate::queue::Queue;
 use crate::reservation::Reservation;
 use crate::search::{Ask, NO_TASKS, Preference, SpreadCounts};
 use crate::worker::WorkerIndex;
 
-/// How many stuck jobs of one team are passed over in one round before its line is left alone.
-const LOOK_PAST: usize = 64;
 /// The part of the processors kept free of bulk work when waiting weighs most, in percent.
 const HEADROOM_PERCENT: u64 = 5;
 
@@ -115,6 +114,8 @@
 struct Round {
     decisions: Vec<Decision>,
     no_room: Vec<NoRoom>,
+    /// Whether a job has workers left that were not looked at to make room for it.
+    is_search_left: bool,
 }
 
 /// A task that found no room in this round.
@@ -252,39 +253,29 @@
         for class in Class::ALL {
             self.plan_class(now, class, budget, &mut round);
         }
-        if round.decisions.len() < budget && !self.policy.only_fixed {
+        let tried_all = round.decisions.len() < budget && self.queue.fits_one_round();
+        if tried_all && !round.is_search_left && !self.policy.only_fixed {
             self.settled_at = Some(self.ledger.freed());
         }
         round.decisions
     }
 
     fn plan_class(&mut self, now: Millis, class: Class, budget: usize, round: &mut Round) {
-        // For each team, the order of the job it has been passed over to.
-        let mut cursors: BTreeMap<Name, (Option<u64>, usize)> = BTreeMap::new();
+        let mut walks: BTreeMap<Name, Walk> = BTreeMap::new();
         while round.decisions.len() < budget {
-            let Some((team, job)) = self.next_job(class, &cursors) else { return };
-            let Some(order) = self.queue.get(&job).map(|b| b.order) else { return };
-            if self.try_job(now, &job, round) {
-                continue;
+            let Some((team, job)) = self.next_job(class, &walks) else { return };
+            if !self.try_job(now, &job, round) {
+                self.queue.pass_over(&job, walks.entry(team).or_default());
             }
-            let cursor = cursors.entry(team).or_default();
-            *cursor = (Some(order), cursor.1 + 1);
         }
     }
 
     /// Gives the next job of the team that uses the least, passing over jobs already tried.
-    fn next_job(
-        &self,
-        class: Class,
-        cursors: &BTreeMap<Name, (Option<u64>, usize)>,
-    ) -> Option<(Name, JobName)> {
+    fn next_job(&self, class: Class, walks: &BTreeMap<Name, Walk>) -> Option<(Name, JobName)> {
         let mut best: Option<(u64, &Name, &JobName)> = None;
         for team in self.queue.teams(class) {
-            let (after, passed) = cursors.get(team).copied().unwrap_or_default();
-            if passed >= LOOK_PAST {
-                continue;
-            }
-            let Some(bundle) = self.queue.next_in_line(class, team, after) else { continue };
+            let walk = walks.get(team).copied().unwrap_or_default();
+            let Some(bundle) = self.queue.next_in_line(class, team, &walk) else { continue };
             let share = self.dominant_share(team);
             if best.is_none_or(|(s, t, _)| (share, team) < (s, t)) {
                 best = Some((share, team, &bundle.spec.name));
@@ -339,16 +330,27 @@
     }
 
     fn note_stuck(&mut self, now: Millis, spec: &Arc<JobSpec>, tasks: &[u32], round: &mut Round) {
-        if let Some(bundle) = self.queue.get_mut(&spec.name) {
-            bundle.stuck_at = Some(self.ledger.freed());
-        }
         if spec.kind == JobKind::Gang && self.reservation.is_none() {
             self.reserve_for_gang(now, spec, tasks.len());
         }
-        if spec.class == Class::Urgent {
-            let waiting = self.queue.get(&spec.name).map_or(0, |b| b.waiting.len());
-            round.decisions.extend(self.make_room(spec, waiting));
+        let freed = self.ledger.freed();
+        let stuck_at = match spec.class {
+            Class::Urgent => self.make_room_for(spec, round),
+            Class::Normal | Class::Bulk => Some(freed),
+        };
+        if let Some(bundle) = self.queue.get_mut(&spec.name) {
+            bundle.stuck_at = stuck_at;
         }
+        round.is_search_left |= stuck_at != Some(freed);
+    }
+
+    /// Makes room for the waiting tasks of a job, and gives the ledger's count at which it is stuck.
+    fn make_room_for(&mut self, spec: &JobSpec, round: &mut Round) -> Option<u64> {
+        let bundle = self.queue.get(&spec.name)?;
+        let made = self.make_room(spec, bundle.waiting.len(), bundle.room_search);
+        round.decisions.extend(made.decisions);
+        self.queue.get_mut(&spec.name)?.room_search = made.search;
+        made.stuck_at
     }
 
     /// Says why a job can never run here, if so.
