Split instance's core into its jobs

Change: below `core`, `messages` takes in and sends what instances tell each other, `reads` serves reads and the barrier before an instance is ready, `upstreams` takes in which upstreams there are, `zone_talk` holds what a zone's instances tell each other and the leader, `hand_over` a planned stop, and `timers` what is done regularly. The sending of the log's messages stood twice, and is `send_envelopes` now. Behaviour is the same.

--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -3,49 +3,42 @@
 
 mod apply;
 mod changes;
+mod hand_over;
+mod messages;
 mod notes;
+mod reads;
+mod timers;
+mod upstreams;
+mod zone_talk;
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::{Arc, atomic::AtomicBool};
 use std::time::Duration;
 
-use cell::{Cell, Command};
+use cell::Cell;
 use clock::Millis;
 use consensus::Replica;
 use errors::Result;
 use events::{Subject, kinds};
 use model::{Epoch, InstanceId, Name};
-use routing::TargetState;
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 use transport::{Links, Packet};
-use upstream::{PlatformList, SyncReply, SyncRequest, WorkerState};
+use upstream::{PlatformList, SyncReply, SyncRequest};
 use zone::Action;
 
-use crate::calls::{Asker, Forwarded, InLog, Reads};
-use crate::keeper::{AskReply, ZoneKeeper};
-use crate::message::{Change, Message, Outcome, ZoneAsk};
+use self::timers::{ASK_EVERY, BARRIER_EVERY, Timers, is_due};
+use crate::calls::{Forwarded, InLog, Reads};
+use crate::keeper::ZoneKeeper;
+use crate::message::{Change, Message, Outcome};
 use crate::saved::InForce;
 use crate::shared::{Shared, lock};
 use crate::zone_role::ZoneRole;
 
 /// How often time passes for the pure parts.
 const TICK: Millis = Millis(20);
-/// How often a zone's instance talks to the leader.
-const ASK_EVERY: Millis = Millis(500);
-/// How often an instance tells the broker what it needs.
-const DEMAND_EVERY: Millis = Millis(100);
-/// How often an instance that has not caught up asks how far it has to.
-const BARRIER_EVERY: Millis = Millis(100);
-/// How often an instance's events are copied to the others of its zone.
-const COPIES_EVERY: Millis = Millis(200);
 /// How often a process that has started asks for the copies that the one before it kept.
 const COPY_ASKS: u32 = 20;
-/// How many events are copied at once.
-const MOST_COPIES: usize = 2_000;
-/// How often the leader looks for zones that are cut off.
-const MOVES_EVERY: Millis = Millis(1_000);
 /// How many inputs are taken in between two syncs at the most.
 const BATCH: usize = 4_096;
 /// How many entries the log may hold before it is replaced by a snapshot.
@@ -86,25 +79,6 @@
     pub(crate) timeout: Millis,
 }
 
-/// When something regular is next due.
-#[derive(Default)]
-struct Timers {
-    ask: Millis,
-    demand: Millis,
-    moves: Millis,
-    copies: Millis,
-    copy_ask: Millis,
-    barrier: Millis,
-}
-
-fn is_due(now: Millis, next: &mut Millis, every: Millis) -> bool {
-    if now < *next {
-        return false;
-    }
-    *next = now + every;
-    true
-}
-
 /// The core's state.
 pub(crate) struct Core {
     pub(crate) shared: Arc<Shared>,
@@ -240,172 +214,10 @@
         }
     }
 
-    fn on_message(&mut self, now: Millis, from: InstanceId, message: Message) {
-        match message {
-            Message::Consensus(envelope) => self.replica.receive(now, envelope),
-            Message::Change { token, change } => {
-                self.propose_change(now, change, Asker::Peer(from, token));
-            }
-            Message::Changed { token, outcome } => self.forwarded.answer(token, outcome),
-            Message::ReadAsk { token } => {
-                let index = self.certain_index(now);
-                self.send(&from, Message::ReadAt { token, index });
-            }
-            Message::ReadAt { token, index } => self.reads.told(token, index),
-            Message::ZoneAsk(ask) => self.on_zone_ask(now, &from, &ask),
-            Message::ZoneConfirmed { epoch, asked_at, last_index } => {
-                self.role.confirm(epoch, asked_at, last_index);
-            }
-            Message::PledgeAsk { epoch, asked_at } => {
-                if self.role.pledge(now, epoch, &self.cell) {
-                    self.send(&from, Message::Pledge { epoch, asked_at });
-                }
-            }
-            Message::Pledge { epoch, asked_at } => self.role.take_pledge(epoch, &from, asked_at),
-            Message::Demand(demand) => {
-                let config = self.shared.config();
-                let pool = crate::plane::pool_to_lend(&config.config);
-                if let Some(loan) = self.role.lend(now, &demand, pool) {
-                    self.send(&from, Message::Loan(loan));
-                }
-            }
-            Message::Loan(loan) => lock(&self.shared.plane).take_loan(now, &loan),
-            Message::Leaving(name) => self.on_leaving(&name, false),
-            Message::Events(copies) if from != *self.shared.id() => {
-                self.shared.journal.keep_copies(copies);
-            }
-            Message::Events(_) => {}
-            Message::EventsAsk => {
-                for part in self.shared.journal.all_copies().chunks(MOST_COPIES) {
-                    self.send(&from, Message::EventsKept(part.to_vec()));
-                }
-            }
-            Message::EventsKept(copies) => {
-                self.shared.journal.keep_copies(copies);
-                self.copy_asks_left = 0;
-            }
-        }
-    }
-
-    pub(crate) fn send(&mut self, to: &InstanceId, message: Message) {
-        if to == self.shared.id() {
-            self.to_self.push(message);
-        } else {
-            self.links.send(to, self.shared.journal.clock().next(), message);
-        }
-    }
-
-    fn send_to_mates(&mut self, message: &Message) {
-        let id = self.shared.id().clone();
-        let peers = self.shared.settings.peers.values();
-        let mates = peers.filter(|p| p.zone == *self.shared.zone() && p.id != id);
-        let ids: Vec<InstanceId> = mates.map(|p| p.id.clone()).collect();
-        for id in ids {
-            self.send(&id, message.clone());
-        }
-    }
-
-    fn send_to_zone(&mut self, message: &Message) {
-        let zone = self.shared.zone().clone();
-        let peers = self.shared.settings.peers.values().filter(|p| p.zone == zone);
-        let ids: Vec<InstanceId> = peers.map(|p| p.id.clone()).collect();
-        for id in ids {
-            self.send(&id, message.clone());
-        }
-    }
-
     fn leader(&self) -> Option<InstanceId> {
         self.replica.node().leader().cloned()
     }
 
-    /// Gives the entry up to which a state holds every accepted change, if this instance surely
-    /// leads. What is committed in a batch of inputs is applied only at its end, so that this may lie
-    /// ahead of the state.
-    fn certain_index(&self, now: Millis) -> Option<u64> {
-        let node = self.replica.node();
-        node.lease_holds(now).then(|| node.commit())
-    }
-
-    fn on_read(&mut self, now: Millis, tx: oneshot::Sender<bool>) {
-        match self.leader() {
-            Some(leader) if leader == *self.shared.id() => match self.certain_index(now) {
-                Some(index) => self.reads.wait_for(index, tx),
-                None => {
-                    // The caller may have gone.
-                    let _ = tx.send(false);
-                }
-            },
-            Some(leader) => {
-                let token = self.reads.ask(now, tx);
-                self.send(&leader, Message::ReadAsk { token });
-            }
-            None => {
-                let _ = tx.send(false);
-            }
-        }
-    }
-
-    fn on_list(&mut self, now: Millis, list: PlatformList) {
-        self.role.set_list(now, list.clone());
-        let zone = self.shared.zone().clone();
-        let drained = self.shared.drained();
-        let here = list.workers.iter().filter(|w| w.zone == zone);
-        let mut targets = BTreeMap::new();
-        let mut addresses = BTreeMap::new();
-        for worker in here {
-            let out = worker.state == WorkerState::Leaving || drained.contains(&worker.name);
-            let state = if out { TargetState::Leaving } else { TargetState::Live };
-            targets.insert(worker.name.clone(), state);
-            addresses.insert(worker.name.clone(), worker.addr);
-        }
-        self.shared.put_addresses(addresses);
-        lock(&self.shared.plane).set_targets(targets);
-    }
-
-    fn on_leaving(&mut self, name: &Name, tell: bool) {
-        let news = lock(&self.shared.plane).note_leaving(name);
-        if !news {
-            return;
-        }
-        let text = format!("{name} is leaving");
-        self.shared.journal.note(&kinds::UPSTREAM_LEAVING, Subject::default(), text);
-        if tell {
-            self.send_to_zone(&Message::Leaving(name.clone()));
-        }
-    }
-
-    fn on_hand_over(&mut self, now: Millis, tx: oneshot::Sender<()>) {
-        if let Some(release) = self.role.release() {
-            self.ask_for(now, release);
-        }
-        self.handing_over = Some(tx);
-    }
-
-    fn on_zone_ask(&mut self, now: Millis, from: &InstanceId, ask: &ZoneAsk) {
-        if self.certain_index(now) != Some(self.cell.applied) {
-            return;
-        }
-        match self.keeper.ask(now, &self.cell, from, ask) {
-            AskReply::Confirm => {
-                let (epoch, asked_at) = (ask.epoch, ask.asked_at);
-                let last_index = self.replica.node().last_index();
-                self.send(from, Message::ZoneConfirmed { epoch, asked_at, last_index });
-            }
-            AskReply::Grant(command) => self.propose_zone_change(now, command),
-            AskReply::Wait => {}
-        }
-    }
-
-    fn propose_zone_change(&mut self, now: Millis, command: Command) {
-        let zone = match &command {
-            Command::GrantEpoch { zone, .. } => zone.clone(),
-            Command::MoveShare { from, .. } => from.clone(),
-            _ => return,
-        };
-        self.propose_change(now, Change::Command { key: None, command }, Asker::Nobody);
-        self.keeper.changing(&zone, self.replica.node().last_index());
-    }
-
     fn tick(&mut self, now: Millis) {
         self.replica.tick(now);
         lock(&self.shared.plane).tick(now);
@@ -438,73 +250,6 @@
         }
     }
 
-    fn talk_to_zone(&mut self, now: Millis) {
-        if is_due(now, &mut self.timers.demand, DEMAND_EVERY) {
-            let id = self.shared.id().clone();
-            let epoch = self.cell.zones.epoch(self.shared.zone());
-            let demand = lock(&self.shared.plane).demand(now, epoch, &id);
-            self.send_to_zone(&Message::Demand(demand));
-        }
-        if self.copy_asks_left > 0 && is_due(now, &mut self.timers.copy_ask, ASK_EVERY) {
-            self.copy_asks_left -= 1;
-            self.send_to_mates(&Message::EventsAsk);
-        }
-        if is_due(now, &mut self.timers.copies, COPIES_EVERY) {
-            let copies = self.shared.journal.to_copy(MOST_COPIES);
-            if !copies.is_empty() {
-                self.send_to_zone(&Message::Events(copies));
-            }
-        }
-    }
-
-    fn move_shares(&mut self, now: Millis) {
-        let leads = self.certain_index(now) == Some(self.cell.applied);
-        if leads && is_due(now, &mut self.timers.moves, MOVES_EVERY) {
-            for command in self.keeper.moves(now, &self.cell) {
-                self.propose_zone_change(now, command);
-            }
-        }
-    }
-
-    /// Asks the leader how far the log is committed. Only an answer to this process's own question
-    /// tells that; a heartbeat may be late, or come from a leader that does not know yet.
-    fn ask_barrier(&mut self, now: Millis) {
-        match self.leader() {
-            Some(leader) if leader == *self.shared.id() => {
-                let index = self.certain_index(now);
-                self.reads.pass_barrier(index);
-            }
-            Some(leader) => {
-                let token = self.reads.ask_barrier();
-                self.send(&leader, Message::ReadAsk { token });
-            }
-            None => {}
-        }
-    }
-
-    fn become_ready(&mut self) {
-        self.role.ready(self.cell.applied);
-        if !self.shared.is_ready() {
-            let text = format!("caught up at entry {}", self.cell.applied);
-            self.shared.journal.note(&kinds::CAUGHT_UP, Subject::default(), text);
-            self.shared.set_ready();
-        }
-    }
-
-    fn ask_leader(&mut self, now: Millis) {
-        if self.role.wants_pledges() {
-            let ask = Message::PledgeAsk { epoch: self.role.epoch(), asked_at: now };
-            self.send_to_mates(&ask);
-        }
-        let Some(leader) = self.leader() else { return };
-        if let Some(release) = self.role.set_drained(self.shared.is_drained()) {
-            self.ask_for(now, release);
-        }
-        if let Some(ask) = self.role.ask(now, self.cell.applied) {
-            self.send(&leader, Message::ZoneAsk(ask));
-        }
-    }
-
     fn act(&mut self, now: Millis, action: Action) {
         match action {
             Action::Sync { worker, addr, req, timeout } => {
@@ -548,27 +293,6 @@
         Ok(())
     }
 
-    /// Hands leadership over once the release of the epoch is in the log.
-    fn finish_hand_over(&mut self) {
-        let Some(tx) = self.handing_over.take() else { return };
-        let now = self.now();
-        let grant = self.cell.zones.grant(self.shared.zone());
-        let holds = grant.is_some_and(|g| g.holder.as_ref() == Some(self.shared.id()));
-        if holds && self.leader().is_some() && !tx.is_closed() {
-            self.handing_over = Some(tx);
-            return;
-        }
-        self.replica.hand_over(now);
-        if let Ok(flushed) = self.replica.flush() {
-            for envelope in flushed.messages {
-                let to = envelope.to.clone();
-                self.send(&to, Message::Consensus(envelope));
-            }
-        }
-        // The one who waits may have given up.
-        let _ = tx.send(());
-    }
-
     /// Refuses the links to these instances, for tests of cut links.
     pub(crate) fn refuse_links(&self, peers: std::collections::BTreeSet<InstanceId>) {
         self.links.refuse(peers);
--- a/components/instance/src/core/apply.rs
+++ b/components/instance/src/core/apply.rs
@@ -8,7 +8,7 @@
 use super::Core;
 use crate::calls::Asker;
 use crate::keeper::ZoneKeeper;
-use crate::message::{Message, Outcome};
+use crate::message::Outcome;
 use crate::saved::InForce;
 
 impl Core {
@@ -16,10 +16,7 @@
         for notice in flushed.notices {
             self.on_notice(notice);
         }
-        for envelope in flushed.messages {
-            let to = envelope.to.clone();
-            self.send(&to, Message::Consensus(envelope));
-        }
+        self.send_envelopes(flushed.messages);
         for committed in flushed.committed {
             match committed {
                 Committed::Snapshot(snapshot) => {
--- /dev/null
+++ b/components/instance/src/core/hand_over.rs
@@ -0,0 +1,34 @@
+//! Giving up the epoch and then leadership before a planned stop, so that nobody has to wait for
+//! either to run out.
+
+use clock::Millis;
+use tokio::sync::oneshot;
+
+use super::Core;
+
+impl Core {
+    pub(super) fn on_hand_over(&mut self, now: Millis, tx: oneshot::Sender<()>) {
+        if let Some(release) = self.role.release() {
+            self.ask_for(now, release);
+        }
+        self.handing_over = Some(tx);
+    }
+
+    /// Hands leadership over once the release of the epoch is in the log.
+    pub(super) fn finish_hand_over(&mut self) {
+        let Some(tx) = self.handing_over.take() else { return };
+        let now = self.now();
+        let grant = self.cell.zones.grant(self.shared.zone());
+        let holds = grant.is_some_and(|g| g.holder.as_ref() == Some(self.shared.id()));
+        if holds && self.leader().is_some() && !tx.is_closed() {
+            self.handing_over = Some(tx);
+            return;
+        }
+        self.replica.hand_over(now);
+        if let Ok(flushed) = self.replica.flush() {
+            self.send_envelopes(flushed.messages);
+        }
+        // The one who waits may have given up.
+        let _ = tx.send(());
+    }
+}
--- /dev/null
+++ b/components/instance/src/core/upstreams.rs
@@ -0,0 +1,44 @@
+//! What the platform and the upstreams themselves say of which upstreams there are.
+
+use std::collections::BTreeMap;
+
+use clock::Millis;
+use events::{Subject, kinds};
+use model::Name;
+use routing::TargetState;
+use upstream::{PlatformList, WorkerState};
+
+use super::Core;
+use crate::message::Message;
+use crate::shared::lock;
+
+impl Core {
+    pub(super) fn on_list(&mut self, now: Millis, list: PlatformList) {
+        self.role.set_list(now, list.clone());
+        let zone = self.shared.zone().clone();
+        let drained = self.shared.drained();
+        let here = list.workers.iter().filter(|w| w.zone == zone);
+        let mut targets = BTreeMap::new();
+        let mut addresses = BTreeMap::new();
+        for worker in here {
+            let out = worker.state == WorkerState::Leaving || drained.contains(&worker.name);
+            let state = if out { TargetState::Leaving } else { TargetState::Live };
+            targets.insert(worker.name.clone(), state);
+            addresses.insert(worker.name.clone(), worker.addr);
+        }
+        self.shared.put_addresses(addresses);
+        lock(&self.shared.plane).set_targets(targets);
+    }
+
+    pub(super) fn on_leaving(&mut self, name: &Name, tell: bool) {
+        let news = lock(&self.shared.plane).note_leaving(name);
+        if !news {
+            return;
+        }
+        let text = format!("{name} is leaving");
+        self.shared.journal.note(&kinds::UPSTREAM_LEAVING, Subject::default(), text);
+        if tell {
+            self.send_to_zone(&Message::Leaving(name.clone()));
+        }
+    }
+}
