Untie jobs from the commands in cell

Tied: `command` used the `Share` that `jobs` defined, and `jobs` used the `TaskOutcome` of `command`.

Change: `Share` stands in `share`, below both. What the crate exports and writes is the same, and so is its behaviour.

--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -8,12 +8,14 @@
 mod claims;
 mod command;
 mod jobs;
+mod share;
 mod state;
 mod zones;
 
 pub use assign::{ZoneRoom, assign, next_home};
 pub use claims::{CLAIM_SKEW, CLAIM_WINDOW, Claims};
 pub use command::{Claim, ClaimReply, Command, Proposal, Reply, TaskEnd, TaskOutcome};
-pub use jobs::{Job, JobState, Share};
+pub use jobs::{Job, JobState};
+pub use share::Share;
 pub use state::{Cell, ConfigVersion};
 pub use zones::{Grant, Zones};
