Join the request key with the other names in model

Stood twice: `RequestKey` was written out by hand, the same as what `name_type!` writes for the other names.

Change: `name_type!` writes it, too. It gets `as_str` with that; all else about it is the same.

--- a/components/model/src/ids.rs
+++ b/components/model/src/ids.rs
@@ -81,18 +81,7 @@
 )]
 pub struct Incarnation(pub u64);
 
-/// The caller's own id of a call. A resend carries the same key and gets the first answer.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct RequestKey(pub Name);
-
-impl From<&str> for RequestKey {
-    fn from(s: &str) -> Self {
-        RequestKey(s.into())
-    }
-}
-
-impl fmt::Display for RequestKey {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(&self.0)
-    }
-}
+name_type!(
+    /// The caller's own id of a call. A resend carries the same key and gets the first answer.
+    RequestKey
+);
