Open the gate in one place in node

Stood twice: both roles made the gate's channel, the gate, and the watch on signals.

Change: `Gate::open` does all three and gives what arrives. `watch_signals`, which nobody outside used, is private to it. Behaviour is the same.

--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -71,10 +71,8 @@
         // The process ends soon if nobody listens.
         move |packet| drop(tx.send(Event::Packet(packet)))
     })?;
-    let (gate_tx, gate_rx) = unbounded_channel();
     let metrics = Arc::new(Registry::default());
-    let gate = Gate::new(gate_tx, metrics.clone());
-    crate::watch_signals(&gate)?;
+    let (gate, gate_rx) = Gate::open(metrics.clone())?;
     let cfg = PeersConfig { id: settings.id(), disk: None, helps: true };
     let entry = Entry {
         peers: Peers::new(cfg, settings.seeds.clone(), clock.now()),
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -10,7 +10,7 @@
 use metrics::Registry;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use workload::WorkerId;
@@ -48,8 +48,15 @@
 }
 
 impl Gate {
-    pub(crate) fn new(tx: UnboundedSender<Arrival>, metrics: Arc<Registry>) -> Gate {
-        Gate { tx, ready: Arc::default(), stopping: Arc::default(), metrics }
+    /// Makes a gate through which signals come, too, and gives what arrives at it.
+    ///
+    /// # Errors
+    /// If the signals cannot be watched.
+    pub(crate) fn open(metrics: Arc<Registry>) -> Result<(Gate, UnboundedReceiver<Arrival>)> {
+        let (tx, rx) = unbounded_channel();
+        let gate = Gate { tx, ready: Arc::default(), stopping: Arc::default(), metrics };
+        watch_signals(&gate)?;
+        Ok((gate, rx))
     }
 
     /// Gives the process's figures in text form.
@@ -117,7 +124,7 @@
 ///
 /// # Errors
 /// [`Error::Refused`] if signals cannot be taken in.
-pub fn watch_signals(gate: &Gate) -> Result<()> {
+fn watch_signals(gate: &Gate) -> Result<()> {
     let refused = |e: std::io::Error| Error::Refused(format!("cannot take in signals: {e}"));
     let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP]).map_err(refused)?;
     let gate = gate.clone();
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -28,7 +28,7 @@
 
 pub use descriptors::{Descriptors, limit_in};
 pub use entry::run_entry;
-pub use gate::{Gate, Signal, watch_signals};
+pub use gate::{Gate, Signal};
 pub use message::Message;
 pub use peers::{Peers, PeersConfig, Reach};
 pub use relay::{Relay, RelayAction};
--- a/components/node/src/start_control.rs
+++ b/components/node/src/start_control.rs
@@ -51,10 +51,8 @@
     })?;
     let (log_tx, log_rx) = unbounded_channel();
     let log = log_thread::spawn(opened, settings.clone(), clock.clone(), links.clone(), log_tx)?;
-    let (gate_tx, gate_rx) = unbounded_channel();
     let metrics = Arc::new(Registry::default());
-    let gate = Gate::new(gate_tx, metrics.clone());
-    crate::watch_signals(&gate)?;
+    let (gate, gate_rx) = Gate::open(metrics.clone())?;
     let cfg = PeersConfig { id: settings.id(), disk: Some(disk), helps: true };
     let control = Control {
         peers: Peers::new(cfg, settings.seeds.clone(), clock.now()),
