Choose a zone's instances in one place in instance's core

Stood twice: `send_to_mates` and `send_to_zone` each picked the zone's instances from the settings.

Change: `zone_instances` does, in the same order; mates leave this instance out. Behaviour is the same.

Ran: cargo fmt, clippy over the workspace with warnings as errors, the tests of instance (16 passed).

--- a/components/instance/src/core/messages.rs
+++ b/components/instance/src/core/messages.rs
@@ -75,22 +75,24 @@
         }
     }
 
+    /// Sends to all instances of the zone but this one.
     pub(super) fn send_to_mates(&mut self, message: &Message) {
-        let id = self.shared.id().clone();
-        let peers = self.shared.settings.peers.values();
-        let mates = peers.filter(|p| p.zone == *self.shared.zone() && p.id != id);
-        let ids: Vec<InstanceId> = mates.map(|p| p.id.clone()).collect();
-        for id in ids {
+        let own = self.shared.id().clone();
+        for id in self.zone_instances().into_iter().filter(|id| *id != own) {
             self.send(&id, message.clone());
         }
     }
 
+    /// Sends to all instances of the zone, this one too.
     pub(super) fn send_to_zone(&mut self, message: &Message) {
-        let zone = self.shared.zone().clone();
-        let peers = self.shared.settings.peers.values().filter(|p| p.zone == zone);
-        let ids: Vec<InstanceId> = peers.map(|p| p.id.clone()).collect();
-        for id in ids {
+        for id in self.zone_instances() {
             self.send(&id, message.clone());
         }
     }
+
+    fn zone_instances(&self) -> Vec<InstanceId> {
+        let zone = self.shared.zone();
+        let peers = self.shared.settings.peers.values().filter(|p| p.zone == *zone);
+        peers.map(|p| p.id.clone()).collect()
+    }
 }
