Split what an allocator gives out from zone's allocator

Tied: nothing; `allocator` held its state, its clockwork and the types that it gives out in one file of some 450 lines.

Change: `action` holds what it wants done and what it tells operators, `phase` how tasks and workers stand. What the crate exports is the same, and so is its behaviour.

--- a/components/zone/src/allocator.rs
+++ b/components/zone/src/allocator.rs
@@ -1,18 +1,19 @@
 //! The allocator's state and its clockwork.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 use cell::{Command, TaskEnd, TaskOutcome, ZoneRoom};
 use clock::Millis;
-use model::{Class, Epoch, JobName, Name, Profile, Size, TaskId, ZoneId};
+use model::{Epoch, JobName, Name, Profile, Size, TaskId, ZoneId};
 use placement::{Decision, Planner, Policy, WorkerIndex};
-use upstream::{ListedWorker, SyncRequest, WorkerState};
+use upstream::{ListedWorker, WorkerState};
 
+use crate::action::{Action, Note};
 use crate::health::{Health, Standing};
 use crate::held_job::HeldJob;
 use crate::lease::Right;
 use crate::link::WorkerLink;
+use crate::phase::{TaskPhase, WorkerPhase};
 
 /// How many starts one tick may decide, so that a tick stays short.
 const STARTS_PER_TICK: usize = 2_000;
@@ -34,123 +35,6 @@
     pub quotas: BTreeMap<Name, Size>,
 }
 
-/// What the allocator wants done.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Action {
-    /// Call a worker; its reply or failure comes back through [`Allocator::on_reply`].
-    Sync {
-        /// The worker.
-        worker: Name,
-        /// Where it listens.
-        addr: SocketAddr,
-        /// What it is told.
-        req: SyncRequest,
-        /// How long to wait for it.
-        timeout: Millis,
-    },
-    /// Propose a command to the cell.
-    Propose(Command),
-    /// Tell the operators.
-    Note(Note),
-}
-
-/// Something that operators may want to know.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Note {
-    /// A worker's first report under this epoch came in.
-    WorkerReported {
-        /// The worker.
-        worker: Name,
-        /// How many of its tasks were taken over.
-        adopted: usize,
-    },
-    /// A worker's lease has surely run out.
-    WorkerLost {
-        /// The worker.
-        worker: Name,
-    },
-    /// A worker fails every task and gets none for a while.
-    WorkerAside {
-        /// The worker.
-        worker: Name,
-    },
-    /// A task was sent to a worker.
-    TaskStarted {
-        /// The task.
-        task: TaskId,
-        /// The worker.
-        worker: Name,
-        /// How long it waited for one.
-        waited: Millis,
-        /// Its class.
-        class: Class,
-    },
-    /// A task ended.
-    TaskEnded {
-        /// The task.
-        task: TaskId,
-        /// The worker.
-        worker: Name,
-        /// How.
-        how: Name,
-    },
-    /// A task is checkpointed and stopped for urgent work.
-    TaskEvicted {
-        /// The task.
-        task: TaskId,
-    },
-    /// A job can never run here.
-    JobHopeless {
-        /// The job.
-        job: JobName,
-        /// Why.
-        reason: Name,
-    },
-    /// A worker reported a task that this allocator placed on another worker. It is stopped. This
-    /// never happens while the promises of docs/design/leases.md hold.
-    TaskTwice {
-        /// The task.
-        task: TaskId,
-        /// The worker it should not be on.
-        worker: Name,
-    },
-    /// A worker refused a call because it knows a newer epoch.
-    EpochOutdated {
-        /// The newer epoch.
-        newer: Epoch,
-    },
-}
-
-/// How a task stands, for operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum TaskPhase {
-    /// It waits until it is certain that it runs nowhere.
-    Unaccounted,
-    /// It waits for room.
-    Waiting,
-    /// It has a worker, which has not reported it yet.
-    Starting,
-    /// Its worker reports it.
-    Running,
-    /// It has ended; the cell does not know yet.
-    Ending,
-}
-
-/// How a worker stands, for operators.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum WorkerPhase {
-    /// It has not reported under this epoch.
-    Unknown,
-    /// It takes tasks.
-    Open,
-    /// It takes no new tasks: the platform or an operator is taking it out.
-    Draining,
-    /// It fails tasks and gets none for a while.
-    Aside,
-    /// It does not answer.
-    Silent,
-}
-
 /// The allocator of one zone under one epoch.
 #[derive(Debug)]
 pub struct Allocator {
--- a/components/zone/src/lib.rs
+++ b/components/zone/src/lib.rs
@@ -3,17 +3,21 @@
 //! The allocator is pure: replies, changes of jobs and time go in, calls to workers and proposals
 //! to the cell come out. docs/design/leases.md says why no task runs twice.
 
+mod action;
 mod allocator;
 mod health;
 mod held_job;
 mod jobs;
 mod lease;
 mod link;
+mod phase;
 mod reports;
 mod sync;
 
-pub use allocator::{Action, Allocator, AllocatorConfig, Note, TaskPhase, WorkerPhase};
+pub use action::{Action, Note};
+pub use allocator::{Allocator, AllocatorConfig};
 pub use lease::{
     CLOCK_MARGIN, PLEDGE, Pledged, Pledges, Right, ZONE_LEASE, ZoneLease, lease_bound, move_wait,
     takeover_wait,
 };
+pub use phase::{TaskPhase, WorkerPhase};
--- a/components/zone/src/reports.rs
+++ b/components/zone/src/reports.rs
@@ -9,7 +9,8 @@
 use placement::WorkerIndex;
 use upstream::{Ended, Report, RunningTask, SyncReply, TaskEnding};
 
-use crate::allocator::{Allocator, Note};
+use crate::action::Note;
+use crate::allocator::Allocator;
 use crate::health::Verdict;
 
 impl Allocator {
--- a/components/zone/src/sync.rs
+++ b/components/zone/src/sync.rs
@@ -5,7 +5,8 @@
 use placement::WorkerIndex;
 use upstream::{RunningTask, StartTask};
 
-use crate::allocator::{Action, Allocator, Note};
+use crate::action::{Action, Note};
+use crate::allocator::Allocator;
 use crate::lease::{Right, lease_bound};
 use crate::link::{QueuedStart, renewal_period};
 
