Placement: a planner with a long stuck line settles once each job was tried

Cause: since jobs behind the oldest have turns, a planner with a line longer than 64 never counted as settled, and went through its lines at each plan though nothing had changed.

Change: the rounds since the last change are a lap. A line notes where its turns were when the lap began, and is tried once they have come there again. A search for room that is left begins a new lap.

The tests come with the change, for they ask the new is_settled.

--- a/components/placement/src/line.rs
+++ b/components/placement/src/line.rs
@@ -20,6 +20,26 @@
     jobs: BTreeMap<u64, JobName>,
     /// The job that was last passed over by turns.
     last_turn: u64,
+    lap: Lap,
+}
+
+/// How far the turns have come in trying every job once. Without it the planner could not tell when nothing is
+/// left to try, and would plan for good beside a long line that is stuck.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lap {
+    /// The planner's number for it; another one has begun once that is higher.
+    number: u64,
+    /// The job behind which it began.
+    from: u64,
+    has_begun_anew: bool,
+    is_over: bool,
+}
+
+impl Lap {
+    /// Notes that the turns have come to the job at `order`.
+    fn come_to(&mut self, order: u64) {
+        self.is_over |= self.has_begun_anew && order >= self.from;
+    }
 }
 
 /// Where a round stands in a line.
@@ -43,9 +63,9 @@
         self.jobs.is_empty()
     }
 
-    /// Tells whether a round passes over all jobs from the front, none of them by turns.
-    pub(crate) fn fits_one_round(&self) -> bool {
-        self.jobs.len() <= OLDEST
+    /// Tells whether the lap tried every job, after a round that went as far as it may.
+    pub(crate) fn is_tried(&self) -> bool {
+        self.jobs.len() <= OLDEST || self.lap.is_over
     }
 
     /// Gives the job that a round tries next.
@@ -61,20 +81,28 @@
         self.jobs.range(from..).next().map(|(_, job)| job)
     }
 
-    /// Notes that a round passes over the job at `order`.
-    pub(crate) fn pass_over(&mut self, order: u64, walk: &mut Walk) {
+    /// Notes that a round of a lap passes over the job at `order`.
+    pub(crate) fn pass_over(&mut self, order: u64, walk: &mut Walk, lap: u64) {
         walk.passed += 1;
         walk.behind = Some(order);
         if walk.passed == OLDEST {
-            walk.behind = Some(self.turns_go_on_behind(order));
+            walk.behind = Some(self.go_on_behind(order, lap));
         } else if walk.passed > OLDEST {
             self.last_turn = order;
+            self.lap.come_to(order);
         }
     }
 
     /// Gives the job behind which the turns go on. Behind the last one they begin anew.
-    fn turns_go_on_behind(&self, oldest: u64) -> u64 {
+    fn go_on_behind(&mut self, oldest: u64, lap: u64) -> u64 {
         let goes_on = self.last_turn > oldest && self.first_behind(Some(self.last_turn)).is_some();
-        if goes_on { self.last_turn } else { oldest }
+        let behind = if goes_on { self.last_turn } else { oldest };
+        if self.lap.number != lap {
+            self.lap = Lap { number: lap, from: behind, ..Lap::default() };
+        } else if !goes_on {
+            self.lap.has_begun_anew = true;
+        }
+        self.lap.come_to(behind);
+        behind
     }
 }
--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -105,17 +105,21 @@
     pub(crate) reservation: Option<Reservation>,
     /// What was told to checkpoint and has not stopped yet.
     pub(crate) evicting: BTreeSet<TaskId>,
-    /// The ledger's count at the last round that left nothing to try.
-    settled_at: Option<u64>,
+    /// The number of the lap: the rounds since something changed that stuck work may gain by.
+    lap: u64,
+    /// The last lap that left nothing to try.
+    settled_lap: Option<u64>,
+    /// The ledger's count after the last round.
+    freed_seen: u64,
 }
 
 /// What one round found out, so that it is not tried again in the same round.
 #[derive(Default)]
 struct Round {
+    /// The number of its lap.
+    lap: u64,
     decisions: Vec<Decision>,
     no_room: Vec<NoRoom>,
-    /// Whether a job has workers left that were not looked at to make room for it.
-    is_search_left: bool,
 }
 
 /// A task that found no room in this round.
@@ -150,7 +154,7 @@
         tasks: impl IntoIterator<Item = u32>,
     ) {
         self.queue.add(now, spec, generation, tasks);
-        self.settled_at = None;
+        self.lap += 1;
     }
 
     /// Takes a job's waiting tasks out, in one step however many there are, and forgets what was
@@ -160,7 +164,7 @@
         self.estimator.forget(job);
         if self.reservation.as_ref().is_some_and(|r| r.job == *job) {
             self.reservation = None;
-            self.settled_at = None;
+            self.lap += 1;
         }
         self.queue.remove(job).map_or(0, |b| b.waiting.len())
     }
@@ -211,7 +215,7 @@
     /// Lets a job's tasks go back to workers on which they failed.
     pub fn forgive(&mut self, job: &JobName) {
         self.avoid.remove(job);
-        self.settled_at = None;
+        self.lap += 1;
         if let Some(bundle) = self.queue.get_mut(job) {
             bundle.stuck_at = None;
         }
@@ -239,24 +243,33 @@
 
     /// Tells that the rules or workers changed, so that stuck work is looked at again.
     pub fn look_again(&mut self) {
-        self.settled_at = None;
+        self.lap += 1;
+    }
+
+    /// Tells whether nothing waits that is worth a try before something changes.
+    pub fn is_settled(&self) -> bool {
+        let is_unchanged = self.freed_seen == self.ledger.freed();
+        self.queue.is_empty() || is_unchanged && self.settled_lap == Some(self.lap)
     }
 
     /// Decides up to `budget` starts.
     pub fn plan(&mut self, now: Millis, budget: usize) -> Vec<Decision> {
-        let idle = self.queue.is_empty() || self.settled_at == Some(self.ledger.freed());
-        if idle && self.reservation.is_none() {
+        if self.is_settled() && self.reservation.is_none() {
             return Vec::new();
         }
+        if self.freed_seen != self.ledger.freed() {
+            self.lap += 1;
+        }
         self.refresh_reservation(now);
-        let mut round = Round::default();
+        let mut round = Round { lap: self.lap, ..Round::default() };
         for class in Class::ALL {
             self.plan_class(now, class, budget, &mut round);
         }
-        let tried_all = round.decisions.len() < budget && self.queue.fits_one_round();
-        if tried_all && !round.is_search_left && !self.policy.only_fixed {
-            self.settled_at = Some(self.ledger.freed());
+        let is_tried = round.decisions.len() < budget && self.queue.is_tried();
+        if is_tried && !self.policy.only_fixed {
+            self.settled_lap = Some(round.lap);
         }
+        self.freed_seen = self.ledger.freed();
         round.decisions
     }
 
@@ -265,7 +278,7 @@
         while round.decisions.len() < budget {
             let Some((team, job)) = self.next_job(class, &walks) else { return };
             if !self.try_job(now, &job, round) {
-                self.queue.pass_over(&job, walks.entry(team).or_default());
+                self.queue.pass_over(&job, walks.entry(team).or_default(), round.lap);
             }
         }
     }
@@ -341,7 +354,10 @@
         if let Some(bundle) = self.queue.get_mut(&spec.name) {
             bundle.stuck_at = stuck_at;
         }
-        round.is_search_left |= stuck_at != Some(freed);
+        if stuck_at != Some(freed) {
+            // Workers are left to look at.
+            self.lap += 1;
+        }
     }
 
     /// Makes room for the waiting tasks of a job, and gives the ledger's count at which it is stuck.
--- a/components/placement/src/queue.rs
+++ b/components/placement/src/queue.rs
@@ -131,17 +131,17 @@
         self.bundles.get(job)
     }
 
-    /// Notes that a round passes over a job that cannot start now.
-    pub(crate) fn pass_over(&mut self, job: &JobName, walk: &mut Walk) {
+    /// Notes that a round of a lap passes over a job that cannot start now.
+    pub(crate) fn pass_over(&mut self, job: &JobName, walk: &mut Walk, lap: u64) {
         let Some(bundle) = self.bundles.get(job) else { return };
         let teams = self.lines.get_mut(&bundle.spec.class);
         if let Some(line) = teams.and_then(|t| t.get_mut(&bundle.spec.team)) {
-            line.pass_over(bundle.order, walk);
+            line.pass_over(bundle.order, walk, lap);
         }
     }
 
-    /// Tells whether a round that started nothing tried every job.
-    pub(crate) fn fits_one_round(&self) -> bool {
-        self.lines.values().flat_map(BTreeMap::values).all(Line::fits_one_round)
+    /// Tells whether the lap tried every job, after a round that went as far as it may.
+    pub(crate) fn is_tried(&self) -> bool {
+        self.lines.values().flat_map(BTreeMap::values).all(Line::is_tried)
     }
 }
--- a/components/placement/tests/starvation.rs
+++ b/components/placement/tests/starvation.rs
@@ -5,6 +5,8 @@
 use clock::Millis;
 use model::{Class, JobKind, JobSpec, Size, TaskId};
 use placement::{Decision, Planner, Policy, WorkerIndex, WorkerInfo};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
 
 /// How many decisions one plan may take here.
 const BUDGET: usize = 100;
@@ -95,6 +97,110 @@
     assert!(plans_until_start(&mut planner, "late", 10).is_some(), "not within 10 plans");
 }
 
+/// Gives after how many plans, of at most `most`, nothing is left to try.
+fn plans_until_settled(planner: &mut Planner, most: u64) -> Option<u64> {
+    (1..=most).find(|&n| {
+        planner.plan(Millis(n), BUDGET);
+        planner.is_settled()
+    })
+}
+
+/// Jobs that cannot start cost plans no more once each was tried, until something changes.
+macro_rules! settles_behind {
+    ($($name:ident: $stuck:expr => $plans:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut planner = small_job_behind($stuck);
+            planner.withdraw(&"small".into());
+            for change in 0..3 {
+                let settled = plans_until_settled(&mut planner, $plans);
+                assert!(settled.is_some(), "not within {} plans, change {change}", $plans);
+                planner.look_again();
+                assert!(!planner.is_settled());
+            }
+        }
+    )*};
+}
+
+settles_behind! {
+    a_few_stuck_jobs_settle_at_once: 64 => 1;
+    some_more_stuck_jobs_settle: 65 => 3;
+    a_thousand_stuck_jobs_settle: 1_000 => 65;
+}
+
+#[test]
+fn a_job_that_comes_at_any_time_of_a_lap_starts_before_the_planner_settles() {
+    for plans in 0..70 {
+        let mut planner = small_job_behind(1_000);
+        planner.withdraw(&"small".into());
+        (0..plans).for_each(|n| _ = planner.plan(Millis(n), BUDGET));
+        submit(&mut planner, spec("late", JobKind::Batch, 1_000));
+        let started = plans_until_start(&mut planner, "late", 65);
+        assert!(started.is_some(), "not within 65 plans after {plans}");
+    }
+}
+
+#[test]
+fn room_that_is_freed_at_any_time_of_a_lap_is_used_wherever_in_line_its_user_stands() {
+    for (plans, stands_at) in [(0, 70), (30, 70), (30, 300), (30, 900), (59, 300), (80, 300)] {
+        let mut planner = planner(1);
+        let worker = planner.ledger.find("w0").expect("there is one worker");
+        assert!(planner.ledger.reserve(worker, &Size::new(4_000, 100, 0)));
+        for i in 0..1_000 {
+            let cpu = if i == stands_at { 1_000 } else { 4_000 };
+            submit(&mut planner, spec(&format!("job{i}"), JobKind::Batch, cpu));
+        }
+        (0..plans).for_each(|n| _ = planner.plan(Millis(n), BUDGET));
+        planner.ledger.release(worker, &Size::new(1_000, 0, 0));
+        let started = plans_until_start(&mut planner, &format!("job{stands_at}"), 65);
+        assert!(started.is_some(), "not within 65 plans after {plans}, at {stands_at}");
+    }
+}
+
+/// Random jobs that come, end and are withdrawn: whenever the planner settles, and it does in bounded time,
+/// no waiting task fits on any worker.
+fn nothing_fits_once_settled(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut p = small_job_behind(0);
+    for step in 0..400 {
+        match rng.random_range(0..10) {
+            0..6 => {
+                let name = format!("job{step}");
+                submit(&mut p, spec(&name, JobKind::Batch, rng.random_range(1..=4) * 1_000));
+            }
+            6..8 => {
+                let placed: Vec<TaskId> = p.all_placed().map(|(t, _)| t.clone()).collect();
+                if !placed.is_empty() {
+                    p.release(&placed[rng.random_range(0..placed.len())]);
+                }
+            }
+            8 => _ = p.withdraw(&format!("job{}", rng.random_range(0..=step)).as_str().into()),
+            _ => _ = p.plan(Millis(step), BUDGET),
+        }
+        if p.is_settled() || rng.random_range(0..20) == 0 {
+            assert!(plans_until_settled(&mut p, 40).is_some(), "seed {seed}, step {step}");
+            let fits = |size: &Size| p.ledger.workers().any(|ix| size.fits(&p.ledger.free(ix)));
+            assert!(!p.queue().iter().any(|b| fits(&b.spec.size)), "seed {seed}, step {step}");
+        }
+    }
+}
+
+#[test]
+fn nothing_that_waits_fits_once_the_planner_has_settled() {
+    (0..100).for_each(nothing_fits_once_settled);
+}
+
+#[test]
+fn a_search_for_room_that_is_under_way_keeps_the_planner_from_settling() {
+    let mut planner = bulk_behind(3_000, Runs::Service);
+    for i in 0..200 {
+        submit_urgent(&mut planner, &format!("urgent{i}"), 2_000);
+    }
+    let stopped = (1..=100).find_map(|now| stops_on(&mut planner, now));
+    assert_eq!(stopped, Some(3_000));
+    assert!(plans_until_settled(&mut planner, 200).is_some(), "not within 200 plans");
+}
+
 /// What a worker runs that takes all of it.
 #[derive(Clone, Copy)]
 enum Runs {
