--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -11,7 +11,7 @@
 use crate::limits::{
     ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_PAUSE,
     ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK, HELPER_REST,
-    HELPERS_A_RESERVED, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    HELPERS_A_RESERVED, LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
 
 /// Gives what a call that names so many workers takes, in milliseconds.
@@ -52,8 +52,15 @@
     barred: BTreeSet<WorkerId>,
     asked: Option<u64>,
     next_at: Millis,
-    /// Until when the step counts as one that waits for room: the last look found nobody who has some.
-    waits_for_room_until: Millis,
+    /// If the last look found nobody with room.
+    waiting: Option<WaitForRoom>,
+}
+
+/// A step for which no room was found.
+#[derive(Clone, Copy, Debug)]
+struct WaitForRoom {
+    looked_at: Millis,
+    policy: AdvicePolicy,
 }
 
 impl StepAdvice {
@@ -106,7 +113,7 @@
     pub(crate) gang: bool,
 }
 
-/// Whom a call is to name.
+/// Whom a call is to name; nobody if none is worth it.
 pub(crate) struct Choice {
     workers: Vec<WorkerId>,
     /// Whether tasks could start on them as soon as they are allowed to.
@@ -120,10 +127,15 @@
     calls: BTreeMap<u64, Asked>,
     helpers: BTreeSet<InstanceId>,
     busy: BTreeSet<InstanceId>,
+    /// How many instances are free to make calls in the plan under way. Counting them for each of hundreds of
+    /// steps would take as long as the rest of a plan.
+    free: usize,
     /// Instances whose last call got no answer, and until when they make none.
     resting: BTreeMap<InstanceId, Millis>,
     rates: BTreeMap<Name, Rate>,
     next_id: u64,
+    /// The steps that wait for room and that the plan under way looks at again as if they could start.
+    again: BTreeSet<StepKey>,
     /// When advice on steps that are not open yet is to be asked for.
     ahead: BTreeMap<StepKey, (Millis, OpenStep)>,
 }
@@ -134,15 +146,21 @@
         self.helpers = helpers;
     }
 
-    /// Gives an instance that is free to make a call. The service takes the calls of an instance one
-    /// after the other, so some instances are kept free of calls that take long.
-    fn free_helper(&self, now: Millis, policy: &AdvicePolicy) -> Option<&InstanceId> {
-        let rests = |h: &InstanceId| self.resting.get(h).is_some_and(|until| now < *until);
-        let mut free = self.helpers.iter().filter(|h| !self.busy.contains(*h) && !rests(h));
-        match is_short(policy) {
-            true => free.next(),
-            false => free.nth(self.helpers.len() / HELPERS_A_RESERVED),
-        }
+    /// Gives the instances that are free to make a call.
+    fn free_helpers(&self, now: Millis) -> impl Iterator<Item = &InstanceId> {
+        let rests = move |h: &InstanceId| self.resting.get(h).is_some_and(|until| now < *until);
+        self.helpers.iter().filter(move |h| !self.busy.contains(*h) && !rests(h))
+    }
+
+    /// Gives how many instances must be free for a call. The service takes the calls of an instance one after
+    /// the other, so some instances are kept free of calls that take long.
+    fn fewest_free(&self, policy: &AdvicePolicy) -> usize {
+        if is_short(policy) { 1 } else { self.helpers.len() / HELPERS_A_RESERVED + 1 }
+    }
+
+    /// Tells whether the plan under way finds an instance free to make a call.
+    fn has_caller(&self, policy: &AdvicePolicy) -> bool {
+        self.free >= self.fewest_free(policy)
     }
 
     /// Gives how many instances can make calls.
@@ -215,12 +233,12 @@
 
     /// Tells whether a call on a step could be made now, before anyone looks for prospects.
     pub(crate) fn may_ask(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
-        self.free_helper(now, policy).is_some() && self.is_due(step, now)
+        self.is_due(step, now) && self.has_caller(policy)
     }
 
     /// Tells whether a call on a step is due and no instance is free to make it.
     pub(crate) fn lacks_caller(&self, step: &StepKey, policy: &AdvicePolicy, now: Millis) -> bool {
-        self.free_helper(now, policy).is_none() && self.is_due(step, now)
+        self.is_due(step, now) && !self.has_caller(policy)
     }
 
     fn is_due(&self, step: &StepKey, now: Millis) -> bool {
@@ -228,20 +246,62 @@
         !self.steps.get(step).is_some_and(waits)
     }
 
-    /// Tells whether a step surely waits for room, so that a call on it would not let a task start.
-    pub(crate) fn waits_for_room(&self, step: &StepKey, now: Millis) -> bool {
-        self.steps.get(step).is_some_and(|s| now < s.waits_for_room_until)
+    /// Tells whether a step waits for room, so that a call on it would let no task start.
+    pub(crate) fn waits_for_room(&self, step: &StepKey) -> bool {
+        let waits = self.steps.get(step).is_some_and(|s| s.waiting.is_some());
+        waits && !self.again.contains(step)
+    }
+
+    /// Has some of these steps looked at again in the plan that begins: those that have waited for room the
+    /// longest since their last look, if a call on them could be made. Room may have come where they hold no
+    /// ticket.
+    pub(crate) fn look_again<'a>(
+        &mut self,
+        now: Millis,
+        steps: impl Iterator<Item = &'a StepKey>,
+        most: usize,
+    ) {
+        let looked_at = |key: &StepKey| {
+            let waiting = self.steps.get(key)?.waiting?;
+            let rested = now >= waiting.looked_at + LOOK_FOR_ROOM_AGAIN;
+            rested.then_some((waiting.looked_at, waiting.policy))
+        };
+        let mut waiting: Vec<(Millis, StepKey, AdvicePolicy)> =
+            steps.filter_map(|key| looked_at(key).map(|(at, policy)| (at, *key, policy))).collect();
+        waiting.sort_unstable_by_key(|(at, key, _)| (*at, *key));
+        let may_ask =
+            |(_, key, policy): &(Millis, StepKey, AdvicePolicy)| self.may_ask(key, policy, now);
+        let again = waiting.into_iter().filter(may_ask).take(most).map(|(_, key, _)| key);
+        let again: Vec<StepKey> = again.collect();
+        self.again.extend(again);
+    }
+
+    /// Begins a plan: no step is to be looked at again yet, and the instances that are free are counted.
+    pub(crate) fn begin_plan(&mut self, now: Millis) {
+        self.again.clear();
+        self.free = self.free_helpers(now).count();
+    }
+
+    /// Notes that a step has no tasks left that wait.
+    pub(crate) fn all_placed(&mut self, step: &StepKey) {
+        if let Some(known) = self.steps.get_mut(step) {
+            known.waiting = None;
+        }
+    }
+
+    /// Notes whether a task of a step that waits could start somewhere if it was allowed to.
+    pub(crate) fn note_room(&mut self, now: Millis, want: &Want<'_>, has_room: bool) {
+        let waits = WaitForRoom { looked_at: now, policy: want.policy };
+        self.steps.entry(want.step).or_default().waiting = (!has_room).then_some(waits);
     }
 
-    /// Chooses whom a call on a step is to name, if one is worth it. If no task could start there, the step
-    /// counts as one that waits for room until `waits_until`.
+    /// Chooses whom a call on a step is to name, if one is worth it.
     pub(crate) fn choose(
         &mut self,
         now: Millis,
         want: &Want<'_>,
         prospects: Vec<Prospect>,
-        waits_until: Millis,
-    ) -> Option<Choice> {
+    ) -> Choice {
         let known = self.steps.entry(want.step).or_default();
         let fits = |p: &Prospect| p.fits.min(want.tasks);
         let room: u64 = prospects.iter().map(fits).sum();
@@ -255,15 +315,11 @@
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let room_to_ask_about = open.iter().any(|p| p.fits > 0);
         let has_room = room_to_ask_about && (!want.gang || room >= want.tasks);
-        if !has_room {
-            known.waits_for_room_until = waits_until;
-        }
         let workers = choose(want, open, &known.allowed, rate);
         if workers.is_empty() {
             known.next_at = known.next_look(now, renewal);
-            return None;
         }
-        Some(Choice { workers, has_room })
+        Choice { workers, has_room }
     }
 
     /// Makes a call if one may be made now and an instance is free for it.
@@ -273,18 +329,19 @@
         want: &Want<'_>,
         choice: Choice,
     ) -> Option<AdviceAsk> {
-        let helper = self.free_helper(now, &want.policy)?.clone();
+        let helper = self.free_helpers(now).nth(self.fewest_free(&want.policy) - 1)?.clone();
         let known = self.steps.entry(want.step).or_default();
-        if known.asked.is_some() || now < known.next_at {
+        let workers = choice.workers;
+        if workers.is_empty() || known.asked.is_some() || now < known.next_at {
             return None;
         }
-        let workers = choice.workers;
         let cost = cost_ms(&want.policy, workers.len());
         self.next_id += 1;
         let id = self.next_id;
         known.asked = Some(id);
         known.next_at = now + ADVICE_PAUSE;
         self.busy.insert(helper.clone());
+        self.free = self.free.saturating_sub(1);
         let asked = Asked {
             step: want.step,
             queue: want.queue.clone(),
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -13,12 +13,14 @@
 
 use crate::advice::{AdviceAsk, Choice, Desk};
 use crate::answer_times::AnswerTimes;
+use crate::asking::Need;
 use crate::call::{Answer, Call};
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
-use crate::place::Need;
+use crate::room::{Kept, Sought};
 use crate::speed::StepSpeeds;
 use crate::view::{Order, Stage, View};
+use crate::window::Window;
 
 /// Names a call until it is answered.
 pub type Token = u64;
@@ -180,8 +182,11 @@
     pub advice_callers: u64,
     /// Those of them that wait for an answer.
     pub advice_callers_busy: u64,
-    /// The steps that wanted a call for advice in the last plan and found no instance free to make it.
+    /// The steps that wanted a call for advice in the last plan and found no instance free to make it,
+    /// without those known to wait for room.
     pub steps_without_caller: u64,
+    /// The steps for which the last plan had no look left to find out whether a task could start.
+    pub steps_without_look: u64,
 }
 
 /// What a dispatcher begins with.
@@ -237,14 +242,16 @@
     pub(crate) scans: u32,
     /// How many steps wanted a call for advice in the last plan and found no instance free to make it.
     pub(crate) without_caller: u64,
+    /// For how many steps the last plan had no look left to find out whether a task could start.
+    pub(crate) without_look: u64,
     /// What the plan under way keeps free on workers for large tasks that wait.
     pub(crate) kept_free: BTreeMap<WorkerId, Size>,
     /// What the plan under way has taken so far, in looks at a worker.
     pub(crate) looks: u64,
-    /// For how many steps the plan under way has looked for room to be kept free.
-    pub(crate) rooms_made: u32,
-    /// How many steps that wanted advice waited for room in the last plan.
-    pub(crate) waiting_for_room: u64,
+    /// What the plan under way keeps free in all, by which workers it is sought on.
+    pub(crate) rooms_made: BTreeMap<Sought, Kept>,
+    /// Which open steps plans look at.
+    pub(crate) window: Window,
     /// The steps of the plan under way that want advice and wait for room, with whom a call would name if
     /// that was looked up, the most urgent first.
     pub(crate) put_back: Vec<(Need, Option<Choice>)>,
@@ -280,11 +287,12 @@
             plan_at: m.now,
             scans: 0,
             without_caller: 0,
+            without_look: 0,
             kept_free: BTreeMap::new(),
-            rooms_made: 0,
+            rooms_made: BTreeMap::new(),
             looks: 0,
             put_back: Vec::new(),
-            waiting_for_room: 0,
+            window: Window::default(),
         };
         d.inherit(m);
         d
@@ -398,6 +406,7 @@
             advice_callers: self.desk.callers() as u64,
             advice_callers_busy: self.desk.busy_callers() as u64,
             steps_without_caller: self.without_caller,
+            steps_without_look: self.without_look,
         }
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod advice;
 mod answer_times;
+mod asking;
 mod call;
 mod callers;
 mod dispatcher;
@@ -24,6 +25,7 @@
 mod speed;
 mod stragglers;
 mod view;
+mod window;
 mod workers;
 
 pub use advice::AdviceAsk;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -122,9 +122,9 @@
 /// For how long at least a step for which no room was found is not looked at as one that might start. Room
 /// that comes where no ticket is at hand is found this late, while each look goes through all workers.
 pub(crate) const LOOK_FOR_ROOM_AGAIN: Millis = Millis(500);
-/// By how much each step that waits for room makes that longer: 100 such looks a second leave half of those
-/// that 20 plans a second may take to the steps behind.
-pub(crate) const LOOK_PAUSE_A_STEP: Millis = Millis(10);
+/// How many such steps a plan looks at again: half of the looks that it may take, so that the other half is
+/// left to steps that were not looked at yet.
+pub(crate) const MOST_LOOKS_AGAIN: usize = MOST_SCANS as usize / 2;
 /// How many looks at a worker a plan may take in a millisecond, on average: each takes about a microsecond
 /// of a whole processor, of which the leader has less than half, so that a backlog never keeps it from
 /// taking in answers.
@@ -165,6 +165,9 @@
 pub(crate) const ADVICE_LEAST_WORKERS: usize = 10;
 /// How many tasks that fail in a row, of more than one job, set a worker aside.
 pub(crate) const FAILS_IN_A_ROW: u32 = 2;
+/// After what time without another failure those of a worker are forgotten, counted from when it last stood
+/// aside: longer than the longest tasks that are not meant to last run, so that one that fails them all is found.
+pub(crate) const FAILS_FADE: Millis = Millis(15_000);
 /// For how long a worker is set aside first; doubled each time it happens again.
 pub(crate) const SET_ASIDE: Millis = Millis(4_000);
 /// How often that is doubled at most. Without a try nobody learns that a worker is well again, and a
@@ -173,9 +176,12 @@
 /// From what part of the largest worker on a task counts as large, so that room is kept free for it:
 /// as one in so many. A smaller one fits into what any end leaves.
 pub(crate) const LARGE_PART: u64 = 4;
-/// For how many steps a plan keeps room free. Each looks through all workers, and later ones rarely find
-/// one that is not waited for already.
+/// For how many steps that wait for the same workers a plan keeps room free. Each looks through all workers,
+/// and later ones rarely find one that is not waited for already.
 pub(crate) const MOST_ROOMS_MADE: u32 = 20;
+/// What part of the room of all workers that steps seek may stand idle for large tasks that wait, as one in so
+/// many: a quarter, so that on a fleet that is less than half full as much again is there for the others.
+pub(crate) const MOST_KEPT_PART: u64 = 4;
 /// How much time a job must have to spare for one of its runs to be stopped for another: the stop, a call
 /// for advice, the restart from its progress, and a wait for room as long as a batch task runs.
 pub(crate) const PREEMPT_SLACK: Millis = Millis(9_000);
--- a/components/dispatch/tests/starvation.rs
+++ b/components/dispatch/tests/starvation.rs
@@ -14,15 +14,20 @@
 mod common;
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use clock::Millis;
 use common::{Bench, news, row, spec, step, task};
 use dispatch::{AdviceAsk, RunRow};
 use model::Size;
-use workload::{StepSpec, WorkerId};
+use rstest::rstest;
+use workload::{JobSpec, StepSpec, WorkerId};
 
-/// How long a call for advice takes, as the queues' policy says.
+/// How long a call for advice takes, as the queues' policy says, and by how much one call differs from the
+/// next, so that instances do not come free all at once.
 const CALL: Millis = Millis(430);
+const CALL_STEP: u64 = 10;
+const CALL_STEPS: u64 = 17;
 /// How often every worker reports, well within its lease.
 const REPORT: Millis = Millis(500);
 
@@ -39,8 +44,8 @@
 }
 
 impl Fleet {
-    fn new(callers: usize) -> Fleet {
-        let mut bench = Bench::new("advice, long");
+    fn new(config: &str, callers: usize) -> Fleet {
+        let mut bench = Bench::new(config);
         let names: Vec<String> = (0..callers).map(|i| format!("e{i}")).collect();
         bench.helpers(&names.iter().map(String::as_str).collect::<Vec<_>>());
         Fleet {
@@ -56,8 +61,8 @@
 
     /// Lets workers join that bear a label.
     fn join(&mut self, label: &str, count: usize, capacity: Size) {
-        for i in 0..count {
-            let name = format!("{label}-{i}");
+        for _ in 0..count {
+            let name = format!("{label}-{}", self.workers.len());
             let mut news = news(&name, 1);
             news.info.capacity = capacity;
             news.info.labels = vec![label.into()];
@@ -92,7 +97,8 @@
         let asks = self.bench.asks(None).split_off(self.asks_seen);
         self.asks_seen += asks.len();
         let now = self.bench.now;
-        self.under_way.extend(asks.into_iter().map(|a| (now + CALL, a)));
+        let until = |a: &AdviceAsk| now + CALL + Millis(a.id % CALL_STEPS * CALL_STEP);
+        self.under_way.extend(asks.into_iter().map(|a| (until(&a), a)));
         let due = |(at, _): &(Millis, AdviceAsk)| *at <= now;
         let (due, rest) = std::mem::take(&mut self.under_way).into_iter().partition(due);
         self.under_way = rest;
@@ -125,7 +131,7 @@
 #[test]
 fn a_backlog_that_waits_for_full_workers_leaves_calls_for_advice_to_a_job_whose_workers_are_free() {
     let whole = Size::new(16_000, 32_000, 8);
-    let mut f = Fleet::new(6);
+    let mut f = Fleet::new("advice, long", 6);
     f.join("full", 4, whole);
     f.join("free", 8, whole);
     for id in 1..=40 {
@@ -138,3 +144,154 @@
     f.pass(Millis(2_000));
     assert!(f.has_started(99), "a free call and its answer take less than a second");
 }
+
+/// A plan looks at a bounded number of open steps. What lies behind them must have its turn all the same.
+#[test]
+fn a_backlog_longer_than_a_plan_looks_at_does_not_hide_a_job_whose_workers_are_free() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("", 0);
+    f.join("full", 2, whole);
+    f.join("free", 2, whole);
+    for id in 1..=300 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.bench.submit_bulk(999, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(1_000));
+    assert!(f.has_started(999));
+}
+
+/// The rounds of a timed job are all known when it is accepted. Those that are not due are not work that waits.
+#[test]
+fn rounds_that_are_not_due_yet_do_not_hide_other_work() {
+    let mut f = Fleet::new("", 0);
+    f.join("free", 2, Size::new(16_000, 32_000, 8));
+    let timed = JobSpec {
+        spec: "text".into(),
+        steps: vec![step(1)],
+        rounds: 300,
+        first_due: f.bench.moment().wall + Millis(60_000),
+        interval: Millis(60_000),
+    };
+    f.bench.submit(1, Arc::new(timed));
+    f.bench.submit(2, spec(vec![step(1)]));
+    f.pass(Millis(100));
+    assert!(f.has_started(2));
+    assert!(!f.has_started(1));
+}
+
+/// Room is kept free for a bounded number of large tasks in a plan. Those that wait for some workers must not
+/// use that up for tasks on others: small tasks would take each part of the room there as it comes.
+#[test]
+fn large_tasks_that_wait_for_full_workers_leave_room_to_be_kept_for_one_elsewhere() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let part = Size::new(4_000, 4_000, 0);
+    let mut f = Fleet::new("", 0);
+    f.join("full", 2, whole);
+    f.join("other", 1, whole);
+    f.bench.submit_bulk(1, spec(vec![lengthy("other", part)]));
+    for id in 2..=40 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.bench.submit_bulk(50, spec(vec![lengthy("other", whole)]));
+    f.bench.submit_bulk(51, spec(vec![lengthy("other", part)]));
+    f.pass(Millis(1_000));
+    assert!(f.has_started(1) && !f.has_started(50));
+    assert!(!f.has_started(51), "it would take the room that the earlier task waits for");
+}
+
+/// A gang needs room for all of its tasks at once. Some room for it is not a reason to ask before others.
+#[test]
+fn gangs_that_find_room_for_a_part_only_leave_calls_for_advice_to_others() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", 6);
+    f.join("few", 3, whole);
+    f.join("free", 2, whole);
+    let gang = StepSpec { count: 4, gang: true, ..lengthy("few", whole) };
+    for id in 1..=40 {
+        f.bench.submit_mid(id, spec(vec![gang.clone()]));
+    }
+    f.pass(Millis(8_000));
+    f.bench.submit_bulk(99, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(2_000));
+    assert!(f.has_started(99));
+}
+
+/// Steps that wait for room are asked for last, so room that comes where they hold no ticket has to be found.
+#[test]
+fn a_worker_that_joins_is_found_by_a_backlog_that_waits_for_room() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", 6);
+    f.join("full", 4, whole);
+    for id in 1..=40 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.pass(Millis(8_000));
+    f.join("full", 1, whole);
+    f.pass(Millis(2_000));
+    let started = (1..=40).filter(|id| f.has_started(*id)).count();
+    assert_eq!(started, 5);
+}
+
+/// A burst, or a new leader, knows of no step yet whether it waits for room, and a plan has few looks. While
+/// some steps were not looked at, no call may go to those that were and wait.
+#[rstest]
+#[case::few_callers(3)]
+#[case::more_callers(6)]
+#[case::many_callers(13)]
+fn a_burst_that_waits_for_full_workers_is_looked_through_before_it_gets_calls(
+    #[case] callers: usize,
+) {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", callers);
+    f.join("full", 4, whole);
+    f.join("free", 8, whole);
+    for id in 1..=4 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.pass(Millis(4_000));
+    for id in 5..=190 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.bench.submit_bulk(999, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(2_500));
+    assert!(f.has_started(999));
+}
+
+/// Tasks that want whole workers have room kept free for them until what runs there has ended. Kept free on all
+/// workers at once, it would hold up everything else on a fleet that is nearly idle.
+#[test]
+fn room_kept_free_for_large_tasks_is_a_part_of_all_room() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let small = Size::new(2_000, 2_000, 0);
+    let mut f = Fleet::new("", 0);
+    f.join("some", 20, whole);
+    for id in 1..=20 {
+        f.bench.submit_bulk(id, spec(vec![lengthy("some", small)]));
+    }
+    f.pass(Millis(500));
+    for id in 21..=40 {
+        f.bench.submit_mid(id, spec(vec![lengthy("some", whole)]));
+    }
+    f.bench.submit_bulk(99, spec(vec![lengthy("some", small)]));
+    f.pass(Millis(1_000));
+    assert!((1..=20).all(|id| f.has_started(id)));
+    assert!(f.has_started(99), "an eighth of the room is taken");
+}
+
+/// Before a call is made for a step that waits for room, the steps behind it that could start must have been
+/// looked at. A plan looks for whom to ask for ten steps, and only while an instance is free; with four
+/// calls of 430 ms under way that is less often than 100 steps need to stay known as waiting.
+#[test]
+fn a_backlog_larger_than_a_plan_looks_at_leaves_calls_for_advice_to_a_job_whose_workers_are_free() {
+    let whole = Size::new(16_000, 32_000, 8);
+    let mut f = Fleet::new("advice, long", 6);
+    f.join("full", 4, whole);
+    f.join("free", 8, whole);
+    for id in 1..=100 {
+        f.bench.submit_mid(id, spec(vec![lengthy("full", whole)]));
+    }
+    f.pass(Millis(8_000));
+    f.bench.submit_bulk(999, spec(vec![lengthy("free", Size::new(4_000, 4_000, 0))]));
+    f.pass(Millis(3_000));
+    assert!(f.has_started(999), "a free call and its answer take less than a second");
+}
--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -8,13 +8,13 @@
 
 use crate::baseline::Baseline;
 use crate::estimate::Estimator;
-use crate::gang::Reservation;
-use crate::ledger::{Ledger, WorkerIndex};
+use crate::ledger::Ledger;
+use crate::line::Walk;
 use crate::queue::Queue;
+use crate::reservation::Reservation;
 use crate::search::{Ask, NO_TASKS, Preference, SpreadCounts};
+use crate::worker::WorkerIndex;
 
-/// How many stuck jobs of one team are passed over in one round before its line is left alone.
-const LOOK_PAST: usize = 64;
 /// The part of the processors kept free of bulk work when waiting weighs most, in percent.
 const HEADROOM_PERCENT: u64 = 5;
 
@@ -105,13 +105,19 @@
     pub(crate) reservation: Option<Reservation>,
     /// What was told to checkpoint and has not stopped yet.
     pub(crate) evicting: BTreeSet<TaskId>,
-    /// The ledger's count at the last round that left nothing to try.
-    settled_at: Option<u64>,
+    /// The number of the lap: the rounds since something changed that stuck work may gain by.
+    lap: u64,
+    /// The last lap that left nothing to try.
+    settled_lap: Option<u64>,
+    /// The ledger's count after the last round.
+    freed_seen: u64,
 }
 
 /// What one round found out, so that it is not tried again in the same round.
 #[derive(Default)]
 struct Round {
+    /// The number of its lap.
+    lap: u64,
     decisions: Vec<Decision>,
     no_room: Vec<NoRoom>,
 }
@@ -148,7 +154,7 @@
         tasks: impl IntoIterator<Item = u32>,
     ) {
         self.queue.add(now, spec, generation, tasks);
-        self.settled_at = None;
+        self.lap += 1;
     }
 
     /// Takes a job's waiting tasks out, in one step however many there are, and forgets what was
@@ -158,7 +164,7 @@
         self.estimator.forget(job);
         if self.reservation.as_ref().is_some_and(|r| r.job == *job) {
             self.reservation = None;
-            self.settled_at = None;
+            self.lap += 1;
         }
         self.queue.remove(job).map_or(0, |b| b.waiting.len())
     }
@@ -209,7 +215,7 @@
     /// Lets a job's tasks go back to workers on which they failed.
     pub fn forgive(&mut self, job: &JobName) {
         self.avoid.remove(job);
-        self.settled_at = None;
+        self.lap += 1;
         if let Some(bundle) = self.queue.get_mut(job) {
             bundle.stuck_at = None;
         }
@@ -237,53 +243,52 @@
 
     /// Tells that the rules or workers changed, so that stuck work is looked at again.
     pub fn look_again(&mut self) {
-        self.settled_at = None;
+        self.lap += 1;
+    }
+
+    /// Tells whether nothing waits that is worth a try before something changes.
+    pub fn is_settled(&self) -> bool {
+        let is_unchanged = self.freed_seen == self.ledger.freed();
+        self.queue.is_empty() || is_unchanged && self.settled_lap == Some(self.lap)
     }
 
     /// Decides up to `budget` starts.
     pub fn plan(&mut self, now: Millis, budget: usize) -> Vec<Decision> {
-        let idle = self.queue.is_empty() || self.settled_at == Some(self.ledger.freed());
-        if idle && self.reservation.is_none() {
+        if self.is_settled() && self.reservation.is_none() {
             return Vec::new();
         }
+        if self.freed_seen != self.ledger.freed() {
+            self.lap += 1;
+        }
         self.refresh_reservation(now);
-        let mut round = Round::default();
+        let mut round = Round { lap: self.lap, ..Round::default() };
         for class in Class::ALL {
             self.plan_class(now, class, budget, &mut round);
         }
-        if round.decisions.len() < budget && !self.policy.only_fixed {
-            self.settled_at = Some(self.ledger.freed());
+        let is_tried = round.decisions.len() < budget && self.queue.is_tried();
+        if is_tried && !self.policy.only_fixed {
+            self.settled_lap = Some(round.lap);
         }
+        self.freed_seen = self.ledger.freed();
         round.decisions
     }
 
     fn plan_class(&mut self, now: Millis, class: Class, budget: usize, round: &mut Round) {
-        // For each team, the order of the job it has been passed over to.
-        let mut cursors: BTreeMap<Name, (Option<u64>, usize)> = BTreeMap::new();
+        let mut walks: BTreeMap<Name, Walk> = BTreeMap::new();
         while round.decisions.len() < budget {
-            let Some((team, job)) = self.next_job(class, &cursors) else { return };
-            let Some(order) = self.queue.get(&job).map(|b| b.order) else { return };
-            if self.try_job(now, &job, round) {
-                continue;
+            let Some((team, job)) = self.next_job(class, &walks) else { return };
+            if !self.try_job(now, &job, round) {
+                self.queue.pass_over(&job, walks.entry(team).or_default(), round.lap);
             }
-            let cursor = cursors.entry(team).or_default();
-            *cursor = (Some(order), cursor.1 + 1);
         }
     }
 
     /// Gives the next job of the team that uses the least, passing over jobs already tried.
-    fn next_job(
-        &self,
-        class: Class,
-        cursors: &BTreeMap<Name, (Option<u64>, usize)>,
-    ) -> Option<(Name, JobName)> {
+    fn next_job(&self, class: Class, walks: &BTreeMap<Name, Walk>) -> Option<(Name, JobName)> {
         let mut best: Option<(u64, &Name, &JobName)> = None;
         for team in self.queue.teams(class) {
-            let (after, passed) = cursors.get(team).copied().unwrap_or_default();
-            if passed >= LOOK_PAST {
-                continue;
-            }
-            let Some(bundle) = self.queue.next_in_line(class, team, after) else { continue };
+            let walk = walks.get(team).copied().unwrap_or_default();
+            let Some(bundle) = self.queue.next_in_line(class, team, &walk) else { continue };
             let share = self.dominant_share(team);
             if best.is_none_or(|(s, t, _)| (share, team) < (s, t)) {
                 best = Some((share, team, &bundle.spec.name));
@@ -338,18 +343,32 @@
     }
 
     fn note_stuck(&mut self, now: Millis, spec: &Arc<JobSpec>, tasks: &[u32], round: &mut Round) {
-        if let Some(bundle) = self.queue.get_mut(&spec.name) {
-            bundle.stuck_at = Some(self.ledger.freed());
-        }
         if spec.kind == JobKind::Gang && self.reservation.is_none() {
             self.reserve_for_gang(now, spec, tasks.len());
         }
-        if spec.class == Class::Urgent {
-            let waiting = self.queue.get(&spec.name).map_or(0, |b| b.waiting.len());
-            round.decisions.extend(self.make_room(spec, waiting));
+        let freed = self.ledger.freed();
+        let stuck_at = match spec.class {
+            Class::Urgent => self.make_room_for(spec, round),
+            Class::Normal | Class::Bulk => Some(freed),
+        };
+        if let Some(bundle) = self.queue.get_mut(&spec.name) {
+            bundle.stuck_at = stuck_at;
+        }
+        if stuck_at != Some(freed) {
+            // Workers are left to look at.
+            self.lap += 1;
         }
     }
 
+    /// Makes room for the waiting tasks of a job, and gives the ledger's count at which it is stuck.
+    fn make_room_for(&mut self, spec: &JobSpec, round: &mut Round) -> Option<u64> {
+        let bundle = self.queue.get(&spec.name)?;
+        let made = self.make_room(spec, bundle.waiting.len(), bundle.room_search);
+        round.decisions.extend(made.decisions);
+        self.queue.get_mut(&spec.name)?.room_search = made.search;
+        made.stuck_at
+    }
+
     /// Says why a job can never run here, if so.
     fn hopeless(&self, spec: &JobSpec, tasks: usize) -> Option<Name> {
         if self.ledger.is_empty() {
--- /dev/null
+++ b/components/placement/tests/starvation.rs
@@ -0,0 +1,297 @@
+//! What cannot start never keeps what is free from those behind it, however many it is.
+
+use std::sync::Arc;
+
+use clock::Millis;
+use model::{Class, JobKind, JobSpec, Size, TaskId};
+use placement::{Decision, Planner, Policy, WorkerIndex, WorkerInfo};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+/// How many decisions one plan may take here.
+const BUDGET: usize = 100;
+
+fn planner(workers: usize) -> Planner {
+    let mut planner = Planner::new(Policy::default());
+    for i in 0..workers {
+        let name = format!("w{i}").as_str().into();
+        let total = Size::new(4_000, 8_000, 0);
+        let ix = planner.ledger.add(WorkerInfo { name, rack: "r".into(), total });
+        planner.ledger.set_open(ix, true);
+    }
+    planner
+}
+
+/// A job of one task, of the one team here.
+fn spec(name: &str, kind: JobKind, cpu: u64) -> JobSpec {
+    let run_time = Millis(10_000);
+    JobSpec { run_time, ..JobSpec::new(name, "team", kind, 1, Size::new(cpu, 100, 0)) }
+}
+
+fn submit(planner: &mut Planner, spec: JobSpec) {
+    let tasks = spec.tasks;
+    planner.submit(Millis(0), &Arc::new(spec), 1, 0..tasks);
+}
+
+/// Gives after how many plans, of at most `most`, a task of `job` starts.
+fn plans_until_start(planner: &mut Planner, job: &str, most: u64) -> Option<u64> {
+    let starts =
+        |d: &Decision| matches!(d, Decision::Start { task, .. } if task.job.as_str() == job);
+    (1..=most).find(|&n| planner.plan(Millis(n), BUDGET).iter().any(starts))
+}
+
+/// Four workers with one core of four taken, and jobs for a whole worker before a small one.
+fn small_job_behind(stuck: usize) -> Planner {
+    let mut planner = planner(4);
+    let workers: Vec<_> = planner.ledger.workers().collect();
+    for worker in workers {
+        assert!(planner.ledger.reserve(worker, &Size::new(1_000, 100, 0)));
+    }
+    for i in 0..stuck {
+        submit(&mut planner, spec(&format!("large{i}"), JobKind::Batch, 4_000));
+    }
+    submit(&mut planner, spec("small", JobKind::Batch, 1_000));
+    planner
+}
+
+/// A small job behind so many of its team's jobs that cannot start does so within so many plans.
+macro_rules! starts_behind {
+    ($($name:ident: $stuck:expr => $plans:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut planner = small_job_behind($stuck);
+            let started = plans_until_start(&mut planner, "small", $plans);
+            assert!(started.is_some(), "not within {} plans", $plans);
+        }
+    )*};
+}
+
+starts_behind! {
+    a_job_behind_a_few_stuck_ones_starts_at_once: 63 => 1;
+    a_job_behind_64_stuck_ones_starts_at_once: 64 => 1;
+    a_job_behind_1000_stuck_ones_starts_in_bounded_time: 1_000 => 100;
+}
+
+#[test]
+fn a_job_behind_stuck_ones_has_its_turn_while_room_is_freed_all_the_time() {
+    let mut planner = small_job_behind(1_000);
+    let worker = planner.ledger.find("w0").expect("there are four workers");
+    let started = (0..100).any(|_| {
+        planner.ledger.release(worker, &Size::new(1, 0, 0));
+        plans_until_start(&mut planner, "small", 1).is_some()
+    });
+    assert!(started, "not within 100 plans");
+}
+
+#[test]
+fn the_turns_begin_anew_when_all_behind_them_are_withdrawn() {
+    let mut planner = small_job_behind(1_000);
+    for n in 0..20 {
+        planner.plan(Millis(n), BUDGET);
+    }
+    for i in 100..1_000 {
+        planner.withdraw(&format!("large{i}").as_str().into());
+    }
+    planner.withdraw(&"small".into());
+    submit(&mut planner, spec("late", JobKind::Batch, 1_000));
+    assert!(plans_until_start(&mut planner, "late", 10).is_some(), "not within 10 plans");
+}
+
+/// Gives after how many plans, of at most `most`, nothing is left to try.
+fn plans_until_settled(planner: &mut Planner, most: u64) -> Option<u64> {
+    (1..=most).find(|&n| {
+        planner.plan(Millis(n), BUDGET);
+        planner.is_settled()
+    })
+}
+
+/// Jobs that cannot start cost plans no more once each was tried, until something changes.
+macro_rules! settles_behind {
+    ($($name:ident: $stuck:expr => $plans:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut planner = small_job_behind($stuck);
+            planner.withdraw(&"small".into());
+            for change in 0..3 {
+                let settled = plans_until_settled(&mut planner, $plans);
+                assert!(settled.is_some(), "not within {} plans, change {change}", $plans);
+                planner.look_again();
+                assert!(!planner.is_settled());
+            }
+        }
+    )*};
+}
+
+settles_behind! {
+    a_few_stuck_jobs_settle_at_once: 64 => 1;
+    some_more_stuck_jobs_settle: 65 => 3;
+    a_thousand_stuck_jobs_settle: 1_000 => 65;
+}
+
+#[test]
+fn a_job_that_comes_at_any_time_of_a_lap_starts_before_the_planner_settles() {
+    for plans in 0..70 {
+        let mut planner = small_job_behind(1_000);
+        planner.withdraw(&"small".into());
+        (0..plans).for_each(|n| _ = planner.plan(Millis(n), BUDGET));
+        submit(&mut planner, spec("late", JobKind::Batch, 1_000));
+        let started = plans_until_start(&mut planner, "late", 65);
+        assert!(started.is_some(), "not within 65 plans after {plans}");
+    }
+}
+
+#[test]
+fn room_that_is_freed_at_any_time_of_a_lap_is_used_wherever_in_line_its_user_stands() {
+    for (plans, stands_at) in [(0, 70), (30, 70), (30, 300), (30, 900), (59, 300), (80, 300)] {
+        let mut planner = planner(1);
+        let worker = planner.ledger.find("w0").expect("there is one worker");
+        assert!(planner.ledger.reserve(worker, &Size::new(4_000, 100, 0)));
+        for i in 0..1_000 {
+            let cpu = if i == stands_at { 1_000 } else { 4_000 };
+            submit(&mut planner, spec(&format!("job{i}"), JobKind::Batch, cpu));
+        }
+        (0..plans).for_each(|n| _ = planner.plan(Millis(n), BUDGET));
+        planner.ledger.release(worker, &Size::new(1_000, 0, 0));
+        let started = plans_until_start(&mut planner, &format!("job{stands_at}"), 65);
+        assert!(started.is_some(), "not within 65 plans after {plans}, at {stands_at}");
+    }
+}
+
+/// Random jobs that come, end and are withdrawn: whenever the planner settles, and it does in bounded time,
+/// no waiting task fits on any worker.
+fn nothing_fits_once_settled(seed: u64) {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let mut p = small_job_behind(0);
+    for step in 0..400 {
+        match rng.random_range(0..10) {
+            0..6 => {
+                let name = format!("job{step}");
+                submit(&mut p, spec(&name, JobKind::Batch, rng.random_range(1..=4) * 1_000));
+            }
+            6..8 => {
+                let placed: Vec<TaskId> = p.all_placed().map(|(t, _)| t.clone()).collect();
+                if !placed.is_empty() {
+                    p.release(&placed[rng.random_range(0..placed.len())]);
+                }
+            }
+            8 => _ = p.withdraw(&format!("job{}", rng.random_range(0..=step)).as_str().into()),
+            _ => _ = p.plan(Millis(step), BUDGET),
+        }
+        if p.is_settled() || rng.random_range(0..20) == 0 {
+            assert!(plans_until_settled(&mut p, 40).is_some(), "seed {seed}, step {step}");
+            let fits = |size: &Size| p.ledger.workers().any(|ix| size.fits(&p.ledger.free(ix)));
+            assert!(!p.queue().iter().any(|b| fits(&b.spec.size)), "seed {seed}, step {step}");
+        }
+    }
+}
+
+#[test]
+fn nothing_that_waits_fits_once_the_planner_has_settled() {
+    (0..100).for_each(nothing_fits_once_settled);
+}
+
+#[test]
+fn a_search_for_room_that_is_under_way_keeps_the_planner_from_settling() {
+    let mut planner = bulk_behind(3_000, Runs::Service);
+    for i in 0..200 {
+        submit_urgent(&mut planner, &format!("urgent{i}"), 2_000);
+    }
+    let stopped = (1..=100).find_map(|now| stops_on(&mut planner, now));
+    assert_eq!(stopped, Some(3_000));
+    assert!(plans_until_settled(&mut planner, 200).is_some(), "not within 200 plans");
+}
+
+/// What a worker runs that takes all of it.
+#[derive(Clone, Copy)]
+enum Runs {
+    /// A service, which is never stopped.
+    Service,
+    /// A service, and so little bulk work that stopping it makes too little room.
+    LittleBulk,
+    /// Bulk work.
+    Bulk,
+}
+
+/// Lets `worker` run a task of `kind` that takes `cpu`.
+fn run(planner: &mut Planner, worker: WorkerIndex, kind: JobKind, cpu: u64) {
+    let name = format!("{kind:?} on {}", planner.ledger.info(worker).name);
+    let class = if kind == JobKind::Batch { Class::Bulk } else { Class::Normal };
+    let spec = JobSpec { class, ..spec(&name, kind, cpu) };
+    planner.adopt(Millis(0), &Arc::new(spec), 1, 0, worker);
+}
+
+/// A fleet whose first `before` workers run what makes no room, and whose last one runs bulk work.
+fn bulk_behind(before: usize, first: Runs) -> Planner {
+    let mut planner = planner(before + 1);
+    let workers: Vec<_> = planner.ledger.workers().collect();
+    for (i, worker) in workers.into_iter().enumerate() {
+        match if i < before { first } else { Runs::Bulk } {
+            Runs::Service => run(&mut planner, worker, JobKind::Service, 4_000),
+            Runs::LittleBulk => {
+                run(&mut planner, worker, JobKind::Service, 3_000);
+                run(&mut planner, worker, JobKind::Batch, 1_000);
+            }
+            Runs::Bulk => run(&mut planner, worker, JobKind::Batch, 4_000),
+        }
+    }
+    planner
+}
+
+fn submit_urgent(planner: &mut Planner, name: &str, cpu: u64) {
+    submit(planner, JobSpec { class: Class::Urgent, ..spec(name, JobKind::Batch, cpu) });
+}
+
+/// Gives the number of the worker on which the next plan stops something, if it does.
+fn stops_on(planner: &mut Planner, now: u64) -> Option<u32> {
+    let decisions = planner.plan(Millis(now), BUDGET);
+    decisions.iter().find_map(|d| match d {
+        Decision::Evict { worker, .. } => Some(worker.0),
+        _ => None,
+    })
+}
+
+/// Urgent work has room made for it within so many plans, however many workers before that have none.
+macro_rules! makes_room_behind {
+    ($($name:ident: $before:expr, $first:ident => $plans:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut planner = bulk_behind($before, Runs::$first);
+            submit_urgent(&mut planner, "urgent", 2_000);
+            let stopped = (1..=$plans).find_map(|now| stops_on(&mut planner, now));
+            assert_eq!(stopped, Some($before), "within {} plans", $plans);
+        }
+    )*};
+}
+
+makes_room_behind! {
+    room_is_made_behind_511_workers_with_services_at_once: 511, Service => 1;
+    room_is_made_behind_512_workers_with_services: 512, Service => 2;
+    room_is_made_behind_3000_workers_with_services: 3_000, Service => 6;
+    room_is_made_behind_3000_workers_with_little_bulk_work: 3_000, LittleBulk => 6;
+}
+
+#[test]
+fn two_urgent_jobs_that_take_turns_both_see_every_worker() {
+    let mut planner = bulk_behind(1_000, Runs::LittleBulk);
+    let last = planner.ledger.find("w1000").expect("it is the last one");
+    planner.ledger.set_open(last, false);
+    submit_urgent(&mut planner, "first", 3_500);
+    submit_urgent(&mut planner, "second", 2_000);
+    assert!((1..=10).all(|now| stops_on(&mut planner, now).is_none()));
+    planner.ledger.set_open(last, true);
+    assert_eq!((11..=20).find_map(|now| stops_on(&mut planner, now)), Some(1_000));
+}
+
+#[test]
+fn a_worker_that_opens_behind_the_search_is_seen_in_the_next_one() {
+    let mut planner = bulk_behind(1_500, Runs::Service);
+    let (first, last) = (WorkerIndex(0), WorkerIndex(1_500));
+    planner.release(&TaskId { job: "Service on w0".into(), index: 0 });
+    run(&mut planner, first, JobKind::Batch, 4_000);
+    planner.ledger.set_open(first, false);
+    planner.ledger.set_open(last, false);
+    submit_urgent(&mut planner, "urgent", 2_000);
+    assert_eq!(stops_on(&mut planner, 1), None);
+    planner.ledger.set_open(first, true);
+    assert_eq!((2..=8).find_map(|now| stops_on(&mut planner, now)), Some(0));
+}
