Send no start again to a worker that is leaving, and stop none before its cancel is committed

Cause: a start without an answer was sent again whenever its worker was in touch, without asking whether the worker is leaving by now; so a start could leave after the leaving was acknowledged. And where the task was not wanted any more, the stop left at once, although the cancel was not committed yet: a leader that lost it would have stopped a run that is wanted.

Ruled out: first starts, which ask at the time they leave. Change: such a start is stopped instead, and one that is not wanted once what made it so is committed. Three tests of late_orders.rs fail before and pass after; all tests of the crate pass.

--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -24,6 +24,7 @@
 
     pub(crate) fn resend_orders(&mut self, m: Moment, id: &WorkerId) {
         let Some(view) = self.views.get(id).filter(|v| v.in_contact) else { return };
+        let leaving = view.leaving;
         let due = |o: &Order| o.retry_at.is_some_and(|t| m.now >= t);
         let again: Vec<(TaskKey, u32, Stage, u32)> = view
             .orders
@@ -32,15 +33,28 @@
             .map(|(k, o)| (*k, o.run, o.stage, o.tries))
             .collect();
         for (task, run, stage, tries) in again {
-            match stage {
-                Stage::Starting if tries < START_TRIES && self.book.is_wanted(&task, run) => {
-                    self.order_start(m, id, &task, run);
-                }
-                _ => self.send_stop(id, &task, run),
+            let starting = stage == Stage::Starting;
+            if starting && !self.book.is_wanted(&task, run) {
+                self.stop_unwanted_start(id, &task, run);
+            } else if starting && tries < START_TRIES && !leaving {
+                self.order_start(m, id, &task, run);
+            } else {
+                // A worker that is leaving must not be told to start anything, not even once more.
+                self.send_stop(id, &task, run);
             }
         }
     }
 
+    /// Stops a start that got no answer and is not wanted any more, once what made it unwanted is committed:
+    /// a leader that loses the cancel would go on with the run.
+    fn stop_unwanted_start(&mut self, id: &WorkerId, task: &TaskKey, run: u32) {
+        let orders = self.views.get_mut(id).map(|v| &mut v.orders);
+        if let Some(order) = orders.and_then(|o| o.get_mut(task)) {
+            order.retry_at = None;
+        }
+        self.stop_when_committed(id.clone(), *task, run);
+    }
+
     pub(crate) fn never_started(&mut self, id: &WorkerId, runs: Vec<(TaskKey, u32)>, why: &str) {
         for (task, run) in &runs {
             self.sweep.insert(task.step.job);
