Tell which runs end with a worker's life or lease

Cause: a worker that ends can list nothing, so no line said which tasks were on it, how young their runs were and what ran beside them. A worker that crashes under one task again and again could not be told from one that is lost for another reason. Change: E958 run_lost names each such run, with how it was known, its age, its stage and the number of its neighbours. No decision changes. Tests: dispatch and events pass.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -431,6 +431,11 @@
         self.batch.push(command);
     }
 
+    /// Gives when the last input came, by the clock that never jumps.
+    pub(crate) fn now(&self) -> Millis {
+        self.moment.now
+    }
+
     pub(crate) fn act(&mut self, action: Action) {
         self.actions.push(action);
     }
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -33,6 +33,20 @@
     },
 }
 
+impl Stage {
+    /// Gives the stage's name for the log.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Stage::Inherited => "inherited",
+            Stage::Held => "held",
+            Stage::Starting => "starting",
+            Stage::Confirmed { .. } => "confirmed",
+            Stage::Stopping => "stopping",
+            Stage::Stopped { .. } => "stopped",
+        }
+    }
+}
+
 /// The order that stands for one run.
 #[derive(Clone, Debug)]
 pub(crate) struct Order {
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -63,12 +63,34 @@
 
     /// Ends a life of a worker with all that ran there.
     pub(crate) fn worker_gone(&mut self, id: &WorkerId, why: &str) {
+        self.tell_lost_runs(id, why);
         let Some(view) = self.views.remove(id) else { return };
         self.sweep_runs_of(id);
         self.propose(Command::WorkerGone { worker: id.clone(), saved: saved(&view) });
         self.note(&kinds::WORKER_GONE, id, format!("why={why:?}"));
     }
 
+    /// Tells which runs end with a worker's life or lease. The worker can list them no more, so nothing else
+    /// tells which task was there when it ended, how young its run was, and what ran beside it.
+    fn tell_lost_runs(&mut self, id: &WorkerId, why: &str) {
+        let (Some(worker), Some(view)) = (self.book.worker(id), self.views.get(id)) else { return };
+        let now = self.now();
+        let lost = worker.runs.iter().map(|(task, run)| {
+            let order = view.orders.get(task);
+            let age = order.map_or(Millis::ZERO, |o| now.since(o.since));
+            let stage = order.map_or("none", |o| o.stage.name());
+            let details = format!(
+                "run={run} worker={id} why={why:?} age_ms={} stage={stage} beside={}",
+                age.0,
+                worker.runs.len() - 1,
+            );
+            (*task, details)
+        });
+        for (task, details) in lost.collect::<Vec<_>>() {
+            self.note(&kinds::RUN_LOST, task, details);
+        }
+    }
+
     fn sweep_runs_of(&mut self, id: &WorkerId) {
         let Some(worker) = self.book.worker(id) else { return };
         let jobs: Vec<JobId> = worker.runs.keys().map(|k| k.step.job).collect();
@@ -116,6 +138,7 @@
     }
 
     fn lapse(&mut self, id: &WorkerId) {
+        self.tell_lost_runs(id, "lapsed");
         let Some(view) = self.views.get_mut(id) else { return };
         let command = Command::Lapsed { worker: id.clone(), saved: saved(view) };
         view.orders.clear();
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -107,6 +107,7 @@
         RUN_STRAY = 955 Warn "run_stray" "A worker lists a run that the log knows nothing of; it is stopped.";
         ORDER_UNANSWERED = 956 Warn "order_unanswered" "A start got no answer; the task and its room stay taken until its fate is known.";
         RUN_PREEMPTED = 957 Info "run_preempted" "A run that keeps its progress and has time to spare is stopped for a more urgent gang or large task.";
+        RUN_LOST = 958 Warn "run_lost" "A run was on a worker whose life is over, or whose lease has surely run out.";
         WORKER_JOINED = 961 Info "worker_joined" "A worker announced itself for the first time.";
         WORKER_LEAVES = 962 Info "worker_leaves" "A worker said that it is leaving and gets nothing new.";
         WORKER_REACHED = 963 Info "worker_reached" "A worker answers, for the first time or again.";
