Failing test: a task that ends each worker it runs on is started again without end

Eight kinds of such a task (as it starts, at once, at its checkpoint, after a second; in a step, a gang, a task that lasts) and a mix of jobs at fault among others that are well, on the pure dispatcher with a fleet of 48 workers that come back after 3.2 s.

--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -2,6 +2,8 @@
 //! call at a time, a log whose commits take time, and callers that come back. Time goes on in steps, and
 //! everything follows from the seed.
 
+pub mod crash;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
@@ -14,6 +16,7 @@
     Command, JobId, JobSpec, JobState, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
 };
 
+use self::crash::Crashes;
 use super::host::Host;
 use super::watch::Watch;
 use super::{Bench, SILENT};
@@ -91,6 +94,7 @@
     pub rng: StdRng,
     pub jobs: BTreeMap<JobId, Handed>,
     pub watch: Watch,
+    pub crashes: Crashes,
     seed: u64,
     service: Service,
     callers: Vec<String>,
@@ -117,6 +121,7 @@
             rng: StdRng::seed_from_u64(seed),
             jobs: BTreeMap::new(),
             watch: Watch::default(),
+            crashes: Crashes::default(),
             seed,
             service: Service { seed, numbers: BTreeMap::new() },
             callers: (0..callers).map(|i| format!("e{i:02}")).collect(),
@@ -152,13 +157,18 @@
                 capacity,
                 labels: vec![label.into(), format!("{zone}-r{}", i % 6).as_str().into()],
             };
-            let number = self.service.numbers.len() as u64;
-            self.service.numbers.insert(info.id.clone(), number);
-            self.hosts.insert(info.id.clone(), Host::new(info.clone()));
-            self.news(info, 1);
+            self.admit(info);
         }
     }
 
+    /// Lets a worker join.
+    fn admit(&mut self, info: WorkerInfo) {
+        let number = self.service.numbers.len() as u64;
+        self.service.numbers.insert(info.id.clone(), number);
+        self.hosts.insert(info.id.clone(), Host::new(info.clone()));
+        self.news(info, 1);
+    }
+
     fn news(&mut self, info: WorkerInfo, number: u64) {
         let leaving = number > 1;
         let remaining = leaving.then_some(NOTICE);
@@ -251,7 +261,9 @@
         let present = self.present();
         let now = self.bench.now;
         self.hosts.values_mut().for_each(|h| h.come_on(now, &present));
+        self.let_crash();
         if self.has_leader {
+            self.let_come_back();
             self.commit();
             self.answer_asks();
             self.carry_out_orders();
@@ -350,8 +362,12 @@
         let began = host.start(now, order, spec, takes).map_err(CallError::Refused)?;
         if began {
             job.first_start.get_or_insert(now);
+            self.crashes.note_start(now, worker, &order.task, order.run);
+        }
+        match began && self.crashes.is_at_start(&order.task) {
+            true => Err(SILENT()),
+            false => Ok(()),
         }
-        Ok(())
     }
 
     fn answer_order(&mut self, action: &Action, result: Result<(), CallError>) {
--- /dev/null
+++ b/components/dispatch/tests/common/fleet/crash.rs
@@ -0,0 +1,129 @@
+//! Workers that crash: each is back after a while as another life at the same address, which runs nothing.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use clock::Millis;
+use workload::{JobId, TaskKey, WorkerId};
+
+use super::Fleet;
+use crate::common::host::Host;
+
+/// When a task ends the worker that runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// While it starts, so that the start gets no answer.
+    AtStart,
+    /// So long after it began.
+    After(Millis),
+}
+
+/// The tasks that are at fault, and what came of them.
+pub struct Crashes {
+    faults: BTreeMap<TaskKey, Fault>,
+    /// The crashes to come: when, where and by which run.
+    due: Vec<(Millis, WorkerId, TaskKey, u32)>,
+    /// The lives to come: when, and after whom.
+    reborn: Vec<(Millis, WorkerId)>,
+    /// How long a worker is down.
+    pub down_for: Millis,
+    /// Whether the next lives of crashed workers come at all.
+    pub come_back: bool,
+    /// How many workers have crashed with each task on them, whoever was at fault.
+    pub under: BTreeMap<TaskKey, u32>,
+    /// How many workers the tasks at fault of each job have taken down.
+    pub by_job: BTreeMap<JobId, u32>,
+}
+
+impl Default for Crashes {
+    fn default() -> Crashes {
+        Crashes {
+            faults: BTreeMap::new(),
+            due: Vec::new(),
+            reborn: Vec::new(),
+            down_for: Millis(3_200),
+            come_back: true,
+            under: BTreeMap::new(),
+            by_job: BTreeMap::new(),
+        }
+    }
+}
+
+impl Crashes {
+    /// Gives how many workers have crashed with a task on them.
+    pub fn under(&self, task: &TaskKey) -> u32 {
+        self.under.get(task).copied().unwrap_or(0)
+    }
+
+    /// Gives how many workers the tasks at fault of a job have taken down.
+    pub fn by_job(&self, job: JobId) -> u32 {
+        self.by_job.get(&job).copied().unwrap_or(0)
+    }
+
+    /// Gives the jobs that have a task at fault.
+    pub fn faulty_jobs(&self) -> BTreeSet<JobId> {
+        self.faults.keys().map(|task| task.step.job).collect()
+    }
+
+    pub(super) fn is_at_start(&self, task: &TaskKey) -> bool {
+        self.faults.get(task) == Some(&Fault::AtStart)
+    }
+
+    /// Notes that a run has begun.
+    pub(super) fn note_start(&mut self, now: Millis, worker: &WorkerId, task: &TaskKey, run: u32) {
+        let after = match self.faults.get(task) {
+            None => return,
+            Some(Fault::AtStart) => Millis::ZERO,
+            Some(Fault::After(span)) => *span,
+        };
+        self.due.push((now + after, worker.clone(), *task, run));
+    }
+}
+
+impl Fleet {
+    /// Makes a task end each worker that runs it.
+    pub fn make_faulty(&mut self, task: TaskKey, fault: Fault) {
+        self.crashes.faults.insert(task, fault);
+    }
+
+    /// Ends a worker's life at once with all that it runs; it comes back as another one.
+    pub fn crash(&mut self, id: &WorkerId) {
+        let now = self.bench.now;
+        let Some(host) = self.hosts.get_mut(id) else { return };
+        for task in host.crash() {
+            *self.crashes.under.entry(task).or_default() += 1;
+        }
+        if self.crashes.come_back {
+            self.crashes.reborn.push((now + self.crashes.down_for, id.clone()));
+        }
+    }
+
+    pub(super) fn let_crash(&mut self) {
+        let now = self.bench.now;
+        let is_due = |due: &(Millis, WorkerId, TaskKey, u32)| due.0 <= now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.crashes.due).into_iter().partition(is_due);
+        self.crashes.due = rest;
+        for (_, worker, task, run) in due {
+            let runs = |h: &Host| h.fake.running.get(&task) == Some(&run);
+            if self.hosts.get(&worker).is_some_and(runs) {
+                *self.crashes.by_job.entry(task.step.job).or_default() += 1;
+                self.crash(&worker);
+            }
+        }
+    }
+
+    pub(super) fn let_come_back(&mut self) {
+        let now = self.bench.now;
+        let (due, rest): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.crashes.reborn).into_iter().partition(|(at, _)| *at <= now);
+        self.crashes.reborn = rest;
+        for (_, old) in due {
+            let Some(host) = self.hosts.get_mut(&old) else { continue };
+            host.replaced = true;
+            host.fake.silent = false;
+            let mut info = host.info.clone();
+            info.id = WorkerId::from(format!("{old}'").as_str());
+            self.admit(info);
+        }
+    }
+}
--- a/components/dispatch/tests/common/host.rs
+++ b/components/dispatch/tests/common/host.rs
@@ -39,6 +39,10 @@
     pub fake: FakeWorker,
     /// Whether it has said that it leaves.
     pub leaving: bool,
+    /// Whether its life is over, so that its connections break at once.
+    pub crashed: bool,
+    /// Whether another life answers at its address.
+    pub replaced: bool,
     runs: BTreeMap<TaskKey, Progress>,
     held: Option<Held>,
 }
@@ -46,7 +50,8 @@
 impl Host {
     pub fn new(info: WorkerInfo) -> Host {
         let (fake, runs) = (FakeWorker::default(), BTreeMap::new());
-        Host { info, fake, leaving: false, runs, held: None }
+        let (leaving, crashed, replaced) = (false, false, false);
+        Host { info, fake, leaving, crashed, replaced, runs, held: None }
     }
 
     pub fn used(&self) -> Size {
@@ -59,7 +64,18 @@
 
     /// Tells whether it could take new work if it was told to.
     pub fn is_usable(&self) -> bool {
-        !self.fake.silent && !self.leaving
+        !self.fake.silent && !self.leaving && !self.crashed
+    }
+
+    /// Ends its life; gives what ran.
+    pub fn crash(&mut self) -> Vec<TaskKey> {
+        let lost = self.fake.running.keys().copied().collect();
+        self.fake.running.clear();
+        self.fake.ends.clear();
+        self.runs.clear();
+        self.crashed = true;
+        self.fake.silent = true;
+        lost
     }
 
     /// Gives the members of gangs that run here.
@@ -123,6 +139,7 @@
         spec: StepSpec,
         takes: Millis,
     ) -> Result<bool, Refusal> {
+        self.is_this_life()?;
         let holds = |t: &str| t.parse().is_ok_and(|until| now <= Millis(until));
         if !order.ticket.as_deref().is_some_and(holds) {
             return Err(Refusal::Ticket);
@@ -137,6 +154,7 @@
     }
 
     pub fn stop(&mut self, now: Millis, order: &StopOrder) -> Result<(), Refusal> {
+        self.is_this_life()?;
         let progress = self.saved(now, &order.task);
         let before = self.fake.ends.len();
         self.fake.stop(order)?;
@@ -147,6 +165,10 @@
         Ok(())
     }
 
+    fn is_this_life(&self) -> Result<(), Refusal> {
+        if self.replaced { Err(Refusal::OtherLife) } else { Ok(()) }
+    }
+
     /// Takes a renewal, which is answered once a run has ended or its wait is over.
     pub fn renew(
         &mut self,
@@ -154,6 +176,7 @@
         sent_at: Millis,
         order: &RenewOrder,
     ) -> Result<(), Refusal> {
+        self.is_this_life()?;
         if !self.fake.silent {
             self.fake.renew(order)?;
         }
@@ -167,7 +190,7 @@
         let held = self.held.as_ref()?;
         let sent_at = held.sent_at;
         if self.fake.silent {
-            let given_up = now >= held.answer_at + held.answer_within;
+            let given_up = self.crashed || now >= held.answer_at + held.answer_within;
             return given_up.then(|| self.answered(sent_at, Err(super::SILENT())));
         }
         if self.fake.ends.is_empty() && now < held.answer_at {
