--- /dev/null
+++ b/components/dispatch/tests/capacity.rs
@@ -0,0 +1,128 @@
+//! A worker's capacity shrinks and grows again while it runs, and its announcements say so.
+//!
+//! What a worker said when it was first heard of was kept for its whole life, so a worker that had lost half of its
+//! cores went on being filled to what it had before, and one that had got them back stood half empty.
+
+mod common;
+
+use clock::Millis;
+use common::{Bench, end, news, spec, step, task, worker};
+use dispatch::{Input, WorkerNews};
+use model::Size;
+use workload::{EndKind, StepSpec};
+
+/// Lets a worker announce itself with so many cores, in its announcement of a number.
+fn announce(b: &mut Bench, name: &str, cores: u64, number: u64) {
+    b.feed(Input::News(WorkerNews { number, ..news(name, cores) }));
+    b.commit();
+}
+
+/// A step whose tasks take `cores` each.
+fn wide(count: u32, cores: u64) -> StepSpec {
+    let estimate = Millis(2_000);
+    StepSpec { size: Size::new(cores * 1_000, 1_000, 0), estimate, ..step(count) }
+}
+
+/// A dispatcher with one worker of eight cores.
+fn with_one_worker() -> Bench {
+    let mut b = Bench::new("");
+    b.join("w", 8);
+    b
+}
+
+fn starts_on(b: &Bench, name: &str) -> usize {
+    b.starts().iter().filter(|(w, _)| *w == worker(name)).count()
+}
+
+#[test]
+fn a_shrunk_worker_is_filled_to_what_is_left() {
+    let mut b = with_one_worker();
+    announce(&mut b, "w", 4, 2);
+    b.submit(1, spec(vec![step(8)]));
+    b.commit();
+    assert_eq!(b.starts().len(), 4);
+}
+
+#[test]
+fn a_grown_worker_is_used_at_once() {
+    let mut b = with_one_worker();
+    b.submit(1, spec(vec![step(12)]));
+    b.commit();
+    assert_eq!(b.starts().len(), 8);
+    announce(&mut b, "w", 12, 2);
+    assert_eq!(b.starts().len(), 12);
+}
+
+/// The room of a worker that is over it comes back only once enough has ended; what is being stopped counts until
+/// then. Even a task that takes no processor time would bring it further over.
+#[test]
+fn nothing_starts_on_a_worker_that_is_over_its_room() {
+    let mut b = with_one_worker();
+    b.submit(1, spec(vec![step(6)]));
+    b.commit();
+    (0..6).for_each(|i| b.started("w", task(1, 0, i), 1, Ok(())));
+    announce(&mut b, "w", 4, 2);
+    let filler = StepSpec { filler: true, ..step(1) };
+    let no_cpu = StepSpec { size: Size::new(0, 100, 0), ..step(1) };
+    b.submit(2, spec(vec![filler, no_cpu, step(1)]));
+    b.commit();
+    b.call_path("/q/0000000000000001", dispatch::Verb::Cancel);
+    b.commit();
+    assert_eq!(b.stops().len(), 6);
+    b.pass(Millis(50));
+    assert_eq!(b.starts().len(), 6, "what is being stopped counts");
+    let ends = (0..6).map(|i| end(u64::from(i) + 1, task(1, 0, i), 1, EndKind::Stopped));
+    b.report("w", vec![], ends.collect());
+    b.commit();
+    b.pass(Millis(50));
+    assert_eq!(b.starts().len(), 9);
+}
+
+#[test]
+fn a_start_that_is_not_committed_when_the_worker_shrinks_is_not_sent() {
+    let mut b = with_one_worker();
+    b.submit(1, spec(vec![step(8)]));
+    assert!(b.starts().is_empty());
+    b.feed(Input::News(WorkerNews { number: 2, ..news("w", 4) }));
+    b.commit();
+    assert!(b.starts().len() <= 4, "{} starts", b.starts().len());
+    b.pass(Millis(50));
+    assert_eq!(b.starts().len(), 4, "the others wait");
+}
+
+#[test]
+fn an_old_announcement_that_comes_late_changes_nothing() {
+    let mut b = with_one_worker();
+    announce(&mut b, "w", 4, 3);
+    announce(&mut b, "w", 8, 2);
+    b.submit(1, spec(vec![step(8)]));
+    b.commit();
+    assert_eq!(b.starts().len(), 4);
+}
+
+#[test]
+fn the_next_leader_knows_of_it() {
+    let mut b = with_one_worker();
+    announce(&mut b, "w", 4, 2);
+    let mut b = Bench::take_over(b.committed.clone(), 2, b.now);
+    b.pass(Millis(1));
+    b.report("w", vec![], vec![]);
+    b.submit(1, spec(vec![step(8)]));
+    b.commit();
+    assert_eq!(b.starts().len(), 4);
+}
+
+/// Room is not made for a large task on a worker that has become too small for it.
+#[test]
+fn no_run_is_stopped_for_a_task_that_is_larger_than_what_is_left() {
+    let mut b = with_one_worker();
+    let estimate = Millis(20_000);
+    b.submit_bulk(1, spec(vec![StepSpec { checkpointing: true, estimate, ..wide(2, 4) }]));
+    b.commit();
+    (0..2).for_each(|i| b.started("w", task(1, 0, i), 1, Ok(())));
+    announce(&mut b, "w", 6, 2);
+    b.submit(2, spec(vec![wide(1, 8)]));
+    b.commit();
+    b.pass(Millis(50));
+    assert!(b.stops().is_empty());
+}
