Heed a worker's capacity as it changes

Cause: on_news took in what a worker has only when it was first heard of, so one that shrank was filled over its room, and one that grew stood half empty. Change: a newer announcement with another capacity is put into the log (Resized). Over its room a worker has nothing free in any dimension, whatever ends there counting until it has ended; a start that waits for its commit is dropped if the worker has shrunk below what it runs; no room is made on a worker that is too small for the task. An older announcement that comes late changes nothing.

--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -7,7 +7,7 @@
 use clock::Millis;
 use events::kinds;
 use model::Name;
-use workload::{Command, JobId, TaskKey, WorkerId};
+use workload::{Command, JobId, TaskKey, Worker, WorkerId};
 
 use crate::dispatcher::{Action, Dispatcher, Moment};
 use crate::limits::{ORDER_RETRY, REST, START_TRIES};
@@ -66,15 +66,20 @@
     /// Sends a start whose entry is committed, if it still makes sense.
     pub(crate) fn send_start(&mut self, m: Moment, id: &WorkerId, task: &TaskKey, run: u32) {
         let wanted = self.book.is_wanted(task, run);
+        let over_room = self.book.worker(id).is_some_and(Worker::is_over_room);
         let Some(view) = self.views.get_mut(id) else { return };
         let usable = view.in_contact && !view.leaving && view.reading.is_some();
         let Some(order) = view.orders.get(task).filter(|o| o.run == run) else { return };
         if order.stage != Stage::Held {
             return;
         }
-        if !wanted || !usable {
+        if !wanted || !usable || over_room {
             view.orders.remove(task);
-            let why = if wanted { "the worker is not usable" } else { "not wanted any more" };
+            let why = match (wanted, over_room) {
+                (false, _) => "not wanted any more",
+                (true, true) => "the worker has shrunk",
+                (true, false) => "the worker is not usable",
+            };
             self.never_started(id, vec![(*task, run)], why);
             return;
         }
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -220,10 +220,13 @@
 
     fn place(&self, m: Moment, key: &StepKey, spec: &StepSpec, id: &WorkerId) -> Option<Place> {
         let worker = self.suitable(m, key, spec, id)?;
+        if !spec.size.fits(&worker.info.capacity) {
+            return None;
+        }
         let view = self.views.get(id)?;
         let (victims, coming, ending) = self.sort_runs(m, key, worker, view);
         let kept_free = self.kept_free_on(id);
-        let free = worker.free().plus(&coming).minus(&kept_free);
+        let free = worker.free_after(&coming).minus(&kept_free);
         Some(Place {
             worker: id.clone(),
             free,
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -4,6 +4,7 @@
 
 use clock::Millis;
 use events::kinds;
+use model::Size;
 use workload::{Command, JobId, TaskKey, WorkerId};
 
 use crate::dispatcher::{Dispatcher, Moment};
@@ -30,6 +31,8 @@
         }
         view.news = news.number;
         view.heard_at = m.now;
+        self.take_capacity(&id, news.info.capacity);
+        let Some(view) = self.views.get_mut(&id) else { return };
         if news.leaving && !view.leaving {
             view.leaving = true;
             let left = news.remaining.unwrap_or_default().0;
@@ -38,6 +41,15 @@
         }
     }
 
+    /// Takes in what a worker has now; it may shrink and grow while it runs.
+    fn take_capacity(&mut self, id: &WorkerId, capacity: Size) {
+        let Some(had) = self.book.worker(id).map(|w| w.info.capacity) else { return };
+        if had != capacity {
+            self.propose(Command::Resized { worker: id.clone(), capacity });
+            self.note(&kinds::WORKER_RESIZED, id, format!("had={had:?} has={capacity:?}"));
+        }
+    }
+
     /// Moves what would not end in time off a worker that is leaving.
     fn clear_leaving(&mut self, m: Moment, id: &WorkerId, remaining: Option<Millis>) {
         let Some(worker) = self.book.worker(id) else { return };
--- a/components/dispatch/tests/capacity.rs
+++ b/components/dispatch/tests/capacity.rs
@@ -6,7 +6,7 @@
 mod common;
 
 use clock::Millis;
-use common::{Bench, end, news, spec, step, task, worker};
+use common::{Bench, end, news, spec, step, task};
 use dispatch::{Input, WorkerNews};
 use model::Size;
 use workload::{EndKind, StepSpec};
@@ -30,10 +30,6 @@
     b
 }
 
-fn starts_on(b: &Bench, name: &str) -> usize {
-    b.starts().iter().filter(|(w, _)| *w == worker(name)).count()
-}
-
 #[test]
 fn a_shrunk_worker_is_filled_to_what_is_left() {
     let mut b = with_one_worker();
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -117,6 +117,7 @@
         WORKER_FAILING = 967 Warn "worker_failing" "A worker fails what it runs and gets nothing for a while.";
         WORKER_SLOW = 968 Warn "worker_slow" "A worker is far slower than others and gets nothing for a while.";
         WORKER_CRASHED = 969 Warn "worker_crashed" "A worker's life is over that had not said it would leave, with runs on it; their tasks are suspect.";
+        WORKER_RESIZED = 970 Info "worker_resized" "A worker says that it has more or less than before.";
         ADVICE_ASKED = 971 Info "advice_asked" "An instance is to ask which workers may run a step.";
         ADVICE_MISSING = 972 Warn "advice_missing" "A call for advice got no answer.";
         LINES_DROPPED = 981 Warn "lines_dropped" "Log lines were dropped because there were too many.";
--- a/components/node/src/recent_news.rs
+++ b/components/node/src/recent_news.rs
@@ -17,7 +17,12 @@
 }
 
 impl RecentNews {
+    /// Takes in an announcement, unless a newer one came before it.
     pub(crate) fn add(&mut self, now: Millis, news: WorkerNews) {
+        let known = self.by_worker.get(&news.info.id);
+        if known.is_some_and(|(_, known)| known.number > news.number) {
+            return;
+        }
         self.by_worker.insert(news.info.id.clone(), (now, news));
     }
 
--- a/components/workload/src/book.rs
+++ b/components/workload/src/book.rs
@@ -188,6 +188,11 @@
             Command::LivedOn { worker } => {
                 self.crashes.settle(worker);
             }
+            Command::Resized { worker, capacity } => {
+                if let Some(worker) = self.workers.get_mut(worker) {
+                    worker.info.capacity = *capacity;
+                }
+            }
             Command::Cleared { tasks } => tasks.iter().for_each(|t| self.crashes.clear(t)),
             Command::Started { worker, runs } => {
                 for (task, run) in runs {
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use clock::Millis;
-use model::Name;
+use model::{Name, Size};
 use serde::{Deserialize, Serialize};
 
 use crate::{Blame, Document, JobId, JobSpec, TaskKey, WorkerId, WorkerInfo};
@@ -137,6 +137,13 @@
         /// The worker.
         worker: WorkerId,
     },
+    /// A worker has more or less than it had.
+    Resized {
+        /// The worker.
+        worker: WorkerId,
+        /// What it has now.
+        capacity: Size,
+    },
     /// Tasks under which workers had crashed have run for long enough to be cleared.
     Cleared {
         /// The tasks; of gangs the first one.
--- a/components/workload/src/worker.rs
+++ b/components/workload/src/worker.rs
@@ -45,8 +45,22 @@
         Worker { info, seen: 0, used: Size::ZERO, runs: BTreeMap::new() }
     }
 
-    /// Gives what is left.
+    /// Tells whether its runs take more than it has, as after it has shrunk.
+    pub fn is_over_room(&self) -> bool {
+        !self.used.fits(&self.info.capacity)
+    }
+
+    /// Gives what is left; nothing at all where its runs take more than it has in any dimension.
     pub fn free(&self) -> Size {
-        self.info.capacity.minus(&self.used)
+        self.free_after(&Size::ZERO)
+    }
+
+    /// Gives what is left once runs that take `ending` have ended.
+    pub fn free_after(&self, ending: &Size) -> Size {
+        let used = self.used.minus(ending);
+        match used.fits(&self.info.capacity) {
+            true => self.info.capacity.minus(&used),
+            false => Size::ZERO,
+        }
     }
 }
