Take an announcement as a whole or not at all, and call no worker of a service that is not configured

Cause: fields that were missing counted as zero or empty and unknown states as ready, so an announcement of another writer joined as a worker at no address, or with nothing (and, since capacities are heeded, would have taken a known worker's room away). Workers of services that are not configured are remembered, not called, and admitted once a configuration names them (E960). Sizes that overflow are reckoned with.

--- a/components/dispatch/src/callers.rs
+++ b/components/dispatch/src/callers.rs
@@ -18,7 +18,7 @@
             return;
         }
         let answer = match call {
-            Call::Publish(document) => self.publish(document),
+            Call::Publish(document) => self.publish(m, document),
             Call::Read => self.read_document(),
             Call::Job { host, path, size, verb } => {
                 self.answer_caller(m, (&host, &path), size, verb)
@@ -27,7 +27,7 @@
         self.reply(token, answer);
     }
 
-    fn publish(&mut self, document: Document) -> Answer {
+    fn publish(&mut self, m: Moment, document: Document) -> Answer {
         let policy = match self.reader.read(&document.text) {
             Ok(policy) => policy,
             Err(e) => {
@@ -45,6 +45,7 @@
             );
             self.set_policy(policy);
             self.propose(Command::Configure(document));
+            self.admit_strangers(m);
         }
         Answer::Published
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
 use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
 use crate::room::{Kept, Sought};
 use crate::speed::StepSpeeds;
+use crate::strangers::Strangers;
 use crate::view::{Order, Stage, View};
 use crate::window::Window;
 
@@ -216,6 +217,8 @@
     pub(crate) advice_of: BTreeMap<Name, AdvicePolicy>,
     pub(crate) book: Book,
     pub(crate) views: BTreeMap<WorkerId, View>,
+    /// The workers that no service is known for.
+    pub(crate) strangers: Strangers,
     pub(crate) desk: Desk,
     /// The jobs whose runs are to be looked through for some that are not wanted any more.
     pub(crate) sweep: BTreeSet<JobId>,
@@ -276,6 +279,7 @@
             advice_of: BTreeMap::new(),
             book,
             views: BTreeMap::new(),
+            strangers: Strangers::default(),
             desk: Desk::default(),
             sweep: BTreeSet::new(),
             avoid: BTreeMap::new(),
@@ -524,6 +528,7 @@
 
     /// Drops what nobody asks for any more.
     fn forget(&mut self, m: Moment) {
+        self.strangers.forget_old(m.now);
         let before = m.wall.since(self.limits.remember);
         let old = |t: Option<Millis>| t.is_some_and(|t| t < before);
         if self.book.jobs().values().any(|j| old(j.ended_at)) {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod slack;
 mod speed;
 mod stragglers;
+mod strangers;
 mod suspects;
 mod view;
 mod window;
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -82,7 +82,9 @@
 
 /// Tells whether a task takes so much of a worker that it does not fit into what any end leaves.
 fn is_large(size: &Size, capacity: &Size) -> bool {
-    let large = |d: &Dimension| size.get(*d) * LARGE_PART >= capacity.get(*d) && size.get(*d) > 0;
+    let large = |d: &Dimension| {
+        size.get(*d).saturating_mul(LARGE_PART) >= capacity.get(*d) && size.get(*d) > 0
+    };
     Dimension::ALL.iter().any(large)
 }
 
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -17,6 +17,10 @@
     /// Takes in a worker's announcement.
     pub(crate) fn on_news(&mut self, m: Moment, news: WorkerNews) {
         let id = news.info.id.clone();
+        if !self.views.contains_key(&id) && !self.is_configured(&news.info.service) {
+            self.note_stranger(m, news);
+            return;
+        }
         if !self.views.contains_key(&id) {
             // An older life on the same machine is not taken for gone: news may be old and come
             // late. Its address tells, by the answer of the new life, or its lease.
@@ -68,6 +72,7 @@
 
     /// Takes in that a worker ends now.
     pub(crate) fn on_left(&mut self, m: Moment, id: &WorkerId) {
+        self.strangers.remove(id);
         let Some(view) = self.views.get_mut(id) else { return };
         view.leaving = true;
         view.renew_at = view.renew_at.min(m.now);
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -108,6 +108,8 @@
         ORDER_UNANSWERED = 956 Warn "order_unanswered" "A start got no answer; the task and its room stay taken until its fate is known.";
         RUN_PREEMPTED = 957 Info "run_preempted" "A run that keeps its progress and has time to spare is stopped for a more urgent gang or large task.";
         RUN_LOST = 958 Warn "run_lost" "A run was on a worker whose life is over, or whose lease has surely run out.";
+        ANNOUNCEMENT_FAULTY = 959 Warn "announcement_faulty" "An announcement names no worker that can be used and is passed over; told once for each fault, then only counted.";
+        WORKER_UNCONFIGURED = 960 Info "worker_unconfigured" "A worker belongs to no service of the configuration and is not called until one names it.";
         WORKER_JOINED = 961 Info "worker_joined" "A worker announced itself for the first time.";
         WORKER_LEAVES = 962 Info "worker_leaves" "A worker said that it is leaving and gets nothing new.";
         WORKER_REACHED = 963 Info "worker_reached" "A worker answers, for the first time or again.";
--- a/components/metrics/src/registry.rs
+++ b/components/metrics/src/registry.rs
@@ -31,9 +31,12 @@
         self.0.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    /// Adds to a counter; `kind` tells what of.
-    pub fn add(&self, name: &'static str, kind: &'static str, n: u64) {
-        *self.lock().counters.entry((name, kind)).or_default() += n;
+    /// Adds to a counter; `kind` tells what of. Gives the new count.
+    pub fn add(&self, name: &'static str, kind: &'static str, n: u64) -> u64 {
+        let mut kept = self.lock();
+        let count = kept.counters.entry((name, kind)).or_default();
+        *count += n;
+        *count
     }
 
     /// Adds to a counter that is kept for each service.
--- a/components/node/src/gate.rs
+++ b/components/node/src/gate.rs
@@ -7,6 +7,7 @@
 use clock::Millis;
 use dispatch::{Answer, Call, WorkerNews};
 use errors::{Error, Result};
+use events::{kinds, tell};
 use metrics::Registry;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
@@ -15,6 +16,11 @@
 use tokio::time::timeout;
 use workload::WorkerId;
 
+/// The figure that counts announcements which name no worker, by their fault.
+const FAULTY_ANNOUNCEMENTS: &str = "heathvale_announcements_faulty_total";
+/// The most signs of an id that is no worker's in the log.
+const LONGEST_SUBJECT: usize = 64;
+
 /// What listeners and signals tell a process.
 pub(crate) enum Arrival {
     /// Somebody asks for something and waits.
@@ -81,6 +87,16 @@
         let _ = self.tx.send(Arrival::News(news));
     }
 
+    /// Counts an announcement that names no worker, and tells of the first one with each fault. Another writer may
+    /// send them for ever, and the log must not fill with them.
+    pub fn note_faulty_announcement(&self, fault: &'static str, id: &str) {
+        if self.metrics.add(FAULTY_ANNOUNCEMENTS, fault, 1) == 1 {
+            let subject: String = id.escape_default().take(LONGEST_SUBJECT).collect();
+            let details = format!("fault={fault} counted_as={FAULTY_ANNOUNCEMENTS}");
+            tell(&kinds::ANNOUNCEMENT_FAULTY, &subject, &details);
+        }
+    }
+
     /// Takes in that a worker is leaving, and tells whether the leader knows of it within `patience`: only
     /// then will surely nothing more be started there.
     pub async fn leaving(&self, news: WorkerNews, patience: Millis) -> bool {
