--- a/components/clock/src/lib.rs
+++ b/components/clock/src/lib.rs
@@ -7,4 +7,4 @@
 mod source;
 
 pub use millis::Millis;
-pub use source::{Clock, ManualClock, SystemClock, wall_now};
+pub use source::{Clock, ManualClock, OsTime, SystemClock, TimeSource, wall_now};
--- a/components/clock/src/source.rs
+++ b/components/clock/src/source.rs
@@ -1,7 +1,9 @@
 //! Clocks: the system's, and one that tests move by hand.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use nix::time::ClockId;
 
 use crate::Millis;
 
@@ -11,21 +13,65 @@
     fn now(&self) -> Millis;
 }
 
-/// The system's monotonic clock, counted from its making.
+/// Where a [`SystemClock`] reads the time.
+pub trait TimeSource: Send + Sync {
+    /// Gives the time since some fixed point, without the time that the machine was suspended.
+    fn awake(&self) -> Millis;
+
+    /// Gives the same with that time.
+    fn elapsed(&self) -> Millis;
+}
+
+/// The operating system's own clocks.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct OsTime;
+
+fn read(id: ClockId) -> Millis {
+    // Both clocks are there on every Linux since 2.6.39, so reading them cannot fail.
+    id.now().map_or(Millis::ZERO, |t| Millis(Duration::from(t).as_millis() as u64))
+}
+
+impl TimeSource for OsTime {
+    fn awake(&self) -> Millis {
+        read(ClockId::CLOCK_MONOTONIC)
+    }
+
+    fn elapsed(&self) -> Millis {
+        read(ClockId::CLOCK_BOOTTIME)
+    }
+}
+
+/// The system's clock, counted from its making.
 #[derive(Debug)]
-pub struct SystemClock {
-    start: Instant,
+pub struct SystemClock<S = OsTime> {
+    source: S,
+    started_awake: Millis,
+    started: Millis,
 }
 
 impl Default for SystemClock {
     fn default() -> Self {
-        SystemClock { start: Instant::now() }
+        SystemClock::over(OsTime)
+    }
+}
+
+impl<S: TimeSource> SystemClock<S> {
+    /// Makes a clock that reads the time at a source.
+    pub fn over(source: S) -> Self {
+        let (started_awake, started) = (source.awake(), source.elapsed());
+        SystemClock { source, started_awake, started }
+    }
+
+    /// Gives for how long the machine was suspended since the clock was made.
+    pub fn suspended(&self) -> Millis {
+        let awake = self.source.awake().since(self.started_awake);
+        self.now().since(awake)
     }
 }
 
-impl Clock for SystemClock {
+impl<S: TimeSource> Clock for SystemClock<S> {
     fn now(&self) -> Millis {
-        Millis(self.start.elapsed().as_millis() as u64)
+        self.source.awake().since(self.started_awake)
     }
 }
 
