Count the time that a machine is suspended

Cause: the clock was the steady one, which stands still while a machine is suspended. A leader that woke up went on by a lease that had run out, beside the one elected in its absence. Change: the one clock type reads CLOCK_BOOTTIME. Whatever is counted by it runs out as on a frozen machine: leader leases and voters' promises, workers' leases as counted here, orders' ages, contact. Waits of calls stay on the steady clock: they end that much later, which no promise rests on. A process that was away for a second or more tells so (E910), with how much of it was a suspension.

--- a/components/clock/src/source.rs
+++ b/components/clock/src/source.rs
@@ -41,7 +41,7 @@
     }
 }
 
-/// The system's clock, counted from its making.
+/// The system's clock, counted from its making. It goes on while the machine is suspended.
 #[derive(Debug)]
 pub struct SystemClock<S = OsTime> {
     source: S,
@@ -71,7 +71,8 @@
 
 impl<S: TimeSource> Clock for SystemClock<S> {
     fn now(&self) -> Millis {
-        self.source.awake().since(self.started_awake)
+        // Leases and promises run out while a machine is suspended, so that time must count.
+        self.source.elapsed().since(self.started)
     }
 }
 
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -86,6 +86,7 @@
         LOG_OPENED = 907 Info "log_opened" "The log was read back from the disk.";
         DISK_UNUSABLE = 908 Error "disk_unusable" "The disk takes nothing more; the instance takes no part in the log until it does.";
         DISK_USABLE = 909 Info "disk_usable" "The disk can be used again and the instance catches up.";
+        PROCESS_AWAY = 910 Warn "process_away" "The process did not run for a while: its machine was suspended, or it was frozen.";
         LEADER_KNOWN = 911 Info "leader_known" "The process knows a new leader.";
         LEADER_LOST = 912 Warn "leader_lost" "Nobody has spoken of a leader for a while.";
         TERM_BEGUN = 913 Info "term_begun" "This instance leads and its dispatcher begins.";
--- /dev/null
+++ b/components/node/src/away.rs
@@ -0,0 +1,47 @@
+//! Finding out that this process did not run for a while.
+
+use clock::Millis;
+use events::{kinds, tell};
+
+/// From how long between two looks a process counts as having been away: twenty of its ticks. A busy machine
+/// holds a process up for a tenth of that.
+const AWAY: Millis = Millis(1_000);
+
+/// For how long a process did not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Absence {
+    /// The time since it last looked.
+    pub away: Millis,
+    /// How much of it the machine was suspended; the rest the process was frozen, or waited for a processor.
+    pub suspended: Millis,
+}
+
+pub(crate) fn tell_absence(name: &str, absence: &Absence) {
+    let Absence { away, suspended } = absence;
+    let details = format!("away_ms={} suspended_ms={}", away.0, suspended.0);
+    tell(&kinds::PROCESS_AWAY, name, &details);
+}
+
+/// Looks at the clock at every tick. What a process does not know otherwise is that it was away, and its log would
+/// show a gap that nothing explains.
+#[derive(Clone, Copy, Debug)]
+pub struct AwayWatch {
+    looked_at: Millis,
+    suspended: Millis,
+}
+
+impl AwayWatch {
+    /// Begins to watch.
+    pub fn new(now: Millis, suspended: Millis) -> AwayWatch {
+        AwayWatch { looked_at: now, suspended }
+    }
+
+    /// Looks at the clock, and at how long the machine was suspended in all; tells of an absence since the last
+    /// look.
+    pub fn look(&mut self, now: Millis, suspended: Millis) -> Option<Absence> {
+        let away = now.since(self.looked_at);
+        let absence = Absence { away, suspended: suspended.since(self.suspended) };
+        *self = AwayWatch::new(now, suspended);
+        (away >= AWAY).then_some(absence)
+    }
+}
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -15,6 +15,7 @@
 use workload::PolicyReader;
 
 use crate::advising::{AdviceCall, spawn_advice};
+use crate::away::{AwayWatch, tell_absence};
 use crate::control_event::ControlEvent;
 use crate::gate::{Arrival, Gate, Signal};
 use crate::leader_term::LeaderTerm;
@@ -40,6 +41,7 @@
 pub(crate) struct Control {
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Arc<SystemClock>,
+    pub(crate) away: AwayWatch,
     pub(crate) links: Arc<Links>,
     pub(crate) log: LogHandle,
     pub(crate) peers: Peers,
@@ -83,7 +85,10 @@
                 }
             }
             if self.clock.now() >= self.tick_at {
-                self.tick_at = self.clock.now() + TICK;
+                let now = self.clock.now();
+                let absence = self.away.look(now, self.clock.suspended());
+                absence.inspect(|a| tell_absence(&self.settings.name, a));
+                self.tick_at = now + TICK;
                 self.tend();
             }
             self.decide();
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -12,6 +12,7 @@
 use transport::{Links, Packet};
 
 use crate::advising::{AdviceCall, spawn_advice};
+use crate::away::{AwayWatch, tell_absence};
 use crate::gate::{Arrival, Gate, Signal};
 use crate::linking::{open_links, pass_on, sync_links, tell_leader, tell_reload, tell_unreadable};
 use crate::message::Message;
@@ -36,6 +37,7 @@
 struct Entry {
     settings: NodeSettings,
     clock: Arc<SystemClock>,
+    away: AwayWatch,
     links: Arc<Links>,
     peers: Peers,
     relay: Relay,
@@ -78,6 +80,7 @@
         peers: Peers::new(cfg, settings.seeds.clone(), clock.now()),
         relay: Relay::new(u64::from(rand::random::<u32>())),
         waiters: Waiters::new(metrics),
+        away: AwayWatch::new(clock.now(), clock.suspended()),
         clock,
         links,
         ports,
@@ -109,6 +112,8 @@
             }
             self.tend();
             let now = self.clock.now();
+            let absence = self.away.look(now, self.clock.suspended());
+            absence.inspect(|a| tell_absence(&self.settings.name, a));
             if self.stops_at.is_some_and(|t| now >= t && !self.relay.is_busy()) {
                 break;
             }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -5,6 +5,7 @@
 //! the outside, which it knows only through [`ports`]. docs/design/platform.md has the picture.
 
 mod advising;
+mod away;
 mod control;
 mod control_event;
 mod descriptors;
@@ -26,6 +27,7 @@
 mod timing;
 mod waiters;
 
+pub use away::{Absence, AwayWatch};
 pub use descriptors::{Descriptors, limit_in};
 pub use entry::run_entry;
 pub use gate::{Gate, Signal};
--- a/components/node/src/start_control.rs
+++ b/components/node/src/start_control.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 use workload::PolicyReader;
 
+use crate::away::AwayWatch;
 use crate::control::{Control, tell_disk_unusable};
 use crate::control_event::ControlEvent;
 use crate::gate::Gate;
@@ -59,6 +60,7 @@
         relay: Relay::new(u64::from(rand::random::<u32>())),
         waiters: Waiters::new(metrics.clone()),
         metrics,
+        away: AwayWatch::new(clock.now(), clock.suspended()),
         clock,
         links,
         log,
