--- a/components/consensus/tests/schedules.rs
+++ b/components/consensus/tests/schedules.rs
@@ -137,3 +137,46 @@
     40_000..41_000,
     Faults { kills: true, cuts: true, wipes: true, compacts: true, reserve: true }
 );
+
+/// At any moment, in the midst of whatever goes on, every member loses power and one disk is lost. It is the only
+/// one, so everything acknowledged must come back from the others, and the cell with it.
+fn lose_all_power_and_a_disk(seed: u64, faults: Faults) -> usize {
+    let mut c = match faults.reserve {
+        true => Cluster::with_reserves(seed, 3, 1, 1),
+        false => Cluster::new(seed, 3, 1),
+    };
+    c.settle();
+    let steps = c.rng.random_range(50..STEPS);
+    for _ in 0..steps {
+        step(&mut c, faults);
+    }
+    let lost = c.rng.random_range(0..c.disks());
+    (0..c.members.len()).for_each(|i| c.kill(i));
+    c.wipe(lost);
+    c.wire.clear();
+    c.settle();
+    c.check_end();
+    c.acknowledged.len()
+}
+
+macro_rules! power_family {
+    ($name:ident, $seeds:expr, $faults:expr) => {
+        #[test]
+        fn $name() {
+            let acknowledged: usize =
+                $seeds.map(|seed| lose_all_power_and_a_disk(seed, $faults)).sum();
+            assert!(acknowledged > 500, "only {acknowledged} acknowledged: nothing was tried");
+        }
+    };
+}
+
+power_family!(
+    all_power_and_a_disk_lost,
+    50_000..51_000,
+    Faults { kills: true, cuts: true, wipes: false, compacts: true, reserve: false }
+);
+power_family!(
+    all_power_and_a_disk_lost_beside_a_reserve,
+    60_000..62_000,
+    Faults { kills: true, cuts: true, wipes: false, compacts: true, reserve: true }
+);
