Let the cell elect a leader after all power and as many disks as may be are lost

Cause, three of one class: a vote that cannot be had though the disks that are left suffice. 1. A refused pre-vote told nothing, so of two voters that were left the one with the longer log and the lower term was refused for ever, and the other one for its shorter log. The refusal tells the higher term now. 2. A silent voter left before its replacement voted. With all power and the disk of one of the two that were left lost in between, the last one could never be elected. The replacement is made a voter first; the silent voter leaves once that is committed, or the replacement goes back to the reserve if the other one is back. A leader elected in between returns one voter to the reserve after 15 s. 3. A learner refused its vote to the only candidate with the entry that made it a voter. Learners grant votes now by the disk that they were admitted with; candidates count only their own voters.

--- a/components/consensus/src/care.rs
+++ b/components/consensus/src/care.rs
@@ -10,6 +10,17 @@
 
 /// A learner this close to the leader's commit counts as caught up.
 const CAUGHT_UP: u64 = 16;
+/// How long a leader leaves a voter more than are kept in its place: longer than it waits until a silent one counts as
+/// gone, so that it is that one which leaves.
+const EXTRA_VOTER_STAYS: Millis = Millis(15_000);
+
+/// A silent voter, and the member that was made a voter to take its place. A leader that is elected in between knows
+/// nothing of it; it removes the silent voter once that has been silent for longer.
+#[derive(Clone, Debug)]
+pub(crate) struct Replacing {
+    gone: InstanceId,
+    by: InstanceId,
+}
 
 impl Node {
     pub(crate) fn may_change_members(&self) -> bool {
@@ -27,6 +38,10 @@
         if !self.may_change_members() {
             return;
         }
+        if let Some(next) = self.with_replacement_ended() {
+            self.change_membership(next);
+            return;
+        }
         let replaced = self
             .progress
             .iter()
@@ -42,7 +57,8 @@
         let next = self
             .with_silent_voter_replaced()
             .or_else(|| self.with_spare_promoted())
-            .or_else(|| self.without_silent_voter());
+            .or_else(|| self.without_silent_voter())
+            .or_else(|| self.without_extra_voter());
         if let Some(next) = next {
             self.change_membership(next);
         }
@@ -85,25 +101,42 @@
         membership.voters.len() + membership.learners.iter().filter(waits).count()
     }
 
-    /// Gives the members without a silent voter and with a caught-up learner from the reserve marked for
-    /// promotion in its place. The voter goes first: one voter fewer of an odd number leaves the size
-    /// of a quorum as it is, so nothing is lost if the learner falls silent, too. Until then one more
-    /// fault ends the leader's term: with a replaced instance and a link that loses 2% of its packets,
-    /// the cell was without a leader for 4 s at a time, counted over the days on which both met.
-    fn with_silent_voter_replaced(&self) -> Option<Membership> {
+    /// Gives the members with a caught-up learner from the reserve made a voter beside a silent one, whose place it
+    /// is to take. The silent one leaves only once that is committed: were it the first to leave, the voters left
+    /// would be too few to elect a leader if all power and one of their disks were lost just then. The reserve must
+    /// have been heard just now, so that the larger quorum holds up nothing.
+    fn with_silent_voter_replaced(&mut self) -> Option<Membership> {
         let after = self.cfg.replace_after?;
         let membership = self.membership();
         let enough = membership.voters.len() >= self.cfg.keep_voters.max(3);
         if !enough || membership.voters.len().is_multiple_of(2) {
             return None;
         }
-        let gone = membership.voters.keys().find(|id| self.is_silent(id, after))?;
+        let gone = membership.voters.keys().find(|id| self.is_silent(id, after))?.clone();
         let (spare, learner) = membership
             .learners
             .iter()
             .find(|(id, _)| self.progress.get(*id).is_some_and(|p| self.is_caught_up(id, p)))?;
-        let next = membership.with_role(gone, Incarnation::default(), MemberRole::Removed);
-        Some(next.with_role(spare, learner.incarnation, MemberRole::Voter))
+        let next = membership.with_role(spare, learner.incarnation, MemberRole::Voter);
+        let next = next.with_promoted(spare)?;
+        self.replacing = Some(Replacing { gone, by: spare.clone() });
+        Some(next)
+    }
+
+    /// Ends the replacement of a silent voter, now that both vote. If it is back after all, its replacement returns
+    /// to the reserve, so that the number of voters is odd again.
+    fn with_replacement_ended(&mut self) -> Option<Membership> {
+        let after = self.cfg.replace_after?;
+        let Replacing { gone, by } = self.replacing.take()?;
+        let membership = self.membership();
+        let (Some(_), Some(disk)) = (membership.voters.get(&gone), membership.voters.get(&by))
+        else {
+            return None;
+        };
+        Some(match self.is_silent(&gone, after) {
+            true => membership.with_role(&gone, Incarnation::default(), MemberRole::Removed),
+            false => membership.with_role(&by, *disk, MemberRole::Learner),
+        })
     }
 
     /// Gives the members with a learner that is kept in reserve marked for promotion, if there are
@@ -138,6 +171,22 @@
         Some(membership.with_role(gone, Incarnation::default(), MemberRole::Removed))
     }
 
+    /// Gives the members with one voter more than are kept returned to the reserve, if all have been well for a
+    /// while. A leader that was elected in the midst of a replacement finds as many, and an even number leaves
+    /// neither side of a cut into halves a majority.
+    fn without_extra_voter(&self) -> Option<Membership> {
+        let after = self.cfg.replace_after?;
+        let membership = self.membership();
+        let voters = &membership.voters;
+        let one_more = voters.len() == self.cfg.keep_voters + 1 && voters.len().is_multiple_of(2);
+        let well = !voters.keys().any(|id| self.is_silent(id, after));
+        if !one_more || !well || self.now.since(self.leads_since) < EXTRA_VOTER_STAYS {
+            return None;
+        }
+        let (extra, disk) = voters.iter().rfind(|(id, _)| **id != self.cfg.id)?;
+        Some(membership.with_role(extra, *disk, MemberRole::Learner))
+    }
+
     /// Admits an instance that asks to join, as a learner. It is promoted once it has caught up if
     /// voters are wanted; beyond those that are kept it stays in reserve, so that their number stays
     /// odd and a cut into halves leaves one side a majority. Does nothing if this member does not lead, knows the instance's disk already, or is busy
--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -128,6 +128,19 @@
         given >= membership.quorum()
     }
 
+    /// Tells whether this member may give its vote. A learner may have become a voter by an entry that it has not
+    /// got yet; whether its vote counts is for the candidate to say, whose log is the newer one. Without its vote
+    /// a candidate that alone has that entry could never be elected.
+    fn may_grant(&self) -> bool {
+        self.knows(&self.cfg.id, self.cfg.incarnation)
+    }
+
+    /// Tells whether a member is known with this disk, as a voter or as a learner.
+    fn knows(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
+        let learner = self.membership().learners.get(id);
+        self.is_voter(id, incarnation) || learner.is_some_and(|l| l.incarnation == incarnation)
+    }
+
     fn is_voter(&self, id: &InstanceId, incarnation: Incarnation) -> bool {
         self.membership().is_voter(id, incarnation)
     }
@@ -139,11 +152,17 @@
         term: u64,
         end: LogEnd,
     ) {
+        if term <= self.hard.term {
+            // The asker learns the higher term. Otherwise, where it has the longer log, neither of the two could
+            // ever be elected.
+            let term = self.hard.term;
+            self.send(from, Body::VoteReply { term, granted: false });
+            return;
+        }
         let newer = end >= (self.log.last_term(), self.log.last_index());
-        let granted = self.may_vote()
-            && self.is_voter(from, incarnation)
+        let granted = self.may_grant()
+            && self.knows(from, incarnation)
             && !self.is_bound_to_leader()
-            && term > self.hard.term
             && newer;
         self.send(from, Body::PreVoteReply { term, granted });
     }
@@ -173,8 +192,8 @@
     ) {
         let free = self.hard.voted_for.as_ref().is_none_or(|id| id == from);
         let newer = end >= (self.log.last_term(), self.log.last_index());
-        let granted = self.may_vote()
-            && self.is_voter(from, incarnation)
+        let granted = self.may_grant()
+            && self.knows(from, incarnation)
             && self.role == Role::Follower
             && free
             && newer;
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -8,6 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use crate::care::Replacing;
 use crate::incoming::Incoming;
 use crate::log::Log;
 use crate::progress::Progress;
@@ -53,6 +54,8 @@
     pub(crate) leads_since: Millis,
     /// The first entry of this leader's own term.
     pub(crate) first_own: u64,
+    /// The replacement of a silent voter that is under way, while this member leads.
+    pub(crate) replacing: Option<Replacing>,
     pub(crate) incoming: Option<Incoming>,
     /// Founders known to be as empty as this one.
     pub(crate) empty_founders: BTreeMap<InstanceId, Incarnation>,
@@ -80,6 +83,7 @@
             progress: BTreeMap::new(),
             leads_since: Millis::ZERO,
             first_own: 0,
+            replacing: None,
             incoming: None,
             empty_founders: BTreeMap::new(),
             hello_at: Millis::ZERO,
@@ -328,6 +332,7 @@
         self.role = Role::Follower;
         self.leader = None;
         self.progress.clear();
+        self.replacing = None;
         self.quiet_since = self.now;
         self.reset_election_timer();
     }
