--- a/components/testkit/src/platform_worker.rs
+++ b/components/testkit/src/platform_worker.rs
@@ -405,7 +405,7 @@
         let now = Instant::now();
         let lapsed = shared.clock() >= inside.lease;
         if leased && lapsed {
-            shared.log.lock().lapses.push((shared.cfg.id.clone(), now));
+            shared.log.lock().lapses.push((shared.id_of(inside.life), now));
         }
         leased = !lapsed;
         if inside.running.values().any(|r| r.crashes_at.is_some_and(|at| now >= at)) {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! The adapter and the product as real processes on the users' platform, over small stand-ins.
 
 mod cell;
+mod crashes;
 mod silent_links;
 mod soak;
 
