--- a/components/dispatch/src/asking.rs
+++ b/components/dispatch/src/asking.rs
@@ -12,8 +12,10 @@
 use model::Name;
 use workload::{AdvicePolicy, JobSpec, OpenStep, StepKey, StepSpec, Worker};
 
+use crate::action::Action;
 use crate::advice::{Choice, Prospect, Want, cost_ms};
-use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::MOST_SCANS;
 use crate::seats::{fits, most_more};
 
--- a/components/dispatch/src/callers.rs
+++ b/components/dispatch/src/callers.rs
@@ -6,7 +6,8 @@
 use workload::{Command, Document, JobId, JobSpec, JobState, Queue};
 
 use crate::call::{Answer, Call, Verb};
-use crate::dispatcher::{Dispatcher, Moment, Token};
+use crate::dispatcher::Dispatcher;
+use crate::input::{Moment, Token};
 use crate::limits::COME_BACK;
 
 impl Dispatcher {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -1,22 +1,22 @@
-//! The dispatcher's state, its inputs, and the gate that holds back what is not committed.
+//! The dispatcher's state, and the gate that holds back what is not committed.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use clock::Millis;
 use events::{Kind, kinds};
-use model::{InstanceId, Name, Size};
+use model::{Name, Size};
 use workload::{
-    AdvicePolicy, Book, Command, Job, JobId, Policy, PolicyReader, StepKey, TaskKey, Worker,
-    WorkerId,
+    AdvicePolicy, Book, Command, Job, JobId, Policy, PolicyReader, StepKey, TaskKey, WorkerId,
 };
 
-use crate::advice::{AdviceAsk, Choice, Desk};
+use crate::action::Action;
+use crate::advice::{Choice, Desk};
 use crate::answer_times::AnswerTimes;
 use crate::asking::Need;
-use crate::call::{Answer, Call};
+use crate::call::Answer;
+use crate::input::{Input, Moment, Token};
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
-use crate::order::{CallError, RenewOrder, Report, StartOrder, StopOrder, WorkerNews};
 use crate::room::{Kept, Sought};
 use crate::speed::StepSpeeds;
 use crate::strangers::Strangers;
@@ -24,137 +24,6 @@
 use crate::view::{Order, Stage, View};
 use crate::window::Window;
 
-/// Names a call until it is answered.
-pub type Token = u64;
-
-/// When something happens.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Moment {
-    /// By the clock that never jumps.
-    pub now: Millis,
-    /// By the wall clock, which may.
-    pub wall: Millis,
-    /// Until when, by the first clock, no other instance can lead.
-    pub leads_until: Millis,
-}
-
-/// What the dispatcher takes in.
-#[derive(Clone, Debug)]
-pub enum Input {
-    /// Time passes.
-    Tick,
-    /// A batch of commands and all before it are committed.
-    Committed(u64),
-    /// Somebody asks for something.
-    Call {
-        /// Names the call in its answer.
-        token: Token,
-        /// What is asked.
-        call: Call,
-    },
-    /// A worker announced itself.
-    News(WorkerNews),
-    /// A worker said that it ends now.
-    Left(WorkerId),
-    /// A renewal came back.
-    Renewed {
-        /// The worker.
-        worker: WorkerId,
-        /// When it was sent.
-        sent_at: Millis,
-        /// What came of it.
-        result: Result<Report, CallError>,
-    },
-    /// A start came back, with the worker's clock.
-    Started {
-        /// The worker.
-        worker: WorkerId,
-        /// The task.
-        task: TaskKey,
-        /// The run.
-        run: u32,
-        /// What came of it.
-        result: Result<Millis, CallError>,
-    },
-    /// A stop came back, with the worker's clock.
-    Stopped {
-        /// The worker.
-        worker: WorkerId,
-        /// The task.
-        task: TaskKey,
-        /// The run.
-        run: u32,
-        /// What came of it.
-        result: Result<Millis, CallError>,
-    },
-    /// An answer to a call for advice came.
-    Advised {
-        /// The call.
-        id: u64,
-        /// How long the tickets hold, if the answer says so.
-        valid: Option<Millis>,
-        /// Who is allowed, with their tickets; `None` if there was no answer.
-        allowed: Option<Vec<(WorkerId, Name)>>,
-    },
-    /// The instances that can call for advice.
-    Helpers(BTreeSet<InstanceId>),
-}
-
-/// What the dispatcher wants done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum Action {
-    /// Answer a call.
-    Reply {
-        /// The call.
-        token: Token,
-        /// The answer.
-        answer: Answer,
-    },
-    /// Renew a worker's lease.
-    Renew {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it is called.
-        address: Name,
-        /// What it is told.
-        order: RenewOrder,
-    },
-    /// Start a run.
-    Start {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it is called.
-        address: Name,
-        /// What it is told.
-        order: StartOrder,
-    },
-    /// Stop a run.
-    Stop {
-        /// The worker.
-        worker: WorkerId,
-        /// Where it is called.
-        address: Name,
-        /// What it is told.
-        order: StopOrder,
-    },
-    /// Call for advice.
-    Ask(AdviceAsk),
-    /// Count a crash of a worker.
-    CountCrash {
-        /// The service that the worker belongs to.
-        service: Name,
-    },
-    /// Tell of a decision.
-    Note {
-        /// What kind of decision it is.
-        kind: &'static Kind,
-        /// What it is about: a job, a task or a worker.
-        subject: String,
-        /// The inputs that decided it, as `key=value`.
-        details: String,
-    },
-}
-
 /// What waits for a batch to be committed.
 #[derive(Clone, Debug)]
 enum Gated {
@@ -164,38 +33,6 @@
     Renew { worker: WorkerId },
 }
 
-/// What a leader has to do with, for its gauges.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Figures {
-    /// The jobs that are remembered.
-    pub jobs: u64,
-    /// The steps with tasks that wait for a worker.
-    pub open_steps: u64,
-    /// The runs that may be alive.
-    pub runs: u64,
-    /// The starts and stops whose fate is not known.
-    pub orders_unsettled: u64,
-    /// The workers that are known.
-    pub workers: u64,
-    /// Those of them that answer.
-    pub workers_in_contact: u64,
-    /// What those have.
-    pub capacity: Size,
-    /// What was given out of it.
-    pub used: Size,
-    /// For how many steps the last plan looked through all workers for some to ask about.
-    pub scans: u32,
-    /// The instances that can call for advice.
-    pub advice_callers: u64,
-    /// Those of them that wait for an answer.
-    pub advice_callers_busy: u64,
-    /// The steps that wanted a call for advice in the last plan and found no instance free to make it,
-    /// without those known to wait for room.
-    pub steps_without_caller: u64,
-    /// The steps for which the last plan had no look left to find out whether a task could start.
-    pub steps_without_look: u64,
-}
-
 /// What a dispatcher begins with.
 pub struct Setup {
     /// The time limits.
@@ -399,30 +236,6 @@
         (batch, std::mem::take(&mut self.actions))
     }
 
-    /// Gives what there is to do at the moment.
-    pub fn figures(&self) -> Figures {
-        let settled = |o: &Order| matches!(o.stage, Stage::Confirmed { .. });
-        let orders = self.views.values().flat_map(|v| v.orders.values());
-        let reached = self.views.iter().filter(|(_, v)| v.in_contact);
-        let reached: Vec<&Worker> = reached.filter_map(|(id, _)| self.book.worker(id)).collect();
-        let sum = |a: Size, b: &Size| a.plus(b);
-        Figures {
-            jobs: self.book.jobs().len() as u64,
-            open_steps: self.book.open().len() as u64,
-            runs: self.book.workers().values().map(|w| w.runs.len() as u64).sum(),
-            orders_unsettled: orders.filter(|o| !settled(o)).count() as u64,
-            workers: self.views.len() as u64,
-            workers_in_contact: reached.len() as u64,
-            capacity: reached.iter().map(|w| &w.info.capacity).fold(Size::ZERO, sum),
-            used: reached.iter().map(|w| &w.used).fold(Size::ZERO, sum),
-            scans: self.scans,
-            advice_callers: self.desk.callers() as u64,
-            advice_callers_busy: self.desk.busy_callers() as u64,
-            steps_without_caller: self.without_caller,
-            steps_without_look: self.without_look,
-        }
-    }
-
     /// Gives the book, ahead of the log by what is not committed.
     pub fn book(&self) -> &Book {
         &self.book
--- /dev/null
+++ b/components/dispatch/src/figures.rs
@@ -0,0 +1,65 @@
+//! What a leader has to do with, for its gauges and its log.
+
+use model::Size;
+use workload::Worker;
+
+use crate::dispatcher::Dispatcher;
+use crate::view::{Order, Stage};
+
+/// What a leader has to do with, for its gauges.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// The jobs that are remembered.
+    pub jobs: u64,
+    /// The steps with tasks that wait for a worker.
+    pub open_steps: u64,
+    /// The runs that may be alive.
+    pub runs: u64,
+    /// The starts and stops whose fate is not known.
+    pub orders_unsettled: u64,
+    /// The workers that are known.
+    pub workers: u64,
+    /// Those of them that answer.
+    pub workers_in_contact: u64,
+    /// What those have.
+    pub capacity: Size,
+    /// What was given out of it.
+    pub used: Size,
+    /// For how many steps the last plan looked through all workers for some to ask about.
+    pub scans: u32,
+    /// The instances that can call for advice.
+    pub advice_callers: u64,
+    /// Those of them that wait for an answer.
+    pub advice_callers_busy: u64,
+    /// The steps that wanted a call for advice in the last plan and found no instance free to make it,
+    /// without those known to wait for room.
+    pub steps_without_caller: u64,
+    /// The steps for which the last plan had no look left to find out whether a task could start.
+    pub steps_without_look: u64,
+}
+
+impl Dispatcher {
+    /// Gives what there is to do at the moment.
+    pub fn figures(&self) -> Figures {
+        let settled = |o: &Order| matches!(o.stage, Stage::Confirmed { .. });
+        let orders = self.views.values().flat_map(|v| v.orders.values());
+        let reached = self.views.iter().filter(|(_, v)| v.in_contact);
+        let reached: Vec<&Worker> = reached.filter_map(|(id, _)| self.book.worker(id)).collect();
+        let sum = |a: Size, b: &Size| a.plus(b);
+        Figures {
+            jobs: self.book.jobs().len() as u64,
+            open_steps: self.book.open().len() as u64,
+            runs: self.book.workers().values().map(|w| w.runs.len() as u64).sum(),
+            orders_unsettled: orders.filter(|o| !settled(o)).count() as u64,
+            workers: self.views.len() as u64,
+            workers_in_contact: reached.len() as u64,
+            capacity: reached.iter().map(|w| &w.info.capacity).fold(Size::ZERO, sum),
+            used: reached.iter().map(|w| &w.used).fold(Size::ZERO, sum),
+            scans: self.scans,
+            advice_callers: self.desk.callers() as u64,
+            advice_callers_busy: self.desk.busy_callers() as u64,
+            steps_without_caller: self.without_caller,
+            steps_without_look: self.without_look,
+        }
+    }
+}
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -6,12 +6,15 @@
 //! yet, and lets nothing out that rests on an uncommitted entry. docs/design/platform.md says what
 //! was weighed.
 
+mod action;
 mod advice;
 mod answer_times;
 mod asking;
 mod call;
 mod callers;
 mod dispatcher;
+mod figures;
+mod input;
 mod lease;
 mod limits;
 mod order;
@@ -30,9 +33,12 @@
 mod window;
 mod workers;
 
+pub use action::Action;
 pub use advice::AdviceAsk;
 pub use call::{Answer, Call, Verb};
-pub use dispatcher::{Action, Dispatcher, Figures, Input, Moment, Setup, Token};
+pub use dispatcher::{Dispatcher, Setup};
+pub use figures::Figures;
+pub use input::{Input, Moment, Token};
 pub use limits::{Limits, Mechanisms};
 pub use order::{
     CallError, Refusal, RenewOrder, Report, RunRow, StartOrder, StopOrder, WorkerNews,
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -9,7 +9,9 @@
 use model::Name;
 use workload::{Command, JobId, TaskKey, Worker, WorkerId};
 
-use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::action::Action;
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::{ORDER_RETRY, REST, START_TRIES};
 use crate::order::{CallError, Refusal, StartOrder, StopOrder};
 use crate::view::{Order, Stage};
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -8,7 +8,8 @@
 use workload::{Command, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
 use crate::asking::Need;
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::{LOOKS_A_STEP, MOST_LOOKS_AGAIN, MOST_ORDERS};
 use crate::seats::Seated;
 use crate::view::{Order, Stage, View};
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -6,7 +6,9 @@
 use events::kinds;
 use workload::{Command, End, EndKind, JobId, JobState, TaskKey, WorkerId};
 
-use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::action::Action;
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::{IDLE_WAIT, RENEW_AGAIN, RENEW_RETRY, busy_wait};
 use crate::order::{CallError, Refusal, RenewOrder, Report, RunRow};
 use crate::view::Stage;
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -10,7 +10,8 @@
 use model::{Dimension, Name, Size};
 use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId, WorkerInfo};
 
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::{
     LARGE_PART, MOST_KEPT_PART, MOST_ROOMS_MADE, PREEMPT_SLACK, SHORTEST_PREEMPTOR,
 };
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -5,7 +5,8 @@
 use model::{Name, Size};
 use workload::{StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::suspects::{Suspicion, YoungSuspects};
 
 /// What a worker on which a task has failed is worse by than one that is filled to the brim.
--- a/components/dispatch/src/slack.rs
+++ b/components/dispatch/src/slack.rs
@@ -3,7 +3,8 @@
 use clock::Millis;
 use workload::{Job, OpenStep, StepKey};
 
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::LAST_CALL;
 
 impl Dispatcher {
--- a/components/dispatch/src/stragglers.rs
+++ b/components/dispatch/src/stragglers.rs
@@ -3,7 +3,8 @@
 use events::kinds;
 use workload::{TaskKey, WorkerId};
 
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::{MOST_MOVES, SLOW_REST, SLOW_SHARE, YOUNGEST_STRAGGLER};
 use crate::order::RunRow;
 use crate::speed::Progress;
--- a/components/dispatch/src/strangers.rs
+++ b/components/dispatch/src/strangers.rs
@@ -8,7 +8,8 @@
 use model::Name;
 use workload::{Job, WorkerId};
 
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::FORGET_WORKER;
 use crate::order::WorkerNews;
 
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -16,7 +16,9 @@
     Blame, Command, JobId, MOST_CRASHES, StepKey, StepSpec, StepState, TaskKey, WorkerId,
 };
 
-use crate::dispatcher::{Action, Dispatcher, Moment};
+use crate::action::Action;
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::{CLEARED_AFTER, FEWEST_SUSPECTS, YOUNG_RUN};
 use crate::view::{Order, Stage};
 
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -7,7 +7,8 @@
 use model::Size;
 use workload::{Command, JobId, TaskKey, WorkerId};
 
-use crate::dispatcher::{Dispatcher, Moment};
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::limits::FORGET_WORKER;
 use crate::order::WorkerNews;
 use crate::silence::silent_zones;
--- /dev/null
+++ b/components/dispatch/tests/crash_schedules.rs
@@ -0,0 +1,125 @@
+//! Random schedules of tasks that end their workers, among workers that crash, leave or are cut off for other
+//! reasons, and leaders that are lost. `HEATHVALE_CRASH_SEEDS=1-200 cargo test -p dispatch --test crash_schedules`
+//! plays more of them.
+
+mod common;
+
+use clock::Millis;
+use common::fleet::crash::Fault;
+use common::fleet::{Fleet, Kind};
+use common::host::Host;
+use common::mix::Mix;
+use common::{step, task};
+use model::Size;
+use rand::seq::IndexedRandom;
+use workload::{JobId, JobState, MOST_CRASHES, MOST_CRASHES_IN_COMPANY, StepSpec, WorkerId};
+
+/// The seeds that are played by default.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=8;
+/// How many starts may follow the crash that gives a job up, where it is known late.
+const LATE_STARTS: u32 = 1;
+/// What happens in one schedule, one thing after the other.
+const EVENTS: usize = 30;
+
+fn hand_in_faulty(f: &mut Fleet) {
+    let faults = [
+        Fault::AtStart,
+        Fault::After(Millis(10)),
+        Fault::After(Millis(500)),
+        Fault::After(Millis(1_200)),
+    ];
+    let fault = *faults.choose(&mut f.rng).unwrap_or(&Fault::AtStart);
+    let estimate = Millis(3_000);
+    let (kind, queue, spec) = match f.below(4) {
+        0 => (Kind::Gang, "mid", StepSpec { gang: true, estimate, ..step(3) }),
+        1 => (Kind::Lasting, "mid", StepSpec { long_running: true, estimate, ..step(2) }),
+        2 => (Kind::Quick, "q", StepSpec { estimate, ..step(6) }),
+        _ => (Kind::Batch, "bulk", StepSpec { estimate, ..step(8) }),
+    };
+    let index = f.below(u64::from(spec.count)) as u32;
+    let job = f.hand_in(kind, queue, vec![spec]);
+    f.make_faulty(task(job.0, 0, index), fault);
+}
+
+fn some(f: &mut Fleet, one_in: u64) -> Vec<WorkerId> {
+    let first = f.below(one_in) as usize;
+    f.workers(Host::is_usable).into_iter().skip(first).step_by(one_in as usize).collect()
+}
+
+fn disturb(f: &mut Fleet, mix: &mut Mix, silent: &mut Vec<WorkerId>) {
+    match f.below(10) {
+        0..=3 => hand_in_faulty(f),
+        4 => {
+            let lost = some(f, 9);
+            lost.iter().for_each(|id| f.crash(id));
+        }
+        5 => {
+            let cut = some(f, 7);
+            cut.iter().for_each(|id| f.set_silent(id, true));
+            silent.extend(cut);
+        }
+        6 => silent.drain(..).for_each(|id| f.set_silent(&id, false)),
+        7 => {
+            let leaving = some(f, 24);
+            leaving.iter().for_each(|id| f.give_notice(id));
+        }
+        8 => {
+            f.lose_leader();
+            mix.play(f, Millis(700));
+            f.take_over();
+        }
+        _ => {}
+    }
+    let pause = Millis(200 + f.below(1_500));
+    mix.play(f, pause);
+}
+
+fn play(seed: u64) {
+    let mut f = Fleet::new(seed, 12);
+    f.crashes.down_for = Millis(1_000 + f.below(6_000));
+    f.join("w", 40, Size::new(8_000, 16_000, 0));
+    f.pass(Millis(500));
+    let (mut mix, mut silent) = (Mix::everyday(0.35), Vec::new());
+    mix.play(&mut f, Millis(2_000));
+    for _ in 0..EVENTS {
+        disturb(&mut f, &mut mix, &mut silent);
+    }
+    silent.iter().for_each(|id| f.set_silent(id, false));
+    f.pass(Millis(90_000));
+    check(&f, seed);
+}
+
+fn check(f: &Fleet, seed: u64) {
+    let faulty = f.crashes.faulty_jobs();
+    for (task, crashes) in &f.crashes.under {
+        let most = u32::from(MOST_CRASHES_IN_COMPANY) + LATE_STARTS;
+        let bounded = !faulty.contains(&task.step.job) || *crashes <= most;
+        assert!(bounded, "seed {seed}: {crashes} workers crashed under {task}");
+    }
+    for id in f.jobs.keys() {
+        let state = f.bench.committed.job(*id).map(|j| j.state);
+        let crashes = most_under(f, *id);
+        match faulty.contains(id) {
+            true => assert_eq!(state, Some(JobState::Failed), "seed {seed}: {id}, {crashes}"),
+            false if state == Some(JobState::Failed) => {
+                println!("seed {seed}: {id} is given up after {crashes} crashes");
+                assert!(crashes >= u32::from(MOST_CRASHES), "seed {seed}: {id}, {crashes}");
+            }
+            false => assert_eq!(state, Some(JobState::Completed), "seed {seed}: {id}"),
+        }
+    }
+}
+
+/// Gives how many workers have crashed under that task of a job which met the most.
+fn most_under(f: &Fleet, job: JobId) -> u32 {
+    let of_job = f.crashes.under.iter().filter(|(task, _)| task.step.job == job);
+    of_job.map(|(_, crashes)| *crashes).max().unwrap_or(0)
+}
+
+#[test]
+fn crashes_stay_bounded_on_random_schedules() {
+    let asked = std::env::var("HEATHVALE_CRASH_SEEDS").unwrap_or_default();
+    let range = asked.split_once('-').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
+    let (from, to) = range.unwrap_or((*SEEDS.start(), *SEEDS.end()));
+    (from..=to).for_each(play);
+}
--- a/components/workload/tests/book.rs
+++ b/components/workload/tests/book.rs
@@ -1,47 +1,16 @@
 //! Single rules of the state machine.
 
+mod common;
+
 use std::sync::Arc;
 
 use clock::Millis;
-use model::Size;
+use common::{join, step, submit, task};
 use rstest::rstest;
 use workload::{
-    Book, Command, Document, End, EndKind, JobId, JobSpec, JobState, StepKey, StepSpec, TaskKey,
-    WorkerId, WorkerInfo,
+    Book, Command, Document, End, EndKind, JobId, JobSpec, JobState, StepSpec, TaskKey, WorkerId,
 };
 
-fn step(count: u32) -> StepSpec {
-    StepSpec { count, size: Size::new(1_000, 100, 0), ..StepSpec::default() }
-}
-
-fn task(index: u32) -> TaskKey {
-    TaskKey { step: StepKey { job: JobId(1), round: 0, step: 0 }, index }
-}
-
-fn submit(id: u64, steps: Vec<StepSpec>) -> Command {
-    Command::Submit {
-        id: JobId(id),
-        at: Millis(10),
-        queue: "q".into(),
-        service: "s".into(),
-        priority: 1,
-        max_attempts: 2,
-        spec: Arc::new(JobSpec { steps, ..JobSpec::default() }),
-    }
-}
-
-fn join(name: &str) -> Command {
-    Command::WorkerJoined(WorkerInfo {
-        id: WorkerId::from(name),
-        machine: name.into(),
-        address: name.into(),
-        service: "s".into(),
-        zone: "z".into(),
-        capacity: Size::new(8_000, 8_000, 0),
-        labels: vec![],
-    })
-}
-
 fn started(name: &str, index: u32, run: u32) -> Command {
     Command::Started { worker: WorkerId::from(name), runs: vec![(task(index), run)] }
 }
--- a/components/workload/tests/crashes.rs
+++ b/components/workload/tests/crashes.rs
@@ -1,35 +1,25 @@
 //! What the log holds against tasks under which workers have crashed.
 
+mod common;
+
 use std::sync::Arc;
 
 use clock::Millis;
-use model::Size;
+use common::{join, step, submit, task};
 use rstest::rstest;
 use workload::{
-    Blame, Book, Command, End, EndKind, JobId, JobSpec, JobState, MOST_CRASHES,
-    MOST_CRASHES_IN_COMPANY, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
+    Blame, Book, Command, End, EndKind, JobId, JobState, MOST_CRASHES, MOST_CRASHES_IN_COMPANY,
+    StepSpec, TaskKey, WorkerId,
 };
 
-fn task(index: u32) -> TaskKey {
-    TaskKey { step: StepKey { job: JobId(1), round: 0, step: 0 }, index }
-}
-
 fn book(spec: StepSpec) -> Book {
     let mut book = Book::default();
-    book.apply(&Command::Submit {
-        id: JobId(1),
-        at: Millis(10),
-        queue: "q".into(),
-        service: "s".into(),
-        priority: 1,
-        max_attempts: 2,
-        spec: Arc::new(JobSpec { steps: vec![spec], ..JobSpec::default() }),
-    });
+    book.apply(&submit(1, vec![spec]));
     book
 }
 
 fn plain() -> StepSpec {
-    StepSpec { count: 4, size: Size::new(1_000, 100, 0), ..StepSpec::default() }
+    step(4)
 }
 
 fn gang() -> StepSpec {
@@ -37,15 +27,7 @@
 }
 
 fn start(book: &mut Book, name: &str, runs: &[(TaskKey, u32)]) {
-    book.apply(&Command::WorkerJoined(WorkerInfo {
-        id: WorkerId::from(name),
-        machine: name.into(),
-        address: name.into(),
-        service: "s".into(),
-        zone: "z".into(),
-        capacity: Size::new(8_000, 8_000, 0),
-        labels: vec![],
-    }));
+    book.apply(&join(name));
     book.apply(&Command::Started { worker: WorkerId::from(name), runs: runs.to_vec() });
 }
 
