Count a worker that is silent for good as crashed only if it fell silent by itself, and bound the starts of any task

Change: a worker that fell silent with a hundredth of the others or more makes its tasks suspect and no more; nothing waits for news of it before five crashes are possible; five crashes give up any task.

--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -222,6 +222,11 @@
 /// After what time a run clears its task of the crashes before: longer than all but lasting tasks run. A task
 /// that ends its worker later than that is not given up, and takes a worker down twice a minute at most.
 pub(crate) const CLEARED_AFTER: Millis = Millis(30_000);
+/// Workers that fall silent within this time fall silent together: a renewal that waits tells of a cut up to two
+/// seconds after an order does.
+pub(crate) const TOGETHER: Millis = Millis(2_500);
+/// What part of the workers that must be, as one in so many: some fall silent at any time in a large fleet.
+pub(crate) const TOGETHER_ONE_IN: usize = 100;
 /// From how many tasks on that crashed their workers a step may seem to be at fault as a whole. With fewer, starting
 /// them all takes down as many workers at most, and no job that is well waits for it.
 pub(crate) const FEWEST_SUSPECTS: usize = 4;
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -15,6 +15,7 @@
 use crate::limits::{ORDER_RETRY, REST, START_TRIES};
 use crate::order::{CallError, Refusal, StartOrder, StopOrder};
 use crate::view::{Order, Stage};
+use crate::workers::LifeEnd;
 
 impl Dispatcher {
     /// Gives how many starts are on their way to workers that answer.
@@ -153,7 +154,7 @@
                 self.note(&kinds::ORDER_UNANSWERED, task, details);
             }
             Err(CallError::Refused(Refusal::OtherLife)) => {
-                self.worker_gone(id, "another life answered");
+                self.worker_gone(id, LifeEnd::OtherLife);
             }
             // It ran and has ended, or was stopped: the next report tells which.
             Err(CallError::Refused(Refusal::Outdated)) => {
@@ -221,7 +222,7 @@
                 order.retry_at = None;
             }
             (_, Err(CallError::Refused(Refusal::OtherLife))) => {
-                self.worker_gone(id, "another life answered");
+                self.worker_gone(id, LifeEnd::OtherLife);
             }
             // Whatever it was, a stop is repeated until it is confirmed.
             (Some(order), Err(_)) if order.stage == Stage::Stopping => {
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -12,6 +12,7 @@
 use crate::limits::{IDLE_WAIT, RENEW_AGAIN, RENEW_RETRY, busy_wait};
 use crate::order::{CallError, Refusal, RenewOrder, Report, RunRow};
 use crate::view::Stage;
+use crate::workers::LifeEnd;
 
 impl Dispatcher {
     /// Sends the next renewal, unless one is under way.
@@ -49,7 +50,7 @@
         let report = match result {
             Ok(report) => report,
             Err(CallError::Refused(Refusal::OtherLife)) => {
-                self.worker_gone(id, "another life answered");
+                self.worker_gone(id, LifeEnd::OtherLife);
                 return;
             }
             Err(e) => {
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -19,8 +19,8 @@
 use crate::action::Action;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::{CLEARED_AFTER, FEWEST_SUSPECTS, YOUNG_RUN};
-use crate::view::{Order, Stage};
+use crate::limits::{CLEARED_AFTER, FEWEST_SUSPECTS, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN};
+use crate::view::{Order, Stage, View};
 
 /// What is held against a task.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
@@ -232,24 +232,50 @@
         let (young, old): (Vec<_>, Vec<_>) = aged.partition(|(_, age)| *age < YOUNG_RUN);
         let runs = |aged: Vec<_>| aged.into_iter().map(|(run, _)| run).collect();
         match young.is_empty() {
-            true => Blame { under: runs(old), young: false, beside: Vec::new() },
-            false => Blame { under: runs(young), young: true, beside: runs(old) },
+            true => Blame { under: runs(old), ..Blame::default() },
+            false => Blame { under: runs(young), young: true, beside: runs(old), alone: false },
         }
     }
 
+    /// Gives the runs that a worker may have crashed under whose lease is over, until its fate is known.
+    pub(crate) fn blame_for_silence(&self, worker: &WorkerId) -> Blame {
+        Blame { alone: self.fell_silent_alone(worker), ..self.blame(worker) }
+    }
+
+    /// Tells whether a worker fell silent by itself. One that did so with others is more likely cut off, or lost for a
+    /// reason that is no task's.
+    fn fell_silent_alone(&self, worker: &WorkerId) -> bool {
+        let since = |view: &View| view.silent_since;
+        let Some(at) = self.views.get(worker).and_then(since) else { return false };
+        let with_it =
+            |view: &View| since(view).is_some_and(|s| s.since(at) + at.since(s) < TOGETHER);
+        let together = self.views.values().filter(|v| with_it(v)).count();
+        together < 2 || together * TOGETHER_ONE_IN < self.views.len()
+    }
+
     /// Ends the life of a worker that had not said it would leave: whatever had begun there is suspect.
     pub(crate) fn worker_crashed(&mut self, id: &WorkerId, saved: Vec<(TaskKey, Arc<str>)>) {
-        let blame = self.blame(id);
+        let (blame, at) = (self.blame(id), self.wall());
+        let command = Command::WorkerCrashed { worker: id.clone(), saved, blame, at };
+        self.end_life(id, command);
+    }
+
+    /// The same for a worker that runs nothing and was not heard of for so long that it counts as lost.
+    pub(crate) fn worker_lost(&mut self, id: &WorkerId) {
+        let command = Command::WorkerLost { worker: id.clone(), at: self.wall() };
+        self.end_life(id, command);
+    }
+
+    fn end_life(&mut self, id: &WorkerId, command: Command) {
         let jobs: Vec<JobId> = self.book.jobs_on(id).into_iter().collect();
         if jobs.is_empty() {
-            self.propose(Command::WorkerGone { worker: id.clone(), saved });
+            self.propose(Command::WorkerGone { worker: id.clone(), saved: Vec::new() });
             return;
         }
         self.tell_crash(id);
         let open = |id: &JobId| self.book.job(*id).is_some_and(|j| !j.state.is_final());
         let open: Vec<JobId> = jobs.iter().filter(|id| open(id)).copied().collect();
-        let at = self.wall();
-        self.propose(Command::WorkerCrashed { worker: id.clone(), saved, blame, at });
+        self.propose(command);
         self.sweep.extend(jobs);
         self.tell_what_is_over(open);
     }
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -14,6 +14,24 @@
 use crate::silence::silent_zones;
 use crate::view::View;
 
+/// How it is known that a worker's life is over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum LifeEnd {
+    /// Another life answers at its address.
+    OtherLife,
+    /// It runs nothing and was not heard of for long.
+    Forgotten,
+}
+
+impl LifeEnd {
+    fn told_as(self) -> &'static str {
+        match self {
+            LifeEnd::OtherLife => "another life answered",
+            LifeEnd::Forgotten => "silent for long and runs nothing",
+        }
+    }
+}
+
 impl Dispatcher {
     /// Takes in a worker's announcement.
     pub(crate) fn on_news(&mut self, m: Moment, news: WorkerNews) {
@@ -80,14 +98,16 @@
     }
 
     /// Ends a life of a worker with all that ran there.
-    pub(crate) fn worker_gone(&mut self, id: &WorkerId, why: &str) {
+    pub(crate) fn worker_gone(&mut self, id: &WorkerId, end: LifeEnd) {
+        let why = end.told_as();
         self.tell_lost_runs(id, why);
         let Some(view) = self.views.get(id) else { return };
         let (leaving, saved) = (view.leaving, saved(view));
         self.sweep_runs_of(id);
-        match leaving {
-            true => self.propose(Command::WorkerGone { worker: id.clone(), saved }),
-            false => self.worker_crashed(id, saved),
+        match (leaving, end) {
+            (true, _) => self.propose(Command::WorkerGone { worker: id.clone(), saved }),
+            (false, LifeEnd::OtherLife) => self.worker_crashed(id, saved),
+            (false, LifeEnd::Forgotten) => self.worker_lost(id),
         }
         self.views.remove(id);
         self.note(&kinds::WORKER_GONE, id, format!("why={why:?}"));
@@ -151,7 +171,7 @@
         }
         let Some(view) = self.views.get(id) else { return };
         if !runs && !view.in_contact && m.now.since(view.heard_at) >= FORGET_WORKER {
-            self.worker_gone(id, "silent for long and runs nothing");
+            self.worker_gone(id, LifeEnd::Forgotten);
             return;
         }
         if !view.renewing && m.now >= view.renew_at {
@@ -162,7 +182,7 @@
 
     fn lapse(&mut self, id: &WorkerId) {
         self.tell_lost_runs(id, "lapsed");
-        let blame = self.blame(id);
+        let blame = self.blame_for_silence(id);
         let Some(view) = self.views.get_mut(id) else { return };
         let suspected = (!view.leaving && !blame.is_empty())
             .then(|| Command::Suspected { worker: id.clone(), blame });
--- a/components/dispatch/tests/common/host.rs
+++ b/components/dispatch/tests/common/host.rs
@@ -189,6 +189,10 @@
     pub fn answer(&mut self, now: Millis) -> Option<(Millis, Result<Report, CallError>)> {
         let held = self.held.as_ref()?;
         let sent_at = held.sent_at;
+        if self.replaced {
+            // What the life before was asked is no question to this one.
+            return Some(self.answered(sent_at, Err(CallError::Refused(Refusal::OtherLife))));
+        }
         if self.fake.silent {
             let given_up = self.crashed || now >= held.answer_at + held.answer_within;
             return given_up.then(|| self.answered(sent_at, Err(super::SILENT())));
--- a/components/dispatch/tests/crashes.rs
+++ b/components/dispatch/tests/crashes.rs
@@ -214,6 +214,26 @@
     }
 }
 
+/// A seventh of the workers is cut off for longer than workers are remembered, again and again. They may be lost for
+/// good, but they fell silent together, so no job is given up for it.
+#[test]
+fn workers_that_are_cut_off_for_long_cost_no_job() {
+    for seed in 1..=3 {
+        let mut f = fleet(seed);
+        let job = f.hand_in(Kind::Lasting, "mid", vec![StepSpec { count: 12, ..lasting() }]);
+        f.pass(Millis(2_000));
+        for _ in 0..5 {
+            let busy = f.workers(|h| h.lasting().next().is_some());
+            assert!(busy.len() >= 2, "seed {seed}");
+            busy.iter().for_each(|id| f.set_silent(id, true));
+            f.pass(Millis(26_500));
+            busy.iter().for_each(|id| f.set_silent(id, false));
+            f.pass(Millis(500));
+        }
+        assert_eq!(state(&f, job), Some(JobState::Running), "seed {seed}");
+    }
+}
+
 /// Tasks that last meet crashes of their workers all season long. What lies far apart does not add up.
 #[test]
 fn crashes_far_apart_do_not_add_up() {
--- a/components/workload/src/book.rs
+++ b/components/workload/src/book.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Blame, Command, CrashLedger, Document, End, EndKind, Job, JobId, JobState, MOST_CRASHES,
-    MOST_CRASHES_IN_COMPANY, Round, StepKey, StepSpec, StepState, TaskKey, TaskState, Worker,
-    WorkerId,
+    MOST_CRASHES_AT_ALL, MOST_CRASHES_IN_COMPANY, Round, StepKey, StepSpec, StepState, TaskKey,
+    TaskState, Worker, WorkerId,
 };
 
 /// A step with tasks that wait for a worker and that nothing earlier holds back, in the order in
@@ -183,6 +183,16 @@
                 self.count_crash(&lapsed, *at);
                 self.count_crash(&self.by_suspects(blame), *at);
             }
+            Command::WorkerLost { worker, at } => {
+                self.release_all(worker, &[]);
+                self.workers.remove(worker);
+                let lapsed = self.crashes.settle(worker);
+                match lapsed.alone {
+                    true => self.count_crash(&lapsed, *at),
+                    // It may be cut off yet, so no task is given up for it.
+                    false => lapsed.runs().for_each(|(task, run)| self.suspect_run(task, *run)),
+                }
+            }
             Command::Suspected { worker, blame } => {
                 self.crashes.lapse(worker, self.by_suspects(blame));
             }
@@ -273,11 +283,8 @@
             let runs: BTreeSet<_> = runs.iter().map(|(t, run)| (self.suspect(t), *run)).collect();
             runs.into_iter().collect()
         };
-        Blame {
-            under: by_suspect(&blame.under),
-            young: blame.young,
-            beside: by_suspect(&blame.beside),
-        }
+        let (under, beside) = (by_suspect(&blame.under), by_suspect(&blame.beside));
+        Blame { under, beside, young: blame.young, alone: blame.alone }
     }
 
     /// Counts a crash against the tasks that it may be the fault of.
@@ -287,16 +294,24 @@
             _ => MOST_CRASHES_IN_COMPANY,
         };
         for (task, run) in &blame.under {
-            if self.may_be_at_fault(task)
-                && self.crashes.count(*task, *run, blame.young, most) >= most
-            {
-                self.end_job(task.step.job, JobState::Failed, at);
-            }
+            self.crashed_under((task, *run), blame.young, most, at);
         }
         for (task, run) in &blame.beside {
-            if self.may_be_at_fault(task) {
-                self.crashes.count(*task, *run, false, MOST_CRASHES - 1);
-            }
+            self.crashed_under((task, *run), false, MOST_CRASHES_AT_ALL, at);
+        }
+    }
+
+    /// Counts a crash against a task, and gives its job up once there are as many as `most`.
+    fn crashed_under(&mut self, (task, run): (&TaskKey, u32), young: bool, most: u16, at: Millis) {
+        if self.may_be_at_fault(task) && self.crashes.count(*task, run, young) >= most {
+            self.end_job(task.step.job, JobState::Failed, at);
+        }
+    }
+
+    /// Suspects a task under which a worker may have crashed.
+    fn suspect_run(&mut self, task: &TaskKey, run: u32) {
+        if self.may_be_at_fault(task) && self.crashes.crashes(task) == 0 {
+            self.crashes.count(*task, run, false);
         }
     }
 
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -132,6 +132,13 @@
         /// The runs.
         blame: Blame,
     },
+    /// A worker that runs nothing was not heard of for so long that it counts as lost.
+    WorkerLost {
+        /// The worker.
+        worker: WorkerId,
+        /// When, by the leader's wall clock.
+        at: Millis,
+    },
     /// A worker on which runs have lapsed was heard of again: it had only been out of reach.
     LivedOn {
         /// The worker.
--- a/components/workload/src/crashes.rs
+++ b/components/workload/src/crashes.rs
@@ -15,6 +15,9 @@
 pub const MOST_CRASHES: u16 = 3;
 /// How many may crash under it if other young runs were there each time, which may have been at fault.
 pub const MOST_CRASHES_IN_COMPANY: u16 = 4;
+/// How many may crash under it at all, whatever is more likely to blame. It is never started once as many have crashed,
+/// or may have.
+pub const MOST_CRASHES_AT_ALL: u16 = 5;
 
 /// The runs that a worker may have crashed under.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,8 +26,10 @@
     pub under: Vec<(TaskKey, u32)>,
     /// Whether those were young.
     pub young: bool,
-    /// Those that had been well for a while beside young ones. They are suspect, but never given up for it.
+    /// Those that had been well for a while beside young ones. They are suspect, and given up last.
     pub beside: Vec<(TaskKey, u32)>,
+    /// Whether the worker fell silent by itself, and not with others.
+    pub alone: bool,
 }
 
 impl Blame {
@@ -33,7 +38,7 @@
         self.under.is_empty() && self.beside.is_empty()
     }
 
-    fn runs(&self) -> impl Iterator<Item = &(TaskKey, u32)> {
+    pub(crate) fn runs(&self) -> impl Iterator<Item = &(TaskKey, u32)> {
         self.under.iter().chain(&self.beside)
     }
 }
@@ -47,6 +52,8 @@
     while_young: u16,
     /// How many of its runs have lapsed on workers of which it is not known whether they live on.
     open_lapses: u16,
+    /// How many of these fell silent by themselves.
+    open_alone: u16,
     /// The last run that was counted.
     last_run: u32,
 }
@@ -78,8 +85,10 @@
     /// Tells whether a task must wait until more is known: with the runs that have lapsed on workers not heard
     /// of since, as many workers may have crashed under it as give it up.
     pub fn must_wait(&self, task: &TaskKey) -> bool {
-        let may_be_most = |r: &Record| r.crashes.saturating_add(r.open_lapses) >= MOST_CRASHES;
-        self.records.get(task).is_some_and(|r| r.open_lapses > 0 && may_be_most(r))
+        let Some(r) = self.records.get(task).filter(|r| r.open_lapses > 0) else { return false };
+        // Of workers that fell silent together most live on, so nothing waits for news of them before it must.
+        let may_be_given_up = r.open_alone > 0 && r.crashes + r.open_alone >= MOST_CRASHES;
+        may_be_given_up || r.crashes + r.open_lapses >= MOST_CRASHES_AT_ALL
     }
 
     /// Gives the tasks under which workers have crashed, and under how many of them.
@@ -87,7 +96,7 @@
         self.records.iter().filter(|(_, r)| r.crashes > 0).map(|(task, r)| (task, r.crashes))
     }
 
-    /// Tells whether a job was given up because workers crashed under one of its tasks.
+    /// Tells whether a job that has failed was given up because workers crashed under one of its tasks.
     pub fn gave_up(&self, job: JobId) -> bool {
         let of_job = self.suspects().filter(|(task, _)| task.step.job == job);
         of_job.map(|(_, crashes)| crashes).any(|c| c >= MOST_CRASHES)
@@ -103,13 +112,13 @@
         self.lapsed.get(worker).into_iter().flat_map(Blame::runs).map(|(task, _)| task)
     }
 
-    /// Counts a crash, up to a limit; gives how many there are now.
-    pub(crate) fn count(&mut self, task: TaskKey, run: u32, young: bool, most: u16) -> u16 {
+    /// Counts a crash; gives how many there are now.
+    pub(crate) fn count(&mut self, task: TaskKey, run: u32, young: bool) -> u16 {
         let record = self.records.entry(task).or_default();
         if run > record.last_run {
             record.last_run = run;
+            record.crashes = record.crashes.saturating_add(1);
             record.while_young = record.while_young.saturating_add(u16::from(young));
-            record.crashes = record.crashes.saturating_add(1).min(most.max(record.crashes));
         }
         record.crashes
     }
@@ -122,7 +131,8 @@
         }
         for (task, _) in blame.runs() {
             let record = self.records.entry(*task).or_default();
-            record.open_lapses = record.open_lapses.saturating_add(1);
+            record.open_lapses += 1;
+            record.open_alone += u16::from(blame.alone);
         }
         self.lapsed.insert(worker.clone(), blame);
     }
@@ -133,6 +143,7 @@
         for (task, _) in blame.runs() {
             let Some(record) = self.records.get_mut(task) else { continue };
             record.open_lapses = record.open_lapses.saturating_sub(1);
+            record.open_alone = record.open_alone.saturating_sub(u16::from(blame.alone));
             if record.crashes == 0 && record.open_lapses == 0 {
                 self.records.remove(task);
             }
--- a/components/workload/src/lib.rs
+++ b/components/workload/src/lib.rs
@@ -15,7 +15,7 @@
 
 pub use book::{Book, OpenStep};
 pub use command::{Command, End, EndKind};
-pub use crashes::{Blame, CrashLedger, MOST_CRASHES, MOST_CRASHES_IN_COMPANY};
+pub use crashes::{Blame, CrashLedger, MOST_CRASHES, MOST_CRASHES_AT_ALL, MOST_CRASHES_IN_COMPANY};
 pub use ids::{JobId, StepKey, TaskKey, WorkerId};
 pub use job::{Job, JobState, Round, StepState, TaskState};
 pub use policy::{AdvicePolicy, Document, Policy, PolicyReader, Queue, Service};
