--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -182,6 +182,12 @@
         self.handle(Input::News(WorkerNews { info, leaving, remaining, number }));
     }
 
+    /// Has a worker announce itself again, as it does every few seconds.
+    pub fn announce(&mut self, id: &WorkerId) {
+        let info = self.hosts.get(id).filter(|h| !h.crashed).map(|h| h.info.clone());
+        info.into_iter().for_each(|info| self.news(info, 1));
+    }
+
     /// Has a worker say that it leaves shortly.
     pub fn give_notice(&mut self, id: &WorkerId) {
         let Some(host) = self.hosts.get_mut(id) else { return };
--- a/components/dispatch/tests/crashes.rs
+++ b/components/dispatch/tests/crashes.rs
@@ -227,7 +227,10 @@
             assert!(busy.len() >= 2, "seed {seed}");
             busy.iter().for_each(|id| f.set_silent(id, true));
             f.pass(Millis(26_500));
-            busy.iter().for_each(|id| f.set_silent(id, false));
+            for id in &busy {
+                f.set_silent(id, false);
+                f.announce(id);
+            }
             f.pass(Millis(500));
         }
         assert_eq!(state(&f, job), Some(JobState::Running), "seed {seed}");
