Links publish to the instance they dial: push sockets send over freed memory once a connection has broken

Cause: the library's push socket keeps a list of connections that are ready. One that broke with a message on its way was put back on it and freed; the next try_send took it from there. Shown by a core with freed memory overwritten.

Ruled out: threads, memory or descriptors that cannot be had (a core has all its threads and no failed call); opening links anew by itself (reconnects.rs); a panic of ours.

Change: Pub0 and Sub0 in place of Push0 and Pull0. Instances of earlier builds are not linked to: restart all of a cell.

--- a/components/transport/src/links.rs
+++ b/components/transport/src/links.rs
@@ -8,6 +8,7 @@
 
 use errors::{Error, Result};
 use model::InstanceId;
+use nng::options::protocol::pubsub::Subscribe;
 use nng::options::{
     Options, ReconnectMaxTime, ReconnectMinTime, RecvBufferSize, RecvMaxSize, SendBufferSize,
 };
@@ -78,7 +79,7 @@
         Ok(Links { id: cfg.id.clone(), peers: Mutex::new(peers), refused })
     }
 
-    /// Sends a message, or drops it if the instance is unknown, refused or too slow.
+    /// Sends a message, or drops it if the instance is unknown, refused, not connected or too slow.
     pub fn send<M: Serialize>(&self, to: &InstanceId, order: u64, message: M) {
         if lock(&self.refused).contains(to) {
             return;
@@ -87,7 +88,7 @@
         let Some(peer) = peers.get(to) else { return };
         let packet = Packet { from: self.id.clone(), order, message };
         if let Ok(bytes) = encode(&packet) {
-            // A full buffer means a slow or missing receiver; whoever needs an answer asks again.
+            // An instance that is slow or not there loses it; whoever needs an answer asks again.
             let _ = peer.socket.try_send(bytes.as_slice());
         }
     }
@@ -139,8 +140,13 @@
     move |e| Error::Unreachable { target, reason: e.to_string() }
 }
 
+/// Opens the sending end of a link, which publishes to the one instance that it dials.
+///
+/// It is no `Push0` socket: those send over freed memory after a connection broke with a message on its way, which
+/// ended the process. What is sent while there is no connection is dropped, so no stale messages follow once there
+/// is one. docs/incidents/instances-ended-as-links-broke.md.
 fn dial(addr: SocketAddr) -> nng::Result<Socket> {
-    let socket = Socket::new(Protocol::Push0)?;
+    let socket = Socket::new(Protocol::Pub0)?;
     socket.set_opt::<SendBufferSize>(SEND_BUFFER)?;
     socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
     socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
@@ -148,8 +154,11 @@
     Ok(socket)
 }
 
+/// Opens the receiving end of all links to this instance, which takes whatever they publish.
 fn listen(addr: SocketAddr) -> nng::Result<Socket> {
-    let socket = Socket::new(Protocol::Pull0)?;
+    let socket = Socket::new(Protocol::Sub0)?;
+    let everything = Vec::new();
+    socket.set_opt::<Subscribe>(everything)?;
     socket.set_opt::<RecvMaxSize>(MAX_PACKET)?;
     socket.set_opt::<RecvBufferSize>(RECV_BUFFER)?;
     socket.listen(&format!("tcp://{addr}"))?;
