--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -118,6 +118,11 @@
         self.absorb(out);
     }
 
+    /// Gives what need not wait for the next sync: nothing yet.
+    pub fn send_ahead(&mut self) -> Flushed {
+        Flushed::default()
+    }
+
     /// Syncs everything taken in so far and gives what may now leave.
     ///
     /// # Errors
