A founder goes on to say that it is as good as empty until it has voted

Symptom: cells whose instances never get ready: one of them has founded the cell and the others never do.

Cause: founding rested on messages that must not be lost. A founder said that it was empty until it had heard all others, once more as it founded, and then no more; whoever had not heard it by then never founded, and the one alone was no quorum.

Ruled out: the links (all threads wait for input; hellos go both ways), the disk.

Change: a member that has done no more than found the cell says hello on, and answers nobody as one that has state.

--- a/components/consensus/src/election.rs
+++ b/components/consensus/src/election.rs
@@ -28,7 +28,7 @@
 
     pub(crate) fn on_hello(&mut self, from: InstanceId, incarnation: Incarnation, formed: bool) {
         if self.role != Role::Unformed {
-            if !formed {
+            if !formed && !self.has_only_founded() {
                 self.send(&from, Body::Hello { formed: true });
             }
             if self.role == Role::Leader {
@@ -44,6 +44,21 @@
         }
     }
 
+    /// Tells whether this member has done no more than found the cell. It is as good as empty then, and goes on to say
+    /// so: founders that have not heard enough would never found the cell, and this one alone is no quorum.
+    pub(crate) fn has_only_founded(&self) -> bool {
+        let is_new = self.hard == HardState::default() && self.log.last_index() == 0;
+        is_new && self.role != Role::Unformed
+    }
+
+    /// Tells the others now and then that this member is as good as empty.
+    pub(crate) fn greet_founders(&mut self) {
+        if self.now >= self.hello_at {
+            self.hello_at = self.now + self.cfg.timing.heartbeat;
+            self.say_hello();
+        }
+    }
+
     fn try_found(&mut self) {
         let founders = &self.cfg.founders;
         let others_empty =
--- a/components/consensus/src/node.rs
+++ b/components/consensus/src/node.rs
@@ -98,6 +98,9 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) -> Output {
         self.now = self.now.max(now);
+        if self.has_only_founded() {
+            self.greet_founders();
+        }
         match self.role {
             Role::Unformed => self.seek_cell(),
             Role::Leader => self.lead(),
