A step at fault does not wait for a task on a worker of which nothing is heard

Cause: a run of which nobody can tell yet holds the others back, and one on a worker that is cut off stays so until its lease is over. A crashed worker is silent first, too, which is why silence alone must not count (tried before).

Change: what tells them apart is how the calls end. Those to a crashed worker break at once, and the next life at its address tells of the crash; those to one that is cut off run into their time limits, and nothing is learnt until the lease is over. So up to three runs on such workers hold nobody back. A step at fault whose workers vanish without breaking connections takes down four in the five seconds of a lease at most.

--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -246,6 +246,10 @@
 /// From how many tasks on that crashed their workers a step may seem to be at fault as a whole. With fewer, starting
 /// them all takes down as many workers at most, and no job that is well waits for it.
 pub(crate) const FEWEST_SUSPECTS: usize = 4;
+/// For how many runs on workers of which nothing is heard the other tasks of a step at fault need not wait. A worker that
+/// vanishes without breaking its connections may have crashed all the same, which is known when its lease is over,
+/// five seconds later, so that a step at fault takes down four workers in that time at most.
+pub(crate) const MOST_UNHEARD: usize = 3;
 /// How often jobs that ended long ago are dropped.
 pub(crate) const FORGET_EVERY: Millis = Millis(5_000);
 /// How long a task that lasts waits before a line tells of it.
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -12,7 +12,7 @@
 use crate::action::Action;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::{ORDER_RETRY, REST, START_TRIES};
+use crate::limits::{ORDER_RETRY, REST, SHORTEST_ANSWER, START_TRIES};
 use crate::order::{CallError, Refusal, StartOrder, StopOrder};
 use crate::view::{Order, Stage};
 use crate::workers::LifeEnd;
@@ -150,7 +150,9 @@
             Err(CallError::Silent(why) | CallError::NotSent(why)) => {
                 order.retry_at = Some(m.now + ORDER_RETRY);
                 let details = format!("run={run} worker={id} tries={} why={why:?}", order.tries);
-                view.note_silence(m.now);
+                // No order is given up earlier, however quickly workers answer.
+                let due = order.sent_at + SHORTEST_ANSWER;
+                view.note_silence(m.now, due);
                 self.note(&kinds::ORDER_UNANSWERED, task, details);
             }
             Err(CallError::Refused(Refusal::OtherLife)) => {
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -31,8 +31,9 @@
             (true, true) => IDLE_WAIT,
             (true, false) => busy,
         };
-        view.renewing = true;
         let answer_within = self.answer_times.limit();
+        view.renewing = true;
+        view.answer_due = m.now + wait + answer_within;
         let order = RenewOrder { fence, seen, deadline, wait, answer_within };
         self.act(Action::Renew { worker: id.clone(), address, order });
     }
@@ -55,7 +56,7 @@
             }
             Err(e) => {
                 let retry = if view.in_contact { RENEW_AGAIN } else { RENEW_RETRY };
-                view.note_silence(m.now);
+                view.note_silence(m.now, view.answer_due);
                 if view.in_contact {
                     view.in_contact = false;
                     self.note(
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -19,7 +19,9 @@
 use crate::action::Action;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::{CLEARED_AFTER, FEWEST_SUSPECTS, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN};
+use crate::limits::{
+    CLEARED_AFTER, FEWEST_SUSPECTS, MOST_UNHEARD, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
+};
 use crate::view::{Order, Stage, View};
 
 /// What is held against a task.
@@ -90,6 +92,8 @@
     settled: usize,
     /// How many run of which nobody can tell yet.
     unsettled: usize,
+    /// How many of those run on workers of which nothing is heard, so that others need not wait for them.
+    unheard: usize,
 }
 
 impl StepRecord {
@@ -100,7 +104,8 @@
 
     /// Gives how many more of its tasks may be started then: one first, and more the more are well.
     fn may_start(&self) -> usize {
-        (self.settled + 1).saturating_sub(self.unsettled)
+        let unheard = self.unheard.min(MOST_UNHEARD);
+        (self.settled + unheard + 1).saturating_sub(self.unsettled)
     }
 }
 
@@ -186,10 +191,19 @@
             record.suspects += usize::from(suspect && !settled);
             record.settled += usize::from(settled);
             record.unsettled += usize::from(state.at.is_some() && !settled);
+            let unheard = state.at.as_ref().is_some_and(|w| self.is_unheard(w));
+            record.unheard += usize::from(unheard && !settled);
         }
         record
     }
 
+    /// Tells whether a worker is silent in a way that says nothing of its runs: calls to it run into their time limits,
+    /// as those to a worker that is cut off do, and nothing is learnt until its lease is over. Calls to one that has
+    /// crashed break at once, and whoever answers next at its address tells of the crash, so others wait for that.
+    fn is_unheard(&self, worker: &WorkerId) -> bool {
+        self.views.get(worker).is_some_and(|v| v.silent_since.is_some() && !v.broke_off)
+    }
+
     /// Tells whether a run has shown that it leaves its worker alive.
     fn is_settled(&self, m: Moment, worker: &WorkerId, task: &TaskKey) -> bool {
         let Some(view) = self.views.get(worker) else { return false };
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -76,10 +76,15 @@
     pub(crate) in_contact: bool,
     /// Since when an order or a renewal has had no answer, with no sign of life since.
     pub(crate) silent_since: Option<Millis>,
+    /// Whether a call has broken off since the last sign of life, before its time was over: its life has ended then,
+    /// or its connection was reset.
+    pub(crate) broke_off: bool,
     /// When everything on it has surely lapsed, by our clock.
     pub(crate) lapses_at: Millis,
     /// Whether a renewal is under way or held.
     pub(crate) renewing: bool,
+    /// When that is due to be answered.
+    pub(crate) answer_due: Millis,
     pub(crate) renew_at: Millis,
     pub(crate) orders: BTreeMap<TaskKey, Order>,
     /// The newest row of each run.
@@ -98,8 +103,10 @@
             reading: None,
             in_contact: false,
             silent_since: None,
+            broke_off: false,
             lapses_at,
             renewing: false,
+            answer_due: now,
             renew_at: now,
             orders: BTreeMap::new(),
             rows: BTreeMap::new(),
@@ -126,11 +133,13 @@
         self.reading = Some(Reading { at: now, clock });
         self.heard_at = now;
         self.silent_since = None;
+        self.broke_off = false;
     }
 
-    /// Notes that an order or a renewal got no answer.
-    pub(crate) fn note_silence(&mut self, now: Millis) {
+    /// Notes that an order or a renewal that was due to be answered at some time got no answer.
+    pub(crate) fn note_silence(&mut self, now: Millis, due: Millis) {
         self.silent_since.get_or_insert(now);
+        self.broke_off |= now < due;
     }
 
     /// Gives the deadline of a lease of `span` and notes it, or `None` before the clock was read.
