The other tasks of a step at fault follow as soon as the first ones seem well

Symptom: tasks of a step whose siblings crashed their workers stand beside room for up to six seconds, also where nothing is at fault and no worker is silent (probes.rs).

Cause: each task had to be two seconds old before as many more were started, so five took three rounds.

Change: a run whose worker has answered since it was half a second old holds nobody back, and tickets for the others are had meanwhile. Most tasks that end their workers do so within milliseconds; a step whose tasks all do after a second loses one or two workers more.

--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -246,6 +246,10 @@
 /// From how many tasks on that crashed their workers a step may seem to be at fault as a whole. With fewer, starting
 /// them all takes down as many workers at most, and no job that is well waits for it.
 pub(crate) const FEWEST_SUSPECTS: usize = 4;
+/// How old a run must be, by an answer of its worker, for others of a step at fault to be started beside it: most tasks that
+/// end their workers do so within milliseconds. Waiting until it is old altogether would let a step of five that is at
+/// fault in nothing wait for six seconds; a step whose tasks all end their workers after a second loses one or two more.
+pub(crate) const SEEMS_WELL: Millis = Millis(500);
 /// For how many runs on workers of which nothing is heard the other tasks of a step at fault need not wait. A worker that
 /// vanishes without breaking its connections may have crashed all the same, which is known when its lease is over,
 /// five seconds later, so that a step at fault takes down four workers in that time at most.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -138,6 +138,11 @@
         // What is kept free from here on, the step keeps for itself.
         self.tell_wait(m, &key, true);
         if left == 0 && held_back > 0 {
+            // They may start as soon as the others seem well, so tickets for them are had by then.
+            if let Some(policy) = advice {
+                let (tasks, urge) = (held_back as u64, self.urge(m, &key));
+                self.ask(m, Need { key, queue, policy, job, tasks, reach, urge });
+            }
             return found;
         }
         if left == 0 {
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -20,7 +20,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
 use crate::limits::{
-    CLEARED_AFTER, FEWEST_SUSPECTS, MOST_UNHEARD, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
+    CLEARED_AFTER, FEWEST_SUSPECTS, MOST_UNHEARD, SEEMS_WELL, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
 };
 use crate::view::{Order, Stage, View};
 
@@ -94,6 +94,8 @@
     unsettled: usize,
     /// How many of those run on workers of which nothing is heard, so that others need not wait for them.
     unheard: usize,
+    /// How many of those run on workers that have answered since the run was old enough to seem well.
+    promising: usize,
 }
 
 impl StepRecord {
@@ -105,7 +107,8 @@
     /// Gives how many more of its tasks may be started then: one first, and more the more are well.
     fn may_start(&self) -> usize {
         let unheard = self.unheard.min(MOST_UNHEARD);
-        (self.settled + unheard + 1).saturating_sub(self.unsettled)
+        let open = self.unsettled.saturating_sub(unheard + self.promising);
+        (self.settled + unheard + self.promising + 1).saturating_sub(open)
     }
 }
 
@@ -193,10 +196,23 @@
             record.unsettled += usize::from(state.at.is_some() && !settled);
             let unheard = state.at.as_ref().is_some_and(|w| self.is_unheard(w));
             record.unheard += usize::from(unheard && !settled);
+            let promising = state.at.as_ref().is_some_and(|w| self.is_promising(w, &task));
+            record.promising += usize::from(promising && !settled);
         }
         record
     }
 
+    /// Tells whether a worker has answered, and is not silent, since a run was old enough to seem well.
+    fn is_promising(&self, worker: &WorkerId, task: &TaskKey) -> bool {
+        let Some(view) = self.views.get(worker).filter(|v| v.silent_since.is_none()) else {
+            return false;
+        };
+        let Some(answered_at) = view.reading.map(|r| r.at) else { return false };
+        let confirmed = |o: &&Order| matches!(o.stage, Stage::Confirmed { .. });
+        let order = view.orders.get(task).filter(confirmed);
+        order.is_some_and(|o| answered_at.since(o.since) >= SEEMS_WELL)
+    }
+
     /// Tells whether a worker is silent in a way that says nothing of its runs: calls to it run into their time limits,
     /// as those to a worker that is cut off do, and nothing is learnt until its lease is over. Calls to one that has
     /// crashed break at once, and whoever answers next at its address tells of the crash, so others wait for that.
