Of tasks that last those come first that have lost their run, and only they, not their whole step

Cause: every task that lasts and had waited for a second came before all other work, also one that had never run, with all tasks of its step. Where more of them come than there is room for, all room that comes free is theirs.

Change: one that has run comes first after a second, as before; one that has never run after four, and only the tasks that have waited.

--- a/components/dispatch/src/asking.rs
+++ b/components/dispatch/src/asking.rs
@@ -17,6 +17,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
 use crate::limits::MOST_SCANS;
+use crate::place::Turn;
 use crate::seats::{fits, most_more};
 use crate::standing::Reach;
 
@@ -141,10 +142,10 @@
     }
 
     /// Gives how far a call on a step may go into the instances that are kept free.
-    pub(crate) fn urge(&self, m: Moment, key: &StepKey) -> Urge {
-        match self.is_owed(m, key) {
-            true => Urge::Owed,
-            false => Urge::Usual,
+    pub(crate) fn urge(turn: Turn) -> Urge {
+        match turn {
+            Turn::Owed => Urge::Owed,
+            Turn::Usual => Urge::Usual,
         }
     }
 
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -177,6 +177,10 @@
 /// How long a task that lasts waits among other work before it comes first. A call for advice takes half a second of
 /// it, and tasks that last are few beside the others, which wait for a tenth of a second by that.
 pub(crate) const LASTING_PATIENCE: Millis = Millis(1_000);
+/// The same for one that has never run: nobody has lost anything by it yet, so it waits among the others for as long as
+/// its first start may take and be in time. On a fleet that is asked for a quarter more than it has, new tasks that last
+/// would otherwise come before all quick jobs.
+pub(crate) const FIRST_RUN_PATIENCE: Millis = Millis(4_000);
 /// How many steps with such tasks a plan puts first: half of those that it keeps room free for.
 pub(crate) const MOST_OWED: usize = MOST_ROOMS_MADE as usize / 2;
 /// After how many looks at a worker a plan keeps no more room free for such steps: as many as it may take in 40 ms.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -11,12 +11,21 @@
 use crate::asking::Need;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::{LOOKS_A_STEP, MOST_LOOKS_AGAIN, MOST_ORDERS, MOST_OWED, OWED_TURN};
+use crate::limits::{LONG_WAIT, LOOKS_A_STEP, MOST_LOOKS_AGAIN, MOST_ORDERS, MOST_OWED, OWED_TURN};
 use crate::seats::Seated;
 use crate::standing::Reach;
 use crate::view::{Order, Stage, View};
 use crate::window::Looked;
 
+/// Which of a step's tasks a plan looks at, and before what.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// Those that last and have waited for too long, before all other work.
+    Owed,
+    /// All that wait, by urgency.
+    Usual,
+}
+
 impl Dispatcher {
     /// Gives out what can be given out, and asks for the advice that is missing. Gives what that took,
     /// in looks at a worker.
@@ -24,6 +33,7 @@
         self.waits.update(m, &self.book);
         self.wait_lines.choose(m.now, &self.waits);
         let Looked { mut urgent, mut by_turns, passed_over } = self.look_at(m);
+        by_turns.extend(self.long_waiting(m, &urgent, &by_turns));
         let steps = (urgent.len() + by_turns.len()) as u64;
         self.looks = passed_over + steps * LOOKS_A_STEP;
         urgent.sort_by_cached_key(|e| self.urgency(m, e));
@@ -38,23 +48,21 @@
         self.find_spared(m);
         self.desk.begin_plan(m.now);
         let owed = self.owed_steps(m);
-        urgent.retain(|e| !owed.contains(e));
-        by_turns.retain(|e| !owed.contains(e));
         self.looks += owed.len() as u64 * LOOKS_A_STEP;
         self.desk.look_again(m.now, Urge::Owed, owed.iter().map(|e| &e.key), owed.len());
         self.desk.look_again(m.now, Urge::Usual, urgent.iter().map(|e| &e.key), MOST_LOOKS_AGAIN);
         let rest = by_turns.iter().map(|e| &e.key);
         self.desk.look_again(m.now, Urge::Usual, rest, by_turns.len());
         let mut orders = self.orders_under_way();
-        self.plan_steps(m, owed, &mut orders);
+        self.plan_steps(m, Turn::Owed, owed, &mut orders);
         let owed_put_back = self.put_back.len();
-        self.plan_steps(m, urgent, &mut orders);
+        self.plan_steps(m, Turn::Usual, urgent, &mut orders);
         // While some steps were not looked at for want of looks, as after a burst, these might start, so
         // they come before steps that wait. And tickets are kept at hand only for those that come first
         // when room does.
         let all_looked_at = self.without_look == 0;
         let waiting = if all_looked_at { self.put_back.len() } else { owed_put_back };
-        self.plan_steps(m, by_turns, &mut orders);
+        self.plan_steps(m, Turn::Usual, by_turns, &mut orders);
         self.put_back.truncate(waiting);
         self.ask_for_waiting(m);
         for entry in self.desk.due_ahead(m.now) {
@@ -74,14 +82,30 @@
         looked
     }
 
+    /// Gives the steps with tasks that last, have waited for long and would not be looked at in this plan, the first ones
+    /// of them: they are looked at however many stand before them.
+    fn long_waiting(&self, m: Moment, urgent: &[OpenStep], by_turns: &[OpenStep]) -> Vec<OpenStep> {
+        let waits = self.waits.steps().filter(|(_, since)| m.now.since(*since) >= LONG_WAIT);
+        let mut waits: Vec<(Millis, StepKey)> = waits.map(|(key, at)| (at, *key)).collect();
+        waits.sort_unstable();
+        let entries = waits.into_iter().filter_map(|(_, key)| self.open_step(key));
+        let is_new = |e: &OpenStep| !urgent.contains(e) && !by_turns.contains(e);
+        entries.filter(is_new).take(MOST_OWED).collect()
+    }
+
+    fn open_step(&self, key: StepKey) -> Option<OpenStep> {
+        let job = self.book.job(key.job)?;
+        Some(OpenStep { priority: job.priority, order: job.order, key })
+    }
+
     /// Gives the steps with tasks that last and have waited for long, as many as a plan puts first. If there are
     /// more, each has its turn of some time, so that those that can start nowhere do not stand before the others.
     ///
     /// Load pattern: a backlog of smaller tasks, more and less urgent ones, takes all room as it comes free and all
     /// calls for advice. A task that lasts asks for little and waits once in a while, but never finds both at once.
     fn owed_steps(&self, m: Moment) -> Vec<OpenStep> {
-        let mut owed: Vec<(Millis, StepKey)> = self.waits.steps().map(|(k, at)| (at, *k)).collect();
-        owed.retain(|(_, key)| self.is_owed(m, key));
+        let owed = self.waits.owed_steps(m.now);
+        let mut owed: Vec<(Millis, StepKey)> = owed.map(|(k, at)| (at, *k)).collect();
         owed.sort_unstable();
         if owed.len() > MOST_OWED {
             let turns = (m.now.0 / OWED_TURN.0) as usize;
@@ -89,42 +113,41 @@
             owed.rotate_left(first);
             owed.truncate(MOST_OWED);
         }
-        let entry = |(_, key): (Millis, StepKey)| {
-            let job = self.book.job(key.job)?;
-            Some(OpenStep { priority: job.priority, order: job.order, key })
-        };
-        owed.into_iter().filter_map(entry).collect()
+        owed.into_iter().filter_map(|(_, key)| self.open_step(key)).collect()
     }
 
     /// Places what it can of some steps, and adds the tasks to the starts under way.
-    fn plan_steps(&mut self, m: Moment, steps: Vec<OpenStep>, orders: &mut usize) {
+    fn plan_steps(&mut self, m: Moment, turn: Turn, steps: Vec<OpenStep>, orders: &mut usize) {
         for entry in steps {
             if *orders >= MOST_ORDERS {
                 break;
             }
-            *orders += self.plan_step(m, entry);
+            *orders += self.plan_step(m, turn, entry);
         }
     }
 
     /// Places what it can of a step; gives how many tasks that were.
-    fn plan_step(&mut self, m: Moment, entry: OpenStep) -> usize {
+    fn plan_step(&mut self, m: Moment, turn: Turn, entry: OpenStep) -> usize {
         let key = entry.key;
         let Some(job) = self.book.job(key.job) else { return 0 };
         self.desk.forget_ahead(&key);
         let (queue, job) = (job.queue.clone(), job.spec.clone());
         let spec = &job.steps[key.step as usize];
         let Some(step) = self.book.step(&key) else { return 0 };
-        let all_waiting: Vec<u32> = step.waiting().collect();
-        let held_back = all_waiting.len();
-        let waiting = self.may_start(m, &key, spec, all_waiting);
-        let held_back = held_back - waiting.len();
+        let is_meant = |index: &u32| {
+            turn == Turn::Usual || self.waits.is_owed(m.now, &TaskKey { step: key, index: *index })
+        };
+        let meant: Vec<u32> = step.waiting().filter(is_meant).collect();
+        let meant_count = meant.len();
+        let waiting = self.may_start(m, &key, spec, meant);
+        let held_back = meant_count - waiting.len();
         if waiting.is_empty() {
             self.tell_wait(m, &key, true);
             return 0;
         }
         let next_run = step.last_run() + 1;
         let advice = self.advice_of.get(&queue).copied();
-        let reach = self.reach(m, &key, spec, advice.is_some());
+        let reach = self.reach(m, &key, spec, turn, advice.is_some());
         let mut seats = self.seats(m, reach, &key, spec, advice.is_some());
         self.looks += seats.len() as u64;
         let placed = match spec.gang {
@@ -140,11 +163,14 @@
         if left == 0 && held_back > 0 {
             // They may start as soon as the others seem well, so tickets for them are had by then.
             if let Some(policy) = advice {
-                let (tasks, urge) = (held_back as u64, self.urge(m, &key));
+                let (tasks, urge) = (held_back as u64, Dispatcher::urge(turn));
                 self.ask(m, Need { key, queue, policy, job, tasks, reach, urge });
             }
             return found;
         }
+        if left == 0 && turn == Turn::Owed {
+            return found;
+        }
         if left == 0 {
             self.desk.all_placed(&key);
             self.look_ahead(m, entry);
@@ -152,10 +178,10 @@
         }
         // Before room is kept free: what the step keeps for itself is room for it.
         if let Some(policy) = advice {
-            let (job, tasks, urge) = (job.clone(), left as u64, self.urge(m, &key));
+            let (job, tasks, urge) = (job.clone(), left as u64, Dispatcher::urge(turn));
             self.ask(m, Need { key, queue, policy, job, tasks, reach, urge });
         }
-        self.make_room(m, reach, &key, spec, left, advice.is_some());
+        self.make_room(m, reach, &key, spec, left, turn, advice.is_some());
         found
     }
 
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -16,6 +16,7 @@
     LARGE_PART, MOST_KEPT_PART, MOST_LOOKS_FOR_OWED, MOST_ROOMS_MADE, PREEMPT_SLACK,
     SHORTEST_PREEMPTOR,
 };
+use crate::place::Turn;
 use crate::seats::most_more;
 use crate::standing::Reach;
 use crate::view::{Stage, View};
@@ -141,6 +142,7 @@
         key: &StepKey,
         spec: &StepSpec,
         tasks: usize,
+        turn: Turn,
         by_advice: bool,
     ) {
         let off = !self.limits.mechanisms.keeps_room;
@@ -164,7 +166,7 @@
         let mut workers = ids.iter().filter_map(|id| self.book.worker(id));
         // A task that lasts and has waited for long waits for room like a large one: smaller tasks take what
         // comes free.
-        let owed = self.is_owed(m, key) && self.looks < MOST_LOOKS_FOR_OWED;
+        let owed = turn == Turn::Owed && self.looks < MOST_LOOKS_FOR_OWED;
         let waits_for_room = spec.gang || owed;
         if !waits_for_room && !workers.any(|w| is_large(&spec.size, &w.info.capacity)) {
             return;
--- a/components/dispatch/src/standing.rs
+++ b/components/dispatch/src/standing.rs
@@ -19,10 +19,11 @@
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
 use crate::limits::{
-    FAILED_JOBS_IN_A_ROW, FAILS_FADE, LASTING_PATIENCE, MOST_ASIDE_PART, MOST_DOUBLINGS, SET_ASIDE,
-    TRY_AGAIN, YOUNG_RUN,
+    FAILED_JOBS_IN_A_ROW, FAILS_FADE, MOST_ASIDE_PART, MOST_DOUBLINGS, SET_ASIDE, TRY_AGAIN,
+    YOUNG_RUN,
 };
 use crate::order::RunRow;
+use crate::place::Turn;
 use crate::view::{Stage, View};
 
 /// For how long a single failure weighs against its worker: a few tries of a quick task elsewhere.
@@ -317,12 +318,6 @@
         self.spares_any = self.views.iter().any(spared);
     }
 
-    /// Tells whether a step has a task that lasts and has waited for longer than it should.
-    pub(crate) fn is_owed(&self, m: Moment, key: &StepKey) -> bool {
-        let since = self.waits.since(key);
-        since.is_some_and(|at| m.now.since(at) >= LASTING_PATIENCE)
-    }
-
     /// Gives which workers a step may go to. Those that are spared are left out only as long as there is one
     /// among the others that may run the step, whatever room it has, and none of its tasks that last has waited
     /// for long: a failed try costs such a task nothing.
@@ -331,10 +326,11 @@
         m: Moment,
         key: &StepKey,
         spec: &StepSpec,
+        turn: Turn,
         by_advice: bool,
     ) -> Reach {
         let Some(job) = self.book.job(key.job) else { return Reach::Good };
-        if self.is_owed(m, key) {
+        if turn == Turn::Owed {
             return Reach::All;
         }
         if !self.spares_any {
--- a/components/dispatch/src/waits.rs
+++ b/components/dispatch/src/waits.rs
@@ -9,9 +9,25 @@
 use workload::{Book, Command, Job, JobId, JobSpec, OpenStep, StepKey, TaskKey};
 
 use crate::input::Moment;
+use crate::limits::{FIRST_RUN_PATIENCE, LASTING_PATIENCE};
 
-/// The tasks of one step that wait, by their place in the step, with since when each does.
-type Waiting = BTreeMap<u32, Millis>;
+/// The tasks of one step that wait, by their place in the step.
+type Waiting = BTreeMap<u32, Wait>;
+
+/// How a task waits.
+#[derive(Clone, Copy, Debug)]
+struct Wait {
+    since: Millis,
+    /// Whether it has run before.
+    has_run: bool,
+}
+
+impl Wait {
+    /// Gives from when on the task comes before other work.
+    fn is_owed_from(&self) -> Millis {
+        self.since + if self.has_run { LASTING_PATIENCE } else { FIRST_RUN_PATIENCE }
+    }
+}
 
 /// Since when tasks of steps that last wait for a worker. A wait begins with the first plan that finds the task
 /// without a run, or as this leader takes over, and ends as the task is given to a worker. Rounds that are not
@@ -104,8 +120,10 @@
                 continue;
             };
             let known = before.remove(&key).unwrap_or_default();
-            let since = |i: u32| known.get(&i).copied().unwrap_or(m.now);
-            let waiting: Waiting = step.waiting().map(|i| (i, since(i))).collect();
+            let since = |i: u32| known.get(&i).map_or(m.now, |w| w.since);
+            let has_run = |i: u32| step.tasks.get(i as usize).is_some_and(|t| t.run > 0);
+            let wait = |i: u32| Wait { since: since(i), has_run: has_run(i) };
+            let waiting: Waiting = step.waiting().map(|i| (i, wait(i))).collect();
             self.waiting.insert(key, waiting);
         }
     }
@@ -130,6 +148,19 @@
         self.waiting.keys().filter_map(|key| Some((key, self.longest(key)?.1)))
     }
 
+    /// Gives the steps with tasks that come before other work, and from when on the first of each does.
+    pub(crate) fn owed_steps(&self, now: Millis) -> impl Iterator<Item = (&StepKey, Millis)> {
+        let first = |waiting: &Waiting| waiting.values().map(Wait::is_owed_from).min();
+        let steps = self.waiting.iter().filter_map(move |(key, w)| Some((key, first(w)?)));
+        steps.filter(move |(_, from)| *from <= now)
+    }
+
+    /// Tells whether a task comes before other work.
+    pub(crate) fn is_owed(&self, now: Millis, task: &TaskKey) -> bool {
+        let wait = self.waiting.get(&task.step).and_then(|w| w.get(&task.index));
+        wait.is_some_and(|w| w.is_owed_from() <= now)
+    }
+
     /// Gives the tasks that wait, and since when.
     pub(crate) fn tasks(&self) -> impl Iterator<Item = (TaskKey, Millis)> {
         self.waiting.keys().flat_map(|step| self.of_step(step))
@@ -139,7 +170,7 @@
     pub(crate) fn of_step(&self, step: &StepKey) -> impl Iterator<Item = (TaskKey, Millis)> {
         let task = |index: &u32| TaskKey { step: *step, index: *index };
         let waiting = self.waiting.get(step).into_iter().flatten();
-        waiting.map(move |(index, since)| (task(index), *since))
+        waiting.map(move |(index, wait)| (task(index), wait.since))
     }
 }
 
