--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -188,7 +188,7 @@
             ("--platform", platform.addr.to_string()),
             ("--data-folder", folder.path().join("data").display().to_string()),
             ("--drain-notice-ms", "10".to_string()),
-            ("--log-level", "off".to_string()),
+            ("--log-level", "info".to_string()),
         ]
         .into_iter()
         .flat_map(|(k, v)| [k.to_string(), v])
@@ -198,13 +198,24 @@
     }
 
     pub fn wait_ready(&mut self) {
-        wait_until("the instance is ready", || {
+        let deadline = Instant::now() + PATIENCE;
+        loop {
             if let Some(status) = self.child.try_wait().unwrap() {
-                let told = std::fs::read_to_string(self.folder.path().join("told"));
-                panic!("the instance has ended: {status} {}", told.unwrap_or_default());
+                panic!("the instance has ended: {status} {}", self.told());
             }
-            self.get("/health").is_some_and(|w| w.status() == 200)
-        });
+            let health = self.get("/health").map(|w| w.status());
+            if health == Some(200) {
+                return;
+            }
+            let in_time = Instant::now() < deadline;
+            assert!(in_time, "the instance is ready: never came, {health:?}\n{}", self.told());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    /// Gives what the process has said.
+    fn told(&self) -> String {
+        std::fs::read_to_string(self.folder.path().join("told")).unwrap_or_default()
     }
 
     pub fn kill_and_restart(&mut self) {
