--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -93,6 +93,7 @@
         entries.filter(is_new).take(MOST_OWED).collect()
     }
 
+    /// Gives a step with its place among those that wait.
     fn open_step(&self, key: StepKey) -> Option<OpenStep> {
         let job = self.book.job(key.job)?;
         Some(OpenStep { priority: job.priority, order: job.order, key })
@@ -134,6 +135,7 @@
         let (queue, job) = (job.queue.clone(), job.spec.clone());
         let spec = &job.steps[key.step as usize];
         let Some(step) = self.book.step(&key) else { return 0 };
+        // The members of a gang wait from the same moment on, so all of them are meant or none is.
         let is_meant = |index: &u32| {
             turn == Turn::Usual || self.waits.is_owed(m.now, &TaskKey { step: key, index: *index })
         };
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -107,8 +107,8 @@
     /// Gives how many more of its tasks may be started then: one first, and more the more are well.
     fn may_start(&self) -> usize {
         let unheard = self.unheard.min(MOST_UNHEARD);
-        let open = self.unsettled.saturating_sub(unheard + self.promising);
-        (self.settled + unheard + self.promising + 1).saturating_sub(open)
+        let unknown = self.unsettled.saturating_sub(unheard + self.promising);
+        (self.settled + unheard + self.promising + 1).saturating_sub(unknown)
     }
 }
 
