--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -183,7 +183,7 @@
             let (job, tasks, urge) = (job.clone(), left as u64, Dispatcher::urge(turn));
             self.ask(m, Need { key, queue, policy, job, tasks, reach, urge });
         }
-        self.make_room(m, reach, &key, spec, left, turn, advice.is_some());
+        self.make_room(m, reach, &key, spec, left, turn);
         found
     }
 
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -143,13 +143,13 @@
         spec: &StepSpec,
         tasks: usize,
         turn: Turn,
-        by_advice: bool,
     ) {
         let off = !self.limits.mechanisms.keeps_room;
         if off || spec.filler {
             return;
         }
         let Some(sought) = self.sought(key, spec) else { return };
+        let by_advice = self.is_by_advice(key);
         let mut kept = match self.rooms_made.get(&sought) {
             Some(kept) => *kept,
             None => Kept { of: self.room_of(&sought), ..Kept::default() },
@@ -219,6 +219,11 @@
         sought.fold(Size::ZERO, |a, i| a.plus(&i.capacity))
     }
 
+    /// Tells whether the advice service is asked about a step.
+    fn is_by_advice(&self, key: &StepKey) -> bool {
+        self.book.job(key.job).is_some_and(|j| self.advice_of.contains_key(&j.queue))
+    }
+
     fn sought(&self, key: &StepKey, spec: &StepSpec) -> Option<Sought> {
         let service = self.book.job(key.job)?.service.clone();
         Some(Sought { service, label: spec.constraint.clone() })
