Failing tests: what is done on a worker that has started again under its id is done again

The stand-in for workers learns to start again under the id that it had: it says when it was born, its counts and its clock begin anew, and its connections end with the life that they were made to.

--- a/components/testkit/src/platform_worker.rs
+++ b/components/testkit/src/platform_worker.rs
@@ -1,12 +1,16 @@
 //! A stand-in for a worker of the users' platform, written from its published pages: it starts, stops
 //! and lists runs under a lease, keeps out lower fences, and announces itself.
+//!
+//! When it crashes, another life follows, which holds and knows nothing of the one before. It bears a new id, or, where
+//! the worker keeps its id, the same one: then it says when it was born, and its counts and its clock begin anew.
+//! Connections end with the life that they were made to.
 
 use std::collections::BTreeMap;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde_json::{Value, json};
 
@@ -30,12 +34,20 @@
     record: usize,
 }
 
-#[derive(Default)]
+/// One life of a worker.
 struct Inside {
     /// How many lives there were before this one.
     life: u32,
+    /// When it began, by the worker's steady clock.
+    began: Instant,
+    /// When it began, in milliseconds since 1970.
+    born: u64,
     /// Until when the worker is down.
     down_until: Option<Instant>,
+    /// Whether it has said that it leaves.
+    leaving: bool,
+    /// What the worker has, in thousandths of a core.
+    cpu: u64,
     fence: u64,
     lease: u64,
     running: BTreeMap<String, Run>,
@@ -47,6 +59,56 @@
     crashes: usize,
 }
 
+impl Inside {
+    /// The first life of a worker.
+    fn first(cpu: u64) -> Inside {
+        Inside {
+            life: 0,
+            began: Instant::now(),
+            born: wall_ms(),
+            down_until: None,
+            leaving: false,
+            cpu,
+            fence: 0,
+            lease: 0,
+            running: BTreeMap::new(),
+            closed: BTreeMap::new(),
+            finished: Vec::new(),
+            last_number: 0,
+            overcommits: 0,
+            crashes: 0,
+        }
+    }
+
+    /// The life after this one, which begins once the worker has been down for a while.
+    fn next(&self, down: Duration) -> Inside {
+        let began = Instant::now() + down;
+        Inside {
+            life: self.life + 1,
+            began,
+            // Two lives never begin in the same millisecond.
+            born: (wall_ms() + down.as_millis() as u64).max(self.born + 1),
+            down_until: Some(began),
+            overcommits: self.overcommits,
+            crashes: self.crashes + 1,
+            ..Inside::first(self.cpu)
+        }
+    }
+
+    /// Gives the worker's clock, which begins anew with each life.
+    fn clock(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    fn is_down(&self) -> bool {
+        self.down_until.is_some_and(|until| Instant::now() < until)
+    }
+}
+
+fn wall_ms() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
+}
+
 /// What a worker has, and how its runs go.
 #[derive(Clone, Debug)]
 pub struct PlatformWorkerConfig {
@@ -58,15 +120,18 @@
     pub cpu: u64,
     /// How long every run takes.
     pub work: Duration,
+    /// Whether each of its lives bears the same id, and says when it was born.
+    pub keeps_id: bool,
 }
 
 struct Shared {
     cfg: PlatformWorkerConfig,
     addr: SocketAddr,
     proxy: Proxy,
-    born: Instant,
     inside: Mutex<Inside>,
     changed: Condvar,
+    /// The connections to the life under way.
+    streams: Mutex<Vec<TcpStream>>,
     log: RunLog,
     stop: AtomicBool,
 }
@@ -87,12 +152,12 @@
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let addr = listener.local_addr()?;
         let shared = Arc::new(Shared {
-            cfg,
             addr,
             proxy: Proxy::start(addr)?,
-            born: Instant::now(),
-            inside: Mutex::default(),
+            inside: Mutex::new(Inside::first(cfg.cpu)),
             changed: Condvar::new(),
+            streams: Mutex::default(),
+            cfg,
             log,
             stop: AtomicBool::new(false),
         });
@@ -108,6 +173,21 @@
         &self.0.proxy
     }
 
+    /// Ends the life under way with all that runs; the next one begins after a while.
+    pub fn restart(&self, down: Duration) {
+        self.0.crash(&mut self.0.lock(), down);
+    }
+
+    /// Has the life under way say that it leaves.
+    pub fn leave(&self) {
+        self.0.lock().leaving = true;
+    }
+
+    /// Changes what the worker has, in thousandths of a core. It tells with its next announcement.
+    pub fn resize(&self, cpu: u64) {
+        self.0.lock().cpu = cpu;
+    }
+
     /// Gives how often the worker has crashed.
     pub fn crashes(&self) -> usize {
         self.0.lock().crashes
@@ -132,44 +212,38 @@
         self.inside.lock().unwrap_or_else(|e| e.into_inner())
     }
 
-    fn clock(&self) -> u64 {
-        self.born.elapsed().as_millis() as u64
-    }
-
     fn stopped(&self) -> bool {
         self.stop.load(Ordering::SeqCst)
     }
 
-    /// Gives the id of the life under way, or `None` while the worker is down.
-    fn id(&self) -> Option<String> {
-        let inside = self.lock();
-        let down = inside.down_until.is_some_and(|until| Instant::now() < until);
-        (!down).then(|| self.id_of(inside.life))
-    }
-
+    /// Gives the id that a life bears.
     fn id_of(&self, life: u32) -> String {
-        match life {
-            0 => self.cfg.id.clone(),
+        match (life, self.cfg.keeps_id) {
+            (0, _) | (_, true) => self.cfg.id.clone(),
             _ => format!("{}-{life}", self.cfg.id),
         }
     }
 
-    /// Ends the life under way with all that runs; another one follows, which knows nothing of it.
-    fn crash(&self, inside: &mut Inside) {
+    /// Gives the name of a life in the log of runs, which no other life bears.
+    fn recorded_as(&self, life: u32) -> String {
+        format!("{}#{life}", self.cfg.id)
+    }
+
+    /// Ends the life under way with all that runs and with its connections; another one follows, which knows nothing
+    /// of it.
+    fn crash(&self, inside: &mut Inside, down: Duration) {
         let now = Instant::now();
         let mut log = self.log.lock();
         for run in inside.running.values() {
             log.runs[run.record].to = Some((now, "gone"));
         }
-        log.lapses.push((self.id_of(inside.life), now));
+        log.lapses.push((self.recorded_as(inside.life), now));
         drop(log);
-        *inside = Inside {
-            life: inside.life + 1,
-            down_until: Some(now + DOWN),
-            overcommits: inside.overcommits,
-            crashes: inside.crashes + 1,
-            ..Inside::default()
-        };
+        *inside = inside.next(down);
+        for stream in self.streams.lock().unwrap_or_else(|e| e.into_inner()).drain(..) {
+            // It may have ended by itself.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
         self.changed.notify_all();
     }
 
@@ -182,9 +256,8 @@
         self.changed.notify_all();
     }
 
-    fn start_run(&self, body: &Value) -> (u16, Value) {
-        let mut inside = self.lock();
-        let clock = self.clock();
+    fn start_run(&self, inside: &mut Inside, body: &Value) -> (u16, Value) {
+        let clock = inside.clock();
         let (task, run) = (text(body, "task"), number(body, "run"));
         let refuse = |why: &str| (409, json!({"clock_ms": clock, "reason": why}));
         if number(body, "fence") < inside.fence {
@@ -204,7 +277,7 @@
         let record = RunRecord {
             task: task.clone(),
             run,
-            worker: self.id_of(inside.life),
+            worker: self.recorded_as(inside.life),
             from: Instant::now(),
             to: None,
         };
@@ -222,22 +295,21 @@
         };
         drop(log);
         inside.running.insert(task, run);
-        if inside.running.values().map(|r| r.cpu).sum::<u64>() > self.cfg.cpu {
+        if inside.running.values().map(|r| r.cpu).sum::<u64>() > inside.cpu {
             inside.overcommits += 1;
         }
         (200, json!({"clock_ms": clock}))
     }
 
-    fn stop_run(&self, body: &Value) -> (u16, Value) {
-        let mut inside = self.lock();
-        let clock = self.clock();
+    fn stop_run(&self, inside: &mut Inside, body: &Value) -> (u16, Value) {
+        let clock = inside.clock();
         let (task, run) = (text(body, "task"), number(body, "run"));
         if number(body, "fence") < inside.fence {
             return (409, json!({"clock_ms": clock, "reason": "fence"}));
         }
         inside.fence = number(body, "fence");
         if inside.running.get(&task).is_some_and(|r| r.number <= run) {
-            self.end(&mut inside, &task, "stopped");
+            self.end(inside, &task, "stopped");
         }
         let closed = inside.closed.entry(task).or_default();
         *closed = run.max(*closed);
@@ -245,10 +317,9 @@
     }
 
     /// Answers a renewal, unless the worker crashes while it waits.
-    fn hold(&self, body: &Value) -> Option<(u16, Value)> {
-        let mut inside = self.lock();
+    fn hold(&self, mut inside: MutexGuard<'_, Inside>, body: &Value) -> Option<(u16, Value)> {
         if number(body, "fence") < inside.fence {
-            return Some((409, json!({"clock_ms": self.clock(), "reason": "fence"})));
+            return Some((409, json!({"clock_ms": inside.clock(), "reason": "fence"})));
         }
         inside.fence = number(body, "fence");
         inside.lease = inside.lease.max(number(body, "deadline_ms"));
@@ -268,22 +339,43 @@
             inside.running.iter().map(|(t, r)| json!([t, r.number, "", 0])).collect();
         let finished: Vec<Value> =
             inside.finished.iter().map(|(n, t, r, how)| json!([n, t, r, how, ""])).collect();
-        Some((200, json!({"clock_ms": self.clock(), "running": running, "finished": finished})))
+        let mut lists =
+            json!({"clock_ms": inside.clock(), "running": running, "finished": finished});
+        if self.cfg.keeps_id {
+            lists["born"] = json!(inside.born);
+        }
+        Some((200, lists))
     }
 
-    /// Gives the answer to a call; none while the worker is down.
-    fn answer(&self, req: &Wire) -> Option<(u16, Value)> {
-        if req.header("x-expect-instance") != self.id()? {
+    /// Gives the answer to a call on a connection to a life; none once that is over.
+    fn answer(&self, req: &Wire, life: u32) -> Option<(u16, Value)> {
+        let mut inside = self.lock();
+        if inside.life != life || inside.is_down() {
+            return None;
+        }
+        if req.header("x-expect-instance") != self.id_of(life) {
             return Some((421, json!({})));
         }
         let body = serde_json::from_slice(&req.body).unwrap_or_default();
         Some(match req.first_line.split(' ').nth(1).unwrap_or_default() {
-            "/run-start" => self.start_run(&body),
-            "/run-stop" => self.stop_run(&body),
-            "/hold" => return self.hold(&body),
+            "/run-start" => self.start_run(&mut inside, &body),
+            "/run-stop" => self.stop_run(&mut inside, &body),
+            "/hold" => return self.hold(inside, &body),
             _ => (404, json!({})),
         })
     }
+
+    /// Waits until a life is under way; gives which.
+    fn await_life(&self) -> u32 {
+        loop {
+            let inside = self.lock();
+            if !inside.is_down() {
+                return inside.life;
+            }
+            drop(inside);
+            thread::sleep(Duration::from_millis(2));
+        }
+    }
 }
 
 /// Tells when a run ends its worker's life: its job's text may name a task at fault, by the end of its name, and how
@@ -312,18 +404,26 @@
     }
 }
 
+/// Serves a connection. One that is opened while the worker is down reaches the next life, as the system goes on trying
+/// to open it.
 fn serve(mut stream: TcpStream, shared: &Shared) {
+    let life = shared.await_life();
+    if let Ok(kept) = stream.try_clone() {
+        shared.streams.lock().unwrap_or_else(|e| e.into_inner()).push(kept);
+    }
     while let Some(req) = read_wire(&mut stream) {
         if shared.stopped() {
             return;
         }
-        let Some((status, body)) = shared.answer(&req) else { return };
+        let Some((status, body)) = shared.answer(&req, life) else { break };
         let line = format!("HTTP/1.1 {status} -");
         let head = [("content-type", "application/json".to_string())];
         if write_wire(&mut stream, &line, &head, body.to_string().as_bytes()).is_err() {
-            return;
+            break;
         }
     }
+    // It may have ended already.
+    let _ = stream.shutdown(Shutdown::Both);
 }
 
 /// Ends what is done, and everything once the lease is over.
@@ -332,13 +432,13 @@
     while !shared.stopped() {
         let mut inside = shared.lock();
         let now = Instant::now();
-        let lapsed = shared.clock() >= inside.lease;
+        let lapsed = inside.clock() >= inside.lease;
         if leased && lapsed {
-            shared.log.lock().lapses.push((shared.id_of(inside.life), now));
+            shared.log.lock().lapses.push((shared.recorded_as(inside.life), now));
         }
         leased = !lapsed;
         if inside.running.values().any(|r| r.crashes_at.is_some_and(|at| now >= at)) {
-            shared.crash(&mut inside);
+            shared.crash(&mut inside, DOWN);
         }
         let how = |r: &Run| match (lapsed, r.fails) {
             (true, _) => "lapsed",
@@ -360,19 +460,31 @@
 }
 
 fn announce(shared: &Shared, controls: &[SocketAddr]) {
-    let mut seq = 0_u64;
+    let (mut seq, mut announced) = (0_u64, 0);
     while !shared.stopped() {
-        seq += 1;
-        let Some(id) = shared.id() else {
+        let inside = shared.lock();
+        if inside.is_down() {
+            drop(inside);
             thread::sleep(Duration::from_millis(20));
             continue;
-        };
-        let body = json!({
+        }
+        if shared.cfg.keeps_id && inside.life != announced {
+            seq = 0;
+        }
+        seq += 1;
+        announced = inside.life;
+        let id = shared.id_of(inside.life);
+        let mut body = json!({
             "service": shared.cfg.service, "address": shared.proxy.addr().to_string(), "zone": "z",
-            "version": "v1", "slots": 8, "state": "ready", "cold_left_ms": 0, "seq": seq,
-            "capacity": {"cpu": shared.cfg.cpu, "mem_mb": 100_000, "gpu": 0},
-            "labels": ["a", "r1"], "clock_ms": shared.clock(),
+            "version": "v1", "slots": 8, "cold_left_ms": 0, "seq": seq,
+            "state": if inside.leaving { "draining" } else { "ready" },
+            "capacity": {"cpu": inside.cpu, "mem_mb": 100_000, "gpu": 0},
+            "labels": ["a", "r1"], "clock_ms": inside.clock(),
         });
+        if shared.cfg.keeps_id {
+            body["born"] = json!(inside.born);
+        }
+        drop(inside);
         let line = format!("POST /Instances.Heartbeat/{id} HTTP/1.1");
         let head = [("content-type", "application/json".to_string()), ("host", "c".to_string())];
         for control in controls {
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -210,8 +210,17 @@
         Cell::start_with(workers, |_| {})
     }
 
+    /// The same with workers that start again under the id that they had.
+    pub fn start_with_lives(workers: usize) -> Cell {
+        Cell::start_each(workers, true, |_| {})
+    }
+
     /// The same with each process prepared before it starts, as with a limit on its open files.
     pub fn start_with(workers: usize, prepare: impl Fn(&mut Node)) -> Cell {
+        Cell::start_each(workers, false, prepare)
+    }
+
+    fn start_each(workers: usize, keeps_id: bool, prepare: impl Fn(&mut Node)) -> Cell {
         let mut nodes: Vec<Node> = (0..5).map(|i| Node::new(i < 3)).collect();
         nodes.iter_mut().for_each(prepare);
         let controls: Vec<SocketAddr> =
@@ -228,6 +237,7 @@
                 service: "s".into(),
                 cpu: 4_000,
                 work: Duration::from_millis(200),
+                keeps_id,
             };
             PlatformWorker::start(cfg, controls.clone(), runs.clone()).expect("a worker")
         };
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,6 +2,7 @@
 
 mod cell;
 mod crashes;
+mod lives;
 mod silent_links;
 mod soak;
 mod waits;
