A worker that answers again tells its clock, and the last end that the log holds of it

Nothing told which life a report is from. A clock of 380 ms beside seen=57 tells of two lives under one id, and tells apart what is read as old (the numbers) and what is reckoned wrongly (the clock).

--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -80,7 +80,11 @@
         }
         if regained {
             self.plan_due = true;
-            self.note(&kinds::WORKER_REACHED, id, format!("runs={}", report.running.len()));
+            // A clock and a last end that do not belong together tell of two lives under one id.
+            let (runs, clock) = (report.running.len(), report.clock.0);
+            let seen = self.book.worker(id).map_or(0, |w| w.seen);
+            let details = format!("runs={runs} clock_ms={clock} seen={seen}");
+            self.note(&kinds::WORKER_REACHED, id, details);
         }
         let news = self.take_ends(m, id, report.ends);
         if let Some(view) = self.views.get_mut(id) {
