What is known of a worker is kept by its life, and a call reaches the life that it was decided for

Callers saw tasks that must run once run up to four times, and a job stand beside free workers since a task of the step before was run again and again.

Cause: an id was taken for one life of a worker. One that starts again under its id numbers its ends from 1, and the log held the last number of the life before: its ends were passed over, the worker was told to forget them, and their runs, neither listed nor ended, counted as never begun. By the same cause one that had said it leaves was never used again, one that came back smaller was filled to what it had had, and leases were reckoned by the clock of a life that was over. Ruled out: answers that overtake each other (only workers that had started again, in 600 lines of 600), a step that the plan passes over (without_look=0), starts refused as late (none).

Mend: the id of a worker is its name and its birth, made where announcements are read, so all that is kept by id is kept by life. It holds for calls too: connections end with the life they were made to, so the far end of each is asked once which life it is, and calls go over that connection or not at all. A worker that says no birth is as before; one that the log holds without a birth goes on under the new id.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -18,6 +18,7 @@
 mod input;
 mod lease;
 mod limits;
+mod lives;
 mod order;
 mod orders;
 mod place;
--- a/components/dispatch/src/order.rs
+++ b/components/dispatch/src/order.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use model::Name;
 use serde::{Deserialize, Serialize};
-use workload::{End, TaskKey, WorkerInfo};
+use workload::{End, TaskKey, WorkerId, WorkerInfo};
 
 /// What a worker announces of itself.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -126,4 +126,6 @@
     Silent(Name),
     /// The order surely did not leave, for want of a connection or of time.
     NotSent(Name),
+    /// The worker says by now when its lives began, and this one answered a renewal that named none.
+    Named(WorkerId),
 }
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -147,9 +147,9 @@
                 view.record.rest(m.now + REST);
                 self.never_started(id, vec![(*task, run)], &format!("not sent: {why}"));
             }
-            Err(CallError::Silent(why) | CallError::NotSent(why)) => {
+            Err(e @ (CallError::Silent(_) | CallError::NotSent(_) | CallError::Named(_))) => {
                 order.retry_at = Some(m.now + ORDER_RETRY);
-                let details = format!("run={run} worker={id} tries={} why={why:?}", order.tries);
+                let details = format!("run={run} worker={id} tries={} why={e:?}", order.tries);
                 // No order is given up earlier, however quickly workers answer.
                 let due = order.sent_at + SHORTEST_ANSWER;
                 view.note_silence(m.now, due);
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -54,6 +54,10 @@
                 self.worker_gone(id, LifeEnd::OtherLife);
                 return;
             }
+            Err(CallError::Named(life)) => {
+                self.name_life(m, id, life);
+                return;
+            }
             Err(e) => {
                 let retry = if view.in_contact { RENEW_AGAIN } else { RENEW_RETRY };
                 view.note_silence(m.now, view.answer_due);
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -128,6 +128,20 @@
         renewal_due || now >= self.lapses_at || self.orders.values().any(order_due)
     }
 
+    /// Forgets the calls under way and what was read of the worker, so that its next report tells all anew.
+    pub(crate) fn forget_calls(&mut self, now: Millis) {
+        self.news = 0;
+        self.reading = None;
+        self.in_contact = false;
+        self.renewing = false;
+        self.renew_at = now;
+        let under_way = self
+            .orders
+            .values_mut()
+            .filter(|o| matches!(o.stage, Stage::Starting | Stage::Stopping));
+        under_way.for_each(|o| o.retry_at = Some(now));
+    }
+
     /// Takes in a reading of the worker's clock.
     pub(crate) fn read_clock(&mut self, now: Millis, clock: Millis) {
         self.reading = Some(Reading { at: now, clock });
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -37,6 +37,12 @@
     /// Takes in a worker's announcement.
     pub(crate) fn on_news(&mut self, m: Moment, news: WorkerNews) {
         let id = news.info.id.clone();
+        match id.born() {
+            Some(_) => self.name_life(m, &id.without_birth(), id.clone()),
+            // Passed on by an instance that does not read births yet: the worker itself says when it was born.
+            None if self.knows_birth(&id) => return,
+            None => {}
+        }
         if !self.views.contains_key(&id) && !self.is_configured(&news.info.service) {
             self.note_stranger(m, news);
             return;
@@ -93,9 +99,15 @@
     /// Takes in that a worker ends now.
     pub(crate) fn on_left(&mut self, m: Moment, id: &WorkerId) {
         self.strangers.remove(id);
-        let Some(view) = self.views.get_mut(id) else { return };
-        view.leaving = true;
-        view.renew_at = view.renew_at.min(m.now);
+        // Without its birth it may come late, from a life before: only one that has said that it leaves is meant.
+        let leaving = self.lives_of(id).filter(|(_, v)| id.born().is_none() && v.leaving);
+        let mut ended: Vec<WorkerId> = leaving.map(|(life, _)| life.clone()).collect();
+        ended.push(id.clone());
+        for life in ended {
+            let Some(view) = self.views.get_mut(&life) else { continue };
+            view.leaving = true;
+            view.renew_at = view.renew_at.min(m.now);
+        }
     }
 
     /// Ends a life of a worker with all that ran there.
@@ -140,7 +152,7 @@
         }
     }
 
-    fn sweep_runs_of(&mut self, id: &WorkerId) {
+    pub(crate) fn sweep_runs_of(&mut self, id: &WorkerId) {
         let Some(worker) = self.book.worker(id) else { return };
         let jobs: Vec<JobId> = worker.runs.keys().map(|k| k.step.job).collect();
         self.sweep.extend(jobs);
--- /dev/null
+++ b/components/dispatch/tests/lives.rs
@@ -0,0 +1,171 @@
+//! The log held workers without when they were born, and they began to say so. A worker may have started again under
+//! its name before that, so the number of the last end that the log holds may be of a life before: of one such worker ends 1 to
+//! 4 were never told of, and what had ended ran again.
+
+mod common;
+
+use clock::Millis;
+use common::{Bench, SILENT, end, news, row, spec, step, task, worker};
+use dispatch::{CallError, Input, Report, WorkerNews};
+use workload::{EndKind, JobState, WorkerId};
+
+const BORN: u64 = 1_790_000_000_000;
+
+fn life(born: u64) -> WorkerId {
+    WorkerId::of_life("w", Some(born))
+}
+
+fn name(life: &WorkerId) -> &str {
+    life.0.as_ref()
+}
+
+/// A dispatcher with one worker that does not say when it was born, on which a job of two tasks runs and four ends
+/// are in the log.
+fn with_a_job_that_runs() -> Bench {
+    let mut b = Bench::new("");
+    b.join("w", 8);
+    b.submit(1, spec(vec![step(4)]));
+    b.commit();
+    (0..4).for_each(|i| b.started("w", task(1, 0, i), 1, Ok(())));
+    let ends = (0..4).map(|i| end(u64::from(i) + 1, task(1, 0, i), 1, EndKind::Done));
+    b.report("w", vec![], ends.collect());
+    b.commit();
+    b.submit(2, spec(vec![step(2)]));
+    b.commit();
+    (0..2).for_each(|i| b.started("w", task(2, 0, i), 1, Ok(())));
+    assert_eq!(b.committed.worker(&worker("w")).map(|w| w.seen), Some(4));
+    b
+}
+
+/// Has the worker say when it was born.
+fn announce(b: &mut Bench, life: &WorkerId, number: u64) {
+    b.feed(Input::News(WorkerNews { number, ..news(name(life), 8) }));
+    b.commit();
+}
+
+/// Has it answer the renewal that named no birth.
+fn answer(b: &mut Bench, life: &WorkerId) {
+    let (worker, sent_at) = (worker("w"), b.now);
+    b.feed(Input::Renewed { worker, sent_at, result: Err(CallError::Named(life.clone())) });
+    b.commit();
+}
+
+/// Both ways by which a birth becomes known.
+const WAYS: [fn(&mut Bench, &WorkerId); 2] = [|b, l| announce(b, l, 9), answer];
+
+#[test]
+fn runs_go_on_under_the_life_that_lists_them() {
+    for learn in WAYS {
+        let (mut b, life) = (with_a_job_that_runs(), life(BORN));
+        let starts = b.starts().len();
+        learn(&mut b, &life);
+        assert_eq!(b.committed.workers().keys().collect::<Vec<_>>(), [&life]);
+        b.pass(Millis(20));
+        let rows = (0..2).map(|i| row(task(2, 0, i), 1)).collect();
+        b.report(name(&life), rows, vec![]);
+        b.pass(Millis(20));
+        let ends = (0..2).map(|i| end(u64::from(i) + 5, task(2, 0, i), 1, EndKind::Done));
+        b.report(name(&life), vec![], ends.collect());
+        b.commit();
+        assert_eq!(b.committed.job(common::job(2)).map(|j| j.state), Some(JobState::Completed));
+        assert_eq!(b.starts().len(), starts, "nothing was started again");
+    }
+}
+
+/// The life that answers numbers its ends from one, though the log holds number four.
+#[test]
+fn ends_of_a_life_that_began_unnoticed_are_taken_note_of() {
+    for learn in WAYS {
+        let (mut b, life) = (with_a_job_that_runs(), life(BORN));
+        let starts = b.starts().len();
+        learn(&mut b, &life);
+        b.pass(Millis(20));
+        let ends = (0..2).map(|i| end(u64::from(i) + 1, task(2, 0, i), 1, EndKind::Done));
+        b.report(name(&life), vec![], ends.collect());
+        b.commit();
+        assert_eq!(b.committed.job(common::job(2)).map(|j| j.state), Some(JobState::Completed));
+        assert_eq!(b.starts().len(), starts, "nothing was started again");
+    }
+}
+
+#[test]
+fn runs_that_the_life_does_not_know_are_started_again() {
+    for learn in WAYS {
+        let (mut b, life) = (with_a_job_that_runs(), life(BORN));
+        let starts = b.starts().len();
+        learn(&mut b, &life);
+        b.pass(Millis(20));
+        b.report(name(&life), vec![], vec![]);
+        b.commit();
+        b.pass(Millis(20));
+        assert_eq!(b.starts().len(), starts + 2);
+    }
+}
+
+/// A start without an answer as the birth becomes known is settled with the life that answers.
+#[test]
+fn a_start_under_way_is_sent_again_to_the_life_that_answers() {
+    let mut b = Bench::new("");
+    b.join("w", 8);
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    announce(&mut b, &life(BORN), 9);
+    b.started("w", task(1, 0, 0), 1, Err(SILENT()));
+    b.pass(Millis(20));
+    b.report(name(&life(BORN)), vec![], vec![]);
+    b.pass(Millis(20));
+    assert_eq!(b.starts().len(), 2, "the same run, once more");
+    assert!(b.starts().iter().all(|(_, order)| order.run == 1));
+}
+
+/// An instance that does not read births yet passes on announcements without them: two ids would be one worker twice.
+#[test]
+fn announcements_without_the_birth_make_no_second_worker_of_one_that_is_known() {
+    let mut b = Bench::new("");
+    announce(&mut b, &life(BORN), 1);
+    b.feed(Input::News(WorkerNews { number: 7, ..news("w", 8) }));
+    b.commit();
+    assert_eq!(b.committed.workers().keys().collect::<Vec<_>>(), [&life(BORN)]);
+}
+
+#[test]
+fn the_next_life_takes_work_whatever_the_one_before_has_said() {
+    let mut b = Bench::new("");
+    let (first, next) = (life(BORN), life(BORN - 5_000));
+    let leaving = WorkerNews { leaving: true, number: 50, ..news(name(&first), 8) };
+    announce(&mut b, &first, 1);
+    b.report(name(&first), vec![], vec![]);
+    b.feed(Input::News(leaving));
+    // Its wall clock was set back meanwhile.
+    announce(&mut b, &next, 1);
+    // What the life before said as it ended comes late, and does not say which life it was.
+    b.feed(Input::Left(worker("w")));
+    let sent_at = b.now;
+    let over = Err(CallError::Refused(dispatch::Refusal::OtherLife));
+    b.feed(Input::Renewed { worker: first.clone(), sent_at, result: over });
+    b.report(name(&next), vec![], vec![]);
+    b.submit(1, spec(vec![step(2)]));
+    b.commit();
+    assert_eq!(b.starts().len(), 2);
+    assert_eq!(b.committed.workers().keys().collect::<Vec<_>>(), [&next]);
+}
+
+#[test]
+fn reports_of_a_life_say_nothing_of_another() {
+    let mut b = Bench::new("");
+    let (first, next) = (life(BORN), life(BORN + 5_000));
+    announce(&mut b, &first, 1);
+    announce(&mut b, &next, 1);
+    let report = |clock| Report { clock: Millis(clock), ..Report::default() };
+    for (worker, clock) in [(&first, 400_000), (&next, 300)] {
+        let (worker, sent_at) = (worker.clone(), b.now);
+        b.feed(Input::Renewed { worker, sent_at, result: Ok(report(clock)) });
+    }
+    let over = Err(CallError::Refused(dispatch::Refusal::OtherLife));
+    let sent_at = b.now;
+    b.feed(Input::Renewed { worker: first, sent_at, result: over });
+    b.submit(1, spec(vec![step(1)]));
+    b.commit();
+    let deadlines: Vec<Millis> = b.starts().iter().map(|(_, order)| order.deadline).collect();
+    assert!(deadlines.iter().all(|d| *d < Millis(100_000)), "by its own clock: {deadlines:?}");
+}
--- a/components/node/src/recent_news.rs
+++ b/components/node/src/recent_news.rs
@@ -26,9 +26,12 @@
         self.by_worker.insert(news.info.id.clone(), (now, news));
     }
 
-    /// Drops what a worker that has left announced.
+    /// Drops what a worker that has left announced; where it does not say which life it was, that of lives that leave.
     pub(crate) fn remove(&mut self, worker: &WorkerId) {
-        self.by_worker.remove(worker);
+        let is_meant = |id: &WorkerId, news: &WorkerNews| {
+            worker.born().is_none() && id.name() == worker.name() && news.leaving
+        };
+        self.by_worker.retain(|id, (_, news)| id != worker && !is_meant(id, news));
     }
 
     /// Gives what may still be told.
--- a/components/workload/src/ids.rs
+++ b/components/workload/src/ids.rs
@@ -81,10 +81,49 @@
     }
 }
 
-/// One life of a worker. A worker that restarts bears a new id.
+/// What stands between a worker's name and when its life began.
+const BORN: char = '@';
+
+/// One life of a worker.
+///
+/// A worker that starts again may bear the name that it had, and says then when it was born. Both together are the id, as
+/// all that is kept of a worker holds for one life only: the numbers of its ends, its clock, its tickets and its runs.
+/// Where workers do not say when they were born, each life bears a name of its own, and the id is that name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub Arc<str>);
 
+impl WorkerId {
+    /// Gives the life of a worker that began at a time, in milliseconds since 1970 by the worker's own wall clock.
+    pub fn of_life(name: &str, born: Option<u64>) -> WorkerId {
+        match born {
+            Some(born) => WorkerId(format!("{name}{BORN}{born}").into()),
+            // The last sign of its kind is ours.
+            None if name.contains(BORN) => WorkerId(format!("{name}{BORN}").into()),
+            None => WorkerId::from(name),
+        }
+    }
+
+    /// Gives the name that the worker bears.
+    pub fn name(&self) -> &str {
+        self.0.rsplit_once(BORN).map_or(&self.0, |(name, _)| name)
+    }
+
+    /// Gives when this life began, as the worker said it; nothing where it does not say so.
+    pub fn born(&self) -> Option<u64> {
+        self.0.rsplit_once(BORN)?.1.parse().ok()
+    }
+
+    /// Gives the id that a worker of this name has as long as it does not say when it was born.
+    pub fn without_birth(&self) -> WorkerId {
+        WorkerId::of_life(self.name(), None)
+    }
+
+    /// Gives what the ids of all lives under this name begin with that say when they began.
+    pub fn any_birth(&self) -> WorkerId {
+        WorkerId(format!("{}{BORN}", self.name()).into())
+    }
+}
+
 impl From<&str> for WorkerId {
     fn from(s: &str) -> Self {
         WorkerId(s.into())
--- a/tests/platform/lives.rs
+++ b/tests/platform/lives.rs
@@ -1,6 +1,9 @@
 //! Workers of a deployment started again under the ids that they had, and numbered their ends from 1 again. Tasks that
 //! had been done ran up to four times, and a job stood at the end of the day beside free workers.
 //!
+//! What was known of a worker was kept by its id, which was taken for one life. The log held four ends of the life before,
+//! so those numbered 1 to 4 by the next one were passed over, and their runs, neither listed nor ended, taken for never begun.
+//!
 //! What settled it: `run_ended ... end=5` was the first end that was told of from a worker since its start, and for the four
 //! runs before it stood `run_not_started ... why="not listed"`. In two records that line stands 174 and 426 times, each
 //! time for a worker that had started again.
