--- a/components/testkit/src/platform_worker.rs
+++ b/components/testkit/src/platform_worker.rs
@@ -48,6 +48,8 @@
     leaving: bool,
     /// What the worker has, in thousandths of a core.
     cpu: u64,
+    /// What its next life will have.
+    next_cpu: u64,
     fence: u64,
     lease: u64,
     running: BTreeMap<String, Run>,
@@ -69,6 +71,7 @@
             down_until: None,
             leaving: false,
             cpu,
+            next_cpu: cpu,
             fence: 0,
             lease: 0,
             running: BTreeMap::new(),
@@ -91,7 +94,7 @@
             down_until: Some(began),
             overcommits: self.overcommits,
             crashes: self.crashes + 1,
-            ..Inside::first(self.cpu)
+            ..Inside::first(self.next_cpu)
         }
     }
 
@@ -136,8 +139,12 @@
     stop: AtomicBool,
 }
 
-/// A running stand-in.
-pub struct PlatformWorker(Arc<Shared>);
+/// A running stand-in. It ends with the last of its clones.
+#[derive(Clone)]
+pub struct PlatformWorker(Arc<Handle>);
+
+/// Ends the stand-in's threads once nobody has it any more.
+struct Handle(Arc<Shared>);
 
 impl PlatformWorker {
     /// Starts a worker that announces itself to the control addresses.
@@ -165,41 +172,41 @@
         thread::spawn(move || accept(&listener, &serving));
         thread::spawn(move || announce(&beating, &controls));
         thread::spawn(move || live(&living));
-        Ok(PlatformWorker(shared))
+        Ok(PlatformWorker(Arc::new(Handle(shared))))
     }
 
     /// Gives the proxy that stands between the worker and everybody who calls it.
     pub fn proxy(&self) -> &Proxy {
-        &self.0.proxy
+        &self.0.0.proxy
     }
 
     /// Ends the life under way with all that runs; the next one begins after a while.
     pub fn restart(&self, down: Duration) {
-        self.0.crash(&mut self.0.lock(), down);
+        self.0.0.crash(&mut self.0.0.lock(), down);
     }
 
     /// Has the life under way say that it leaves.
     pub fn leave(&self) {
-        self.0.lock().leaving = true;
+        self.0.0.lock().leaving = true;
     }
 
-    /// Changes what the worker has, in thousandths of a core. It tells with its next announcement.
+    /// Has the worker's next life begin with more or less than this one, in thousandths of a core.
     pub fn resize(&self, cpu: u64) {
-        self.0.lock().cpu = cpu;
+        self.0.0.lock().next_cpu = cpu;
     }
 
     /// Gives how often the worker has crashed.
     pub fn crashes(&self) -> usize {
-        self.0.lock().crashes
+        self.0.0.lock().crashes
     }
 
     /// Gives how often more ran than the worker has.
     pub fn overcommits(&self) -> usize {
-        self.0.lock().overcommits
+        self.0.0.lock().overcommits
     }
 }
 
-impl Drop for PlatformWorker {
+impl Drop for Handle {
     fn drop(&mut self) {
         self.0.stop.store(true, Ordering::SeqCst);
         // The listener's thread looks up once somebody connects.
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -13,14 +13,22 @@
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
-use testkit::{RunRecord, Spoil};
+use testkit::{PlatformWorker, RunRecord, Spoil};
 
 use crate::cell::{Cell, faulty_job_body, job_body, job_call};
 
 /// The seeds that CI plays.
-const SHORT: [u64; 3] = [1, 2, FIRST_WITH_CRASHES];
+const SHORT: [u64; 4] = [1, 2, FIRST_WITH_CRASHES, FIRST_WITH_LIVES];
 /// From this seed on some jobs have a task that ends each worker that runs it.
 const FIRST_WITH_CRASHES: u64 = 1_000;
+/// From this seed on workers start again under their names, again and again beside all other faults. No job has such a task
+/// then, as what a worker that starts again runs is suspect.
+const FIRST_WITH_LIVES: u64 = 2_000;
+/// The longest time between two such starts, and the longest that a worker is down, in milliseconds.
+const LONGEST_LIFE_MS: u64 = 4_000;
+const LONGEST_DOWN_MS: u64 = 600;
+/// How many lives a worker may begin in a row, each while the one before is hardly known.
+const MOST_IN_A_ROW: u64 = 3;
 /// One job in so many has such a task then; each takes down three of the four workers, for half a second each.
 const FAULTY_EVERY: u64 = 40;
 /// How many workers may crash under a task before nothing of its job is started any more, and how many starts may
@@ -58,7 +66,8 @@
     while !stop.load(Ordering::SeqCst) {
         n += 1;
         let id = format!("{:08x}{n:08x}", seed as u32 | 1 << 31);
-        let faulty = seed >= FIRST_WITH_CRASHES && n.is_multiple_of(FAULTY_EVERY);
+        let with_crashes = (FIRST_WITH_CRASHES..FIRST_WITH_LIVES).contains(&seed);
+        let faulty = with_crashes && n.is_multiple_of(FAULTY_EVERY);
         let tasks = 1 + (n % 3) as u32;
         let body = if faulty { faulty_job_body(tasks) } else { job_body(tasks) };
         let (mut accepted, mut refused) = (false, true);
@@ -141,8 +150,35 @@
     }
 }
 
+/// Starts workers again under their names until told to stop: one or several at once, some in a row, some with more or
+/// less than before or after they said that they leave.
+fn restart_workers(workers: &[PlatformWorker], seed: u64, stop: &AtomicBool) {
+    let mut rng = StdRng::seed_from_u64(seed ^ FIRST_WITH_LIVES);
+    while !stop.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(rng.random_range(100..LONGEST_LIFE_MS)));
+        let all_at_once = rng.random_bool(0.1);
+        let one = rng.random_range(0..workers.len());
+        let times = rng.random_range(1..=MOST_IN_A_ROW);
+        let chosen = workers.iter().enumerate().filter(|(i, _)| all_at_once || *i == one);
+        for (_, worker) in chosen {
+            match rng.random_range(0..4) {
+                0 => worker.leave(),
+                1 => worker.resize(1_000 * rng.random_range(2..=6)),
+                _ => {}
+            }
+            for _ in 0..times {
+                worker.restart(Duration::from_millis(rng.random_range(0..LONGEST_DOWN_MS)));
+                thread::sleep(Duration::from_millis(rng.random_range(0..LONGEST_DOWN_MS)));
+            }
+        }
+    }
+}
+
 fn soak(seed: u64) {
-    let mut cell = Cell::start(4);
+    let lives = seed >= FIRST_WITH_LIVES;
+    let mut cell = if lives { Cell::start_with_lives(4) } else { Cell::start(4) };
+    // They are shared with the thread that starts them again.
+    let workers = cell.workers.clone();
     let mut rng = StdRng::seed_from_u64(seed);
     let stop = Arc::new(AtomicBool::new(false));
     let sent = Arc::new(Mutex::new(Vec::new()));
@@ -150,6 +186,14 @@
         let (fronts, stop, sent) = (cell.fronts(), stop.clone(), sent.clone());
         thread::spawn(move || send_jobs(&fronts, seed, &stop, &sent))
     };
+    let restarter = {
+        let stop = stop.clone();
+        thread::spawn(move || {
+            if lives {
+                restart_workers(&workers, seed, &stop)
+            }
+        })
+    };
     let mut away = None;
     let mut told = Vec::new();
     for _ in 0..FAULTS {
@@ -166,6 +210,7 @@
     cell.workers.iter().for_each(|w| w.proxy().spoil(Spoil::Nothing));
     stop.store(true, Ordering::SeqCst);
     sender.join().expect("the sender ends");
+    restarter.join().expect("the restarts end");
     let sent = sent.lock().unwrap_or_else(|e| e.into_inner()).clone();
     let history = format!("seed {seed}: {told:#?}");
     for job in sent.iter().filter(|j| j.accepted) {
