Calls for advice are numbered apart from those of earlier terms

Callers could see a job stand beside workers that may run it: an answer to a call that the same instance had made in an earlier term was taken for that to another call, and barred the workers that this one had named, for good.

Cause: the class of the workers' fault, something numbered anew under a name that stays. Calls were numbered from 1 in each term, and an instance that leads again has the address that it had. Found by reading; two cases red before (nothing started on two free workers), green now. Ruled out by reading: tokens of callers begin at a random number in each process; the cell's own workers are told apart by their boot in every call; disks have incarnations; messages of the log bear terms.

Mend: numbers begin at the term times 2^32.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -150,7 +150,16 @@
     ahead: BTreeMap<StepKey, (Millis, OpenStep)>,
 }
 
+/// How far the numbers of calls of one term lie from those of the next; no term makes as many.
+const CALLS_A_TERM: u64 = 1 << 32;
+
 impl Desk {
+    /// Makes a desk without advice. Its calls have numbers of their own, since an instance that leads again may yet get
+    /// answers to what it asked in an earlier term.
+    pub(crate) fn of_term(term: u64) -> Desk {
+        Desk { next_id: term.wrapping_mul(CALLS_A_TERM), ..Desk::default() }
+    }
+
     /// Takes in which instances can make calls.
     pub(crate) fn set_helpers(&mut self, helpers: BTreeSet<InstanceId>) {
         self.helpers = helpers;
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -126,7 +126,7 @@
             book,
             views: BTreeMap::new(),
             strangers: Strangers::default(),
-            desk: Desk::default(),
+            desk: Desk::of_term(term),
             sweep: BTreeSet::new(),
             avoid: BTreeMap::new(),
             accepted: BTreeMap::new(),
--- /dev/null
+++ b/components/dispatch/tests/terms.rs
@@ -0,0 +1,45 @@
+//! An instance that leads again, in a later term or after it was started again, is called at the address that it had, and an
+//! answer to what it asked before may come late. Calls for advice were numbered from 1 in each term, so such an answer was
+//! taken for that to another call: it barred the workers that this one had named, for good, and gave tickets that hold for none.
+//!
+//! Found by reading, where else something is numbered anew under a name that stays; never seen in a record.
+
+mod common;
+
+use clock::Millis;
+use common::{Bench, spec, step, worker};
+use dispatch::Input;
+
+/// A leader of two workers whose service asks for advice, in some term, with a job that has just been asked about.
+fn leader(term: u64) -> Bench {
+    let before = Bench::new("advice").committed;
+    let mut b = Bench::take_over(before, term, Millis(1_000_000));
+    b.helpers(&["e1"]);
+    b.join("w1", 8);
+    b.join("w2", 8);
+    b.submit(term, spec(vec![step(2)]));
+    b.commit();
+    b
+}
+
+#[test]
+fn no_two_terms_number_their_calls_for_advice_alike() {
+    let (first, second) = (leader(1), leader(2));
+    let numbers = |b: &Bench| b.asks(None).iter().map(|a| a.id).collect::<Vec<_>>();
+    let (first, second) = (numbers(&first), numbers(&second));
+    assert!(!first.is_empty() && !second.is_empty());
+    assert!(first.iter().all(|n| !second.contains(n)), "{first:?} {second:?}");
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_term_bars_nobody() {
+    let asked_before = leader(1).asks(None)[0].id;
+    let mut b = leader(2);
+    let nobody = Some(Vec::new());
+    b.feed(Input::Advised { id: asked_before, valid: Some(Millis(2_000)), allowed: nobody });
+    let ask = b.asks(None)[0].clone();
+    let allowed = ask.workers.iter().map(|w| (w.clone(), "ticket".into())).collect();
+    b.feed(Input::Advised { id: ask.id, valid: Some(Millis(2_000)), allowed: Some(allowed) });
+    b.commit();
+    assert_eq!(b.starts().len(), 2, "on {} and {}", worker("w1"), worker("w2"));
+}
