--- a/components/dispatch/src/asking.rs
+++ b/components/dispatch/src/asking.rs
@@ -99,7 +99,7 @@
     /// Tells whether this plan may still look through all workers for some to ask about.
     fn may_scan(&self, m: Moment, need: &Need) -> bool {
         let Need { key, policy, urge, .. } = need;
-        self.scans < MOST_SCANS && self.desk.may_ask(key, policy, *urge, m.now)
+        self.plan_state.scans < MOST_SCANS && self.desk.may_ask(key, policy, *urge, m.now)
     }
 
     /// Asks which workers may run a step, if tasks could start on some that are not known yet. Otherwise the
@@ -107,15 +107,15 @@
     /// free for the steps behind them.
     pub(crate) fn ask(&mut self, m: Moment, need: Need) {
         if self.desk.waits_for_room(&need.key) {
-            self.put_back.push((need, None));
+            self.plan_state.put_back.push((need, None));
             return;
         }
         if !self.may_scan(m, &need) {
             let Need { key, policy, urge, .. } = &need;
             let lacks_caller = self.desk.lacks_caller(key, policy, *urge, m.now);
             let lacks_look = self.desk.may_ask(key, policy, *urge, m.now);
-            self.without_caller += u64::from(lacks_caller);
-            self.without_look += u64::from(lacks_look);
+            self.plan_state.without_caller += u64::from(lacks_caller);
+            self.plan_state.without_look += u64::from(lacks_look);
             return;
         }
         let choice = self.choose(m, &need);
@@ -124,14 +124,14 @@
         let must_know = need.urge == Urge::Owed && self.desk.allowed(&need.key).next().is_none();
         match choice.has_room || must_know {
             true => self.call(m, &need, choice),
-            false => self.put_back.push((need, Some(choice))),
+            false => self.plan_state.put_back.push((need, Some(choice))),
         }
     }
 
     /// Has tickets at hand for steps that wait for room, the most urgent first, as far as the steps that
     /// could start have left instances free to make calls.
     pub(crate) fn ask_for_waiting(&mut self, m: Moment) {
-        for (need, choice) in std::mem::take(&mut self.put_back) {
+        for (need, choice) in std::mem::take(&mut self.plan_state.put_back) {
             let choice = match choice {
                 Some(choice) => choice,
                 None if self.may_scan(m, &need) => self.choose(m, &need),
@@ -150,7 +150,7 @@
     }
 
     fn choose(&mut self, m: Moment, need: &Need) -> Choice {
-        self.scans += 1;
+        self.plan_state.scans += 1;
         let prospects = self.prospects(m, need);
         self.desk.choose(m.now, &need.want(), prospects)
     }
--- a/components/dispatch/src/causes.rs
+++ b/components/dispatch/src/causes.rs
@@ -176,7 +176,7 @@
             let only_kept = spec.room().fits(&worker.free()) && spec.size.fits(&with_kept);
             return Some(if only_kept { Cause::Kept } else { Cause::Full });
         }
-        let suspects = self.young_suspects.get(id).copied().unwrap_or_default();
+        let suspects = self.plan_state.young_suspects.get(id).copied().unwrap_or_default();
         (!suspects.admit(self.suspicion(task))).then_some(Cause::Suspects)
     }
 
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -5,22 +5,20 @@
 
 use clock::Millis;
 use events::{Kind, kinds};
-use model::{Name, Size};
+use model::Name;
 use workload::{
     AdvicePolicy, Book, Command, Job, JobId, Policy, PolicyReader, StepKey, TaskKey, WorkerId,
 };
 
 use crate::action::Action;
-use crate::advice::{Choice, Desk};
+use crate::advice::Desk;
 use crate::answer_times::AnswerTimes;
-use crate::asking::Need;
 use crate::call::Answer;
 use crate::input::{Input, Moment, Token};
 use crate::limits::{CLOCK_DRIFT_PERCENT, FORGET_EVERY, LAPSE_SLACK, LOOKS_A_MS, Limits};
-use crate::room::{Kept, Sought};
+use crate::plan_state::PlanState;
 use crate::speed::StepSpeeds;
 use crate::strangers::Strangers;
-use crate::suspects::YoungSuspects;
 use crate::view::{Order, Stage, View};
 use crate::wait_lines::WaitLines;
 use crate::waits::LastingWaits;
@@ -72,8 +70,6 @@
     pub(crate) answer_times: AnswerTimes,
     /// The availability zones that have just fallen silent.
     pub(crate) silent_zones: BTreeSet<Name>,
-    /// The suspects that run young on workers, where there are any.
-    pub(crate) young_suspects: BTreeMap<WorkerId, YoungSuspects>,
     batch: Vec<Command>,
     /// The number of the batch that is being gathered.
     batch_number: u64,
@@ -88,25 +84,10 @@
     pub(crate) plan_due: bool,
     /// When the next plan may be made at the earliest: the longer the last one took, the later.
     plan_at: Millis,
-    /// For how many steps the last plan looked through all workers for some to ask about.
-    pub(crate) scans: u32,
-    /// How many steps wanted a call for advice in the last plan and found no instance free to make it.
-    pub(crate) without_caller: u64,
-    /// For how many steps the last plan had no look left to find out whether a task could start.
-    pub(crate) without_look: u64,
-    /// What the plan under way keeps free on workers for large tasks that wait.
-    pub(crate) kept_free: BTreeMap<WorkerId, Size>,
-    /// Whether any worker that could take work is spared in the plan under way.
-    pub(crate) spares_any: bool,
-    /// What the plan under way has taken so far, in looks at a worker.
-    pub(crate) looks: u64,
-    /// What the plan under way keeps free in all, by which workers it is sought on.
-    pub(crate) rooms_made: BTreeMap<Sought, Kept>,
+    /// What the plan under way, or the last one, has gone through and kept free.
+    pub(crate) plan_state: PlanState,
     /// Which open steps plans look at.
     pub(crate) window: Window,
-    /// The steps of the plan under way that want advice and wait for room, with whom a call would name if
-    /// that was looked up, the most urgent first.
-    pub(crate) put_back: Vec<(Need, Option<Choice>)>,
     /// Since when tasks that last wait, as the last plan began.
     pub(crate) waits: LastingWaits,
     /// Which of these waits are told of, and when they were.
@@ -133,7 +114,6 @@
             speeds: BTreeMap::new(),
             answer_times: AnswerTimes::unknown(),
             silent_zones: BTreeSet::new(),
-            young_suspects: BTreeMap::new(),
             batch: Vec::new(),
             batch_number: 1,
             committed: 0,
@@ -143,14 +123,7 @@
             moment: m,
             plan_due: true,
             plan_at: m.now,
-            scans: 0,
-            without_caller: 0,
-            without_look: 0,
-            kept_free: BTreeMap::new(),
-            rooms_made: BTreeMap::new(),
-            spares_any: false,
-            looks: 0,
-            put_back: Vec::new(),
+            plan_state: PlanState::default(),
             window: Window::default(),
             waits: LastingWaits::default(),
             wait_lines: WaitLines::default(),
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -22,6 +22,7 @@
 mod order;
 mod orders;
 mod place;
+mod plan_state;
 mod renewals;
 mod room;
 mod seats;
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -35,41 +35,35 @@
         let Looked { mut urgent, mut by_turns, passed_over } = self.look_at(m);
         by_turns.extend(self.long_waiting(m, &urgent, &by_turns));
         let steps = (urgent.len() + by_turns.len()) as u64;
-        self.looks = passed_over + steps * LOOKS_A_STEP;
+        self.plan_state.begin(passed_over + steps * LOOKS_A_STEP);
         urgent.sort_by_cached_key(|e| self.urgency(m, e));
         by_turns.sort_by_cached_key(|e| self.urgency(m, e));
-        self.scans = 0;
-        self.without_caller = 0;
-        self.without_look = 0;
-        self.kept_free.clear();
-        self.rooms_made.clear();
-        self.put_back.clear();
         self.find_young_suspects(m);
         self.find_spared(m);
         self.desk.begin_plan(m.now);
         let owed = self.owed_steps(m);
-        self.looks += owed.len() as u64 * LOOKS_A_STEP;
+        self.plan_state.looks += owed.len() as u64 * LOOKS_A_STEP;
         self.desk.look_again(m.now, Urge::Owed, owed.iter().map(|e| &e.key), owed.len());
         self.desk.look_again(m.now, Urge::Usual, urgent.iter().map(|e| &e.key), MOST_LOOKS_AGAIN);
         let rest = by_turns.iter().map(|e| &e.key);
         self.desk.look_again(m.now, Urge::Usual, rest, by_turns.len());
         let mut orders = self.orders_under_way();
         self.plan_steps(m, Turn::Owed, owed, &mut orders);
-        let owed_put_back = self.put_back.len();
+        let owed_put_back = self.plan_state.put_back.len();
         self.plan_steps(m, Turn::Usual, urgent, &mut orders);
         // While some steps were not looked at for want of looks, as after a burst, these might start, so
         // they come before steps that wait. And tickets are kept at hand only for those that come first
         // when room does.
-        let all_looked_at = self.without_look == 0;
-        let waiting = if all_looked_at { self.put_back.len() } else { owed_put_back };
+        let all_looked_at = self.plan_state.without_look == 0;
+        let waiting = if all_looked_at { self.plan_state.put_back.len() } else { owed_put_back };
         self.plan_steps(m, Turn::Usual, by_turns, &mut orders);
-        self.put_back.truncate(waiting);
+        self.plan_state.put_back.truncate(waiting);
         self.ask_for_waiting(m);
         for entry in self.desk.due_ahead(m.now) {
             self.ask_ahead(m, entry);
         }
         self.tell_other_waits(m);
-        self.looks
+        self.plan_state.looks
     }
 
     /// Chooses the open steps that a plan looks at.
@@ -151,7 +145,7 @@
         let advice = self.advice_of.get(&queue).copied();
         let reach = self.reach(m, &key, spec, turn, advice.is_some());
         let mut seats = self.seats(m, reach, &key, spec, advice.is_some());
-        self.looks += seats.len() as u64;
+        self.plan_state.looks += seats.len() as u64;
         let placed = match spec.gang {
             true => self.seat_gang(&key, spec, &waiting, &mut seats),
             false => self.seat_each(&key, spec, &waiting, &mut seats),
@@ -247,7 +241,7 @@
 
     /// Gives what the plan under way keeps free on a worker.
     pub(crate) fn kept_free_on(&self, id: &WorkerId) -> Size {
-        self.kept_free.get(id).copied().unwrap_or_default()
+        self.plan_state.kept_free.get(id).copied().unwrap_or_default()
     }
 
     /// Gives the room that counts for a step, less what is kept free for more urgent tasks. A filler
--- a/components/dispatch/src/room.rs
+++ b/components/dispatch/src/room.rs
@@ -150,7 +150,7 @@
         }
         let Some(sought) = self.sought(key, spec) else { return };
         let by_advice = self.is_by_advice(key);
-        let mut kept = match self.rooms_made.get(&sought) {
+        let mut kept = match self.plan_state.rooms_made.get(&sought) {
             Some(kept) => *kept,
             None => Kept { of: self.room_of(&sought), ..Kept::default() },
         };
@@ -166,16 +166,16 @@
         let mut workers = ids.iter().filter_map(|id| self.book.worker(id));
         // A task that lasts and has waited for long waits for room like a large one: smaller tasks take what
         // comes free.
-        let owed = turn == Turn::Owed && self.looks < MOST_LOOKS_FOR_OWED;
+        let owed = turn == Turn::Owed && self.plan_state.looks < MOST_LOOKS_FOR_OWED;
         let waits_for_room = spec.gang || owed;
         if !waits_for_room && !workers.any(|w| is_large(&spec.size, &w.info.capacity)) {
             return;
         }
         let places = ids.into_iter().filter_map(|id| self.place(m, reach, key, spec, id));
         let mut places: Vec<Place> = places.collect();
-        self.looks += places.len() as u64;
+        self.plan_state.looks += places.len() as u64;
         kept.steps += 1;
-        self.rooms_made.insert(sought.clone(), kept);
+        self.plan_state.rooms_made.insert(sought.clone(), kept);
         for _ in 0..tasks {
             let waits = places.iter_mut().filter_map(|p| Some((p.wait(&spec.size)?, p)));
             match waits.min_by_key(|(wait, _)| *wait) {
@@ -197,13 +197,13 @@
             kept.idle = kept.idle.plus(&idle);
             self.keep(key, spec, place);
         }
-        self.rooms_made.insert(sought, kept);
+        self.plan_state.rooms_made.insert(sought, kept);
     }
 
     /// Keeps room free at a place, and stops what has to be stopped for it.
     fn keep(&mut self, key: &StepKey, spec: &StepSpec, place: Place) {
         let wanted = spec.size.times(place.taken);
-        let kept = self.kept_free.entry(place.worker.clone()).or_default();
+        let kept = self.plan_state.kept_free.entry(place.worker.clone()).or_default();
         *kept = kept.plus(&wanted);
         for victim in place.stopped {
             self.preempt(&place.worker, key, &victim);
--- a/components/dispatch/src/seats.rs
+++ b/components/dispatch/src/seats.rs
@@ -159,7 +159,7 @@
                 rack: worker.info.labels.last().cloned(),
                 ticket,
                 fails: self.views.get(id).map_or(0, |v| v.record.weight(m.now)),
-                suspects: self.young_suspects.get(id).copied().unwrap_or_default(),
+                suspects: self.plan_state.young_suspects.get(id).copied().unwrap_or_default(),
                 runs_young: suspected && self.runs_young(m.now, id),
                 on_trial: on_trial && reach != Reach::All,
                 // A failed try must not end a job, unless it would wait for nothing else.
--- a/components/dispatch/src/standing.rs
+++ b/components/dispatch/src/standing.rs
@@ -315,7 +315,7 @@
             view.record.is_on_trial(m.now) || self.book.worker(id).is_some_and(spared)
         };
         let spared = |(id, view): (&WorkerId, &View)| view.is_usable() && is_marked(id, view);
-        self.spares_any = self.views.iter().any(spared);
+        self.plan_state.spares_any = self.views.iter().any(spared);
     }
 
     /// Gives which workers a step may go to. Those that are spared are left out only as long as there is one
@@ -333,7 +333,7 @@
         if turn == Turn::Owed {
             return Reach::All;
         }
-        if !self.spares_any {
+        if !self.plan_state.spares_any {
             return Reach::Good;
         }
         let barred = if by_advice { self.desk.barred(key) } else { None };
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -133,7 +133,7 @@
                 }
             }
         }
-        self.young_suspects = found;
+        self.plan_state.young_suspects = found;
     }
 
     /// Gives where a task of the ledger is placed; of a gang all of its members.
@@ -149,7 +149,7 @@
     pub(crate) fn note_placed(&mut self, worker: &WorkerId, task: &TaskKey) {
         let suspicion = self.suspicion(task);
         if suspicion > Suspicion::None {
-            self.young_suspects.entry(worker.clone()).or_default().add(suspicion);
+            self.plan_state.young_suspects.entry(worker.clone()).or_default().add(suspicion);
         }
     }
 
