A life that is called at another address is none that the log holds without its birth

By reading: a worker that had started again elsewhere before it said when it was born would have gone on under the address of the life before, and have stood empty for good, since its announcements kept it from being forgotten. And an id without a birth whose life is known by another was left with a renewal that never came back. Both red with the old rule (dispatch/tests/lives.rs), green now.

--- a/components/dispatch/src/lives.rs
+++ b/components/dispatch/src/lives.rs
@@ -4,7 +4,7 @@
 //! life is not taken for theirs.
 
 use events::kinds;
-use workload::{Command, TaskKey, WorkerId};
+use workload::{Command, TaskKey, WorkerId, WorkerInfo};
 
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
@@ -26,6 +26,16 @@
         lives.filter(|(id, _)| id.name() == worker.name() && id.born().is_some())
     }
 
+    /// Takes in an announcement that says when a life began. A life keeps its address, so one that is called elsewhere is none
+    /// that the log holds without its birth.
+    pub(crate) fn heed_birth(&mut self, m: Moment, info: &WorkerInfo) {
+        let untold = info.id.without_birth();
+        let known = self.book.worker(&untold);
+        if known.is_some_and(|w| w.info.address == info.address) {
+            self.name_life(m, &untold, info.id.clone());
+        }
+    }
+
     /// Has a worker that was known without its birth go on under the id of this life, with its runs. Whether these are of
     /// this life is told by its first report, as after a change of leader. Its ends are numbered by this life, and
     /// the last number that the log holds may be of one before: so it begins anew.
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -46,6 +46,12 @@
         sent_at: Millis,
         result: Result<Report, CallError>,
     ) {
+        if let Err(CallError::Named(life)) = &result
+            && !self.views.contains_key(life)
+        {
+            self.name_life(m, id, life.clone());
+            return;
+        }
         let Some(view) = self.views.get_mut(id) else { return };
         view.renewing = false;
         let report = match result {
@@ -54,10 +60,6 @@
                 self.worker_gone(id, LifeEnd::OtherLife);
                 return;
             }
-            Err(CallError::Named(life)) => {
-                self.name_life(m, id, life);
-                return;
-            }
             Err(e) => {
                 let retry = if view.in_contact { RENEW_AGAIN } else { RENEW_RETRY };
                 view.note_silence(m.now, view.answer_due);
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -38,7 +38,7 @@
     pub(crate) fn on_news(&mut self, m: Moment, news: WorkerNews) {
         let id = news.info.id.clone();
         match id.born() {
-            Some(_) => self.name_life(m, &id.without_birth(), id.clone()),
+            Some(_) => self.heed_birth(m, &news.info),
             // Passed on by an instance that does not read births yet: the worker itself says when it was born.
             None if self.knows_birth(&id) => return,
             None => {}
--- a/components/dispatch/tests/lives.rs
+++ b/components/dispatch/tests/lives.rs
@@ -37,9 +37,16 @@
     b
 }
 
+/// What the worker announces of this life, at the address that all its lives have.
+fn news_of(life: &WorkerId, number: u64) -> WorkerNews {
+    let mut news = WorkerNews { number, ..news(name(life), 8) };
+    news.info.address = "w:1".into();
+    news
+}
+
 /// Has the worker say when it was born.
 fn announce(b: &mut Bench, life: &WorkerId, number: u64) {
-    b.feed(Input::News(WorkerNews { number, ..news(name(life), 8) }));
+    b.feed(Input::News(news_of(life, number)));
     b.commit();
 }
 
@@ -118,6 +125,33 @@
     assert!(b.starts().iter().all(|(_, order)| order.run == 1));
 }
 
+/// It started again at another address before it said when it was born: what the log holds is a life that is over.
+#[test]
+fn a_life_at_another_address_is_called_there() {
+    let (mut b, life) = (with_a_job_that_runs(), life(BORN));
+    let mut moved = news_of(&life, 1);
+    moved.info.address = "elsewhere:1".into();
+    b.feed(Input::News(moved));
+    b.commit();
+    let called = |b: &Bench| b.committed.worker(&life).map(|w| w.info.address.clone());
+    assert_eq!(called(&b).as_deref(), Some("elsewhere:1"));
+    assert!(b.committed.worker(&worker("w")).is_some(), "until its lease is over");
+}
+
+/// A worker that is known by both ids gets nothing new by the one without a birth.
+#[test]
+fn an_id_without_a_birth_is_given_up_where_the_life_is_known() {
+    let mut b = with_a_job_that_runs();
+    let mut moved = news_of(&life(BORN), 1);
+    moved.info.address = "elsewhere:1".into();
+    b.feed(Input::News(moved));
+    answer(&mut b, &life(BORN));
+    let starts = b.starts().len();
+    b.submit(3, spec(vec![step(1)]));
+    b.commit();
+    assert_eq!(b.starts().len(), starts, "nobody that may be called has reported yet");
+}
+
 /// An instance that does not read births yet passes on announcements without them: two ids would be one worker twice.
 #[test]
 fn announcements_without_the_birth_make_no_second_worker_of_one_that_is_known() {
@@ -132,7 +166,7 @@
 fn the_next_life_takes_work_whatever_the_one_before_has_said() {
     let mut b = Bench::new("");
     let (first, next) = (life(BORN), life(BORN - 5_000));
-    let leaving = WorkerNews { leaving: true, number: 50, ..news(name(&first), 8) };
+    let leaving = WorkerNews { leaving: true, ..news_of(&first, 50) };
     announce(&mut b, &first, 1);
     b.report(name(&first), vec![], vec![]);
     b.feed(Input::News(leaving));
