--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -113,7 +113,7 @@
         WORKER_UNCONFIGURED = 960 Info "worker_unconfigured" "A worker belongs to no service of the configuration and is not called until one names it.";
         WORKER_JOINED = 961 Info "worker_joined" "A worker announced itself for the first time.";
         WORKER_LEAVES = 962 Info "worker_leaves" "A worker said that it is leaving and gets nothing new.";
-        WORKER_REACHED = 963 Info "worker_reached" "A worker answers, for the first time or again: how many runs it lists, its clock, and the number of its last end that the log holds.";
+        WORKER_REACHED = 963 Info "worker_reached" "A worker answers, for the first time or again: how many runs it lists, its clock, and the last of its ends that the log holds.";
         WORKER_SILENT = 964 Warn "worker_silent" "A worker does not answer and gets nothing new.";
         WORKER_LAPSED = 965 Warn "worker_lapsed" "A worker's lease has surely run out, with all that it ran.";
         WORKER_GONE = 966 Info "worker_gone" "A life of a worker is over.";
