--- a/components/dispatch/src/order.rs
+++ b/components/dispatch/src/order.rs
@@ -126,6 +126,6 @@
     Silent(Name),
     /// The order surely did not leave, for want of a connection or of time.
     NotSent(Name),
-    /// The worker says by now when its lives began, and this one answered a renewal that named none.
+    /// The worker tells its incarnations by now, and this life answered a renewal that named none.
     Named(WorkerId),
 }
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -37,10 +37,10 @@
     /// Takes in a worker's announcement.
     pub(crate) fn on_news(&mut self, m: Moment, news: WorkerNews) {
         let id = news.info.id.clone();
-        match id.born() {
-            Some(_) => self.heed_birth(m, &news.info),
-            // Passed on by an instance that does not read births yet: the worker itself says when it was born.
-            None if self.knows_birth(&id) => return,
+        match id.incarnation() {
+            Some(_) => self.heed_incarnation(m, &news.info),
+            // Passed on by an instance that does not read incarnations yet: the worker itself tells its own.
+            None if self.knows_incarnation(&id) => return,
             None => {}
         }
         if !self.views.contains_key(&id) && !self.is_configured(&news.info.service) {
@@ -99,12 +99,9 @@
     /// Takes in that a worker ends now.
     pub(crate) fn on_left(&mut self, m: Moment, id: &WorkerId) {
         self.strangers.remove(id);
-        // Without its birth it may come late, from a life before: only one that has said that it leaves is meant.
-        let leaving = self.lives_of(id).filter(|(_, v)| id.born().is_none() && v.leaving);
-        let mut ended: Vec<WorkerId> = leaving.map(|(life, _)| life.clone()).collect();
-        ended.push(id.clone());
-        for life in ended {
-            let Some(view) = self.views.get_mut(&life) else { continue };
+        // Without an incarnation it may come late, from a life before: only one that has said that it leaves is meant.
+        let is_meant = |life, v: &View| life == id || (id.may_mean(life) && v.leaving);
+        for (_, view) in self.views.iter_mut().filter(|(life, v)| is_meant(*life, v)) {
             view.leaving = true;
             view.renew_at = view.renew_at.min(m.now);
         }
--- a/components/dispatch/tests/common/fleet/crash.rs
+++ b/components/dispatch/tests/common/fleet/crash.rs
@@ -132,7 +132,7 @@
             host.fake.silent = false;
             let mut info = host.info.clone();
             // A worker that says births keeps its name.
-            info.id = match old.born() {
+            info.id = match old.incarnation() {
                 Some(_) => WorkerId::of_life(old.name(), Some(self.bench.now.0)),
                 None => WorkerId::from(format!("{old}'").as_str()),
             };
--- a/components/dispatch/tests/common/fleet/lives.rs
+++ b/components/dispatch/tests/common/fleet/lives.rs
@@ -68,6 +68,6 @@
 
     /// How long ago a life began that bears a birth.
     pub fn age(&self, id: &WorkerId) -> Millis {
-        self.bench.now.since(Millis(id.born().unwrap_or(0)))
+        self.bench.now.since(Millis(id.incarnation().unwrap_or(0)))
     }
 }
--- a/components/dispatch/tests/life_schedules.rs
+++ b/components/dispatch/tests/life_schedules.rs
@@ -26,7 +26,7 @@
 
 fn restart(f: &mut Fleet, one_in: u64) {
     f.crashes.down_for = Millis(20 + f.below(1_500));
-    let is_old = |f: &Fleet, id: &WorkerId| id.born().is_some() && f.age(id) > SHORTEST_LIFE;
+    let is_old = |f: &Fleet, id: &WorkerId| id.incarnation().is_some() && f.age(id) > SHORTEST_LIFE;
     some(f, one_in, is_old).iter().for_each(|id| f.crash(id));
 }
 
@@ -40,7 +40,9 @@
 
 fn disturb(f: &mut Fleet, mix: &mut Mix) {
     match f.below(10) {
-        0 | 1 => some(f, 3, |_, id| id.born().is_none()).iter().for_each(|id| f.say_birth(id)),
+        0 | 1 => {
+            some(f, 3, |_, id| id.incarnation().is_none()).iter().for_each(|id| f.say_birth(id))
+        }
         2 | 3 => restart(f, 9),
         4 => (0..3).for_each(|_| {
             restart(f, 6);
--- a/components/node/src/recent_news.rs
+++ b/components/node/src/recent_news.rs
@@ -29,9 +29,9 @@
     /// Drops what a worker that has left announced; where it does not say which life it was, that of lives that leave.
     pub(crate) fn remove(&mut self, worker: &WorkerId) {
         let is_meant = |id: &WorkerId, news: &WorkerNews| {
-            worker.born().is_none() && id.name() == worker.name() && news.leaving
+            id == worker || (worker.may_mean(id) && news.leaving)
         };
-        self.by_worker.retain(|id, (_, news)| id != worker && !is_meant(id, news));
+        self.by_worker.retain(|id, (_, news)| !is_meant(id, news));
     }
 
     /// Gives what may still be told.
--- a/components/workload/src/ids.rs
+++ b/components/workload/src/ids.rs
@@ -81,46 +81,52 @@
     }
 }
 
-/// What stands between a worker's name and when its life began.
-const BORN: char = '@';
+/// What stands between a worker's name and its incarnation.
+const SEPARATOR: char = '@';
 
 /// One life of a worker.
 ///
-/// A worker that starts again may bear the name that it had, and says then when it was born. Both together are the id, as
+/// A worker that starts again may bear the name that it had, and tells its incarnation then. Both together are the id, as
 /// all that is kept of a worker holds for one life only: the numbers of its ends, its clock, its tickets and its runs.
-/// Where workers do not say when they were born, each life bears a name of its own, and the id is that name.
+/// Where workers tell no incarnation, each life bears a name of its own, and the id is that name.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct WorkerId(pub Arc<str>);
 
 impl WorkerId {
-    /// Gives the life of a worker that began at a time, in milliseconds since 1970 by the worker's own wall clock.
-    pub fn of_life(name: &str, born: Option<u64>) -> WorkerId {
-        match born {
-            Some(born) => WorkerId(format!("{name}{BORN}{born}").into()),
+    /// Gives the life of a worker by its incarnation, a number that no other life under this name has. Lives have no
+    /// order by it: the worker takes it from its wall clock.
+    pub fn of_life(name: &str, incarnation: Option<u64>) -> WorkerId {
+        match incarnation {
+            Some(incarnation) => WorkerId(format!("{name}{SEPARATOR}{incarnation}").into()),
             // The last sign of its kind is ours.
-            None if name.contains(BORN) => WorkerId(format!("{name}{BORN}").into()),
+            None if name.contains(SEPARATOR) => WorkerId(format!("{name}{SEPARATOR}").into()),
             None => WorkerId::from(name),
         }
     }
 
     /// Gives the name that the worker bears.
     pub fn name(&self) -> &str {
-        self.0.rsplit_once(BORN).map_or(&self.0, |(name, _)| name)
+        self.0.rsplit_once(SEPARATOR).map_or(&self.0, |(name, _)| name)
     }
 
-    /// Gives when this life began, as the worker said it; nothing where it does not say so.
-    pub fn born(&self) -> Option<u64> {
-        self.0.rsplit_once(BORN)?.1.parse().ok()
+    /// Gives the incarnation; nothing where the worker tells none.
+    pub fn incarnation(&self) -> Option<u64> {
+        self.0.rsplit_once(SEPARATOR)?.1.parse().ok()
     }
 
-    /// Gives the id that a worker of this name has as long as it does not say when it was born.
-    pub fn without_birth(&self) -> WorkerId {
+    /// Gives the id that a worker of this name has as long as it tells no incarnation.
+    pub fn without_incarnation(&self) -> WorkerId {
         WorkerId::of_life(self.name(), None)
     }
 
-    /// Gives what the ids of all lives under this name begin with that say when they began.
-    pub fn any_birth(&self) -> WorkerId {
-        WorkerId(format!("{}{BORN}", self.name()).into())
+    /// Gives what the ids of all lives under this name begin with that have an incarnation.
+    pub fn any_incarnation(&self) -> WorkerId {
+        WorkerId(format!("{}{SEPARATOR}", self.name()).into())
+    }
+
+    /// Tells whether this id may mean a life: it is that life's own, or it tells the name alone.
+    pub fn may_mean(&self, life: &WorkerId) -> bool {
+        self == life || (self.incarnation().is_none() && self.name() == life.name())
     }
 }
 
