--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -2,6 +2,7 @@
 //! call at a time, a log whose commits take time, and callers that come back. Time goes on in steps, and
 //! everything follows from the seed.
 
+mod checks;
 pub mod crash;
 pub mod fail;
 pub mod lives;
@@ -20,7 +21,7 @@
 
 use self::crash::Crashes;
 use self::fail::Failures;
-use super::away::{Around, Away};
+use super::away::Away;
 use super::host::Host;
 use super::watch::Watch;
 use super::{Bench, SILENT};
@@ -516,52 +517,6 @@
         self.asked.push(Asked { due, ask });
     }
 
-    fn check(&mut self) {
-        for (id, host) in &self.hosts {
-            let (used, capacity) = (host.used(), host.info.capacity);
-            assert!(used.fits(&capacity), "{id} is over its room: {used} of {capacity}");
-        }
-        if !self.has_leader || self.hosts.values().any(|h| h.failing) {
-            self.note_trouble();
-        }
-        self.check_lasting();
-        if !self.has_leader {
-            self.watch.reset();
-            return;
-        }
-        let (now, book) = (self.bench.now, self.bench.dispatcher.book());
-        let standing = self.watch.look(now, book, &self.hosts, &self.service);
-        if let Some(standing) = standing {
-            let figures = self.bench.dispatcher.figures();
-            let trace = self.trace(standing.task.step.job);
-            panic!("seed {}, {now:?}: {standing:#?}\n{figures:#?}\n{trace}", self.seed);
-        }
-    }
-
-    /// Checks that no task that lasts is away for long beside room.
-    fn check_lasting(&mut self) {
-        let around = Around {
-            book: &self.bench.committed,
-            hosts: &self.hosts,
-            service: &self.service,
-            trouble_at: self.trouble_at,
-        };
-        // A task that ends its workers may wait until that is understood.
-        let jobs = self.lasting.iter().filter(|id| !self.watch.faulty.contains(id));
-        if let Some(missing) = self.away.look(self.bench.now, jobs, &around) {
-            let (now, figures) = (self.bench.now, self.bench.dispatcher.figures());
-            let trace = self.trace(missing.task.step.job);
-            panic!("seed {}, {now:?}: {missing:#?}\n{figures:#?}\n{trace}", self.seed);
-        }
-    }
-
-    /// Gives what the dispatcher told of a job.
-    fn trace(&self, job: JobId) -> String {
-        let about = job.to_string();
-        let notes = self.notes.iter().filter(|(subject, _)| subject.starts_with(&about));
-        notes.map(|(_, text)| text.as_str()).collect::<Vec<_>>().join("\n")
-    }
-
     /// Lets the load go down: what lasts is cancelled, and everything else must come to its end.
     pub fn settle(&mut self, within: Millis) {
         let lasting = self.jobs.iter().filter(|(_, j)| j.kind == Kind::Lasting);
--- a/components/dispatch/tests/lives.rs
+++ b/components/dispatch/tests/lives.rs
@@ -60,14 +60,20 @@
 /// Both ways by which a birth becomes known.
 const WAYS: [fn(&mut Bench, &WorkerId); 2] = [|b, l| announce(b, l, 9), answer];
 
+/// The same dispatcher once the life is known, with how many starts there were until then.
+fn once_learnt(learn: fn(&mut Bench, &WorkerId)) -> (Bench, WorkerId, usize) {
+    let (mut b, life) = (with_a_job_that_runs(), life(BORN));
+    let starts = b.starts().len();
+    learn(&mut b, &life);
+    b.pass(Millis(20));
+    (b, life, starts)
+}
+
 #[test]
 fn runs_go_on_under_the_life_that_lists_them() {
     for learn in WAYS {
-        let (mut b, life) = (with_a_job_that_runs(), life(BORN));
-        let starts = b.starts().len();
-        learn(&mut b, &life);
+        let (mut b, life, starts) = once_learnt(learn);
         assert_eq!(b.committed.workers().keys().collect::<Vec<_>>(), [&life]);
-        b.pass(Millis(20));
         let rows = (0..2).map(|i| row(task(2, 0, i), 1)).collect();
         b.report(name(&life), rows, vec![]);
         b.pass(Millis(20));
@@ -83,10 +89,7 @@
 #[test]
 fn ends_of_a_life_that_began_unnoticed_are_taken_note_of() {
     for learn in WAYS {
-        let (mut b, life) = (with_a_job_that_runs(), life(BORN));
-        let starts = b.starts().len();
-        learn(&mut b, &life);
-        b.pass(Millis(20));
+        let (mut b, life, starts) = once_learnt(learn);
         let ends = (0..2).map(|i| end(u64::from(i) + 1, task(2, 0, i), 1, EndKind::Done));
         b.report(name(&life), vec![], ends.collect());
         b.commit();
@@ -98,10 +101,7 @@
 #[test]
 fn runs_that_the_life_does_not_know_are_started_again() {
     for learn in WAYS {
-        let (mut b, life) = (with_a_job_that_runs(), life(BORN));
-        let starts = b.starts().len();
-        learn(&mut b, &life);
-        b.pass(Millis(20));
+        let (mut b, life, starts) = once_learnt(learn);
         b.report(name(&life), vec![], vec![]);
         b.commit();
         b.pass(Millis(20));
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -259,13 +259,11 @@
             *crashes.entry(&run.task).or_default() += 1;
         }
         let most = crashes.values().max().copied().unwrap_or(0);
-        // A start on its way as its worker's life ends counts as begun: nobody knows whether it was.
-        let with_lost_starts =
-            failed.then(|| most_with_lost_starts(&crashes, &cell.lines_about(&job.id)));
         assert!(failed || !job.faulty, "{} is at fault and not failed; {history}", job.id);
         let lines = || cell.lines_about(&job.id);
-        let is_due = with_lost_starts.is_none_or(|crashes| crashes >= MOST_CRASHES);
-        assert!(is_due, "{}; {history}\n{}", job.id, lines());
+        // A start on its way as its worker's life ends counts as begun: nobody knows whether it was.
+        let is_due = || most_with_lost_starts(&crashes, &lines()) >= MOST_CRASHES;
+        assert!(!failed || is_due(), "{}; {history}\n{}", job.id, lines());
         assert!(most <= MOST_CRASHES + MOST_LATE_STARTS, "{}; {history}\n{}", job.id, lines());
         if failed && !job.faulty {
             println!("given up beside jobs at fault: {}, {most} crashes", job.id);
