Organisations on the platform: keys, owners and limits

Cause: nothing under platform/, workload or dispatch knew organisations.

Change: a configuration may name organisations with keys, weight and limit. Calls bear the digest of their key to the leader, which alone judges it by the configuration in force, so that no instance answers by an older one; the answer waits until that configuration is committed. A job's owner is fixed in the log before the job is. What an organisation has running is counted in the book, from before each start until the run is surely over, so that a new leader counts alike. Steps whose organisation is at its limit take neither looks, calls for advice nor room. Keys stand in no message, log line or Debug output.

Ruled out: budgets handed out to instances (the leader starts everything and counts already what may be alive); keys checked by entry instances (they would need the configuration and could be behind it).

--- a/components/bench/src/dispatching.rs
+++ b/components/bench/src/dispatching.rs
@@ -41,9 +41,11 @@
             stretch: 1.5,
             target_latency: Millis(250),
             advice: Some(AdvicePolicy { base_ms: 33.0, per_worker_ms: 0.47, valid: Millis(2_500) }),
+            public: false,
         };
         let service = Service { name: "s".into(), checks_room: false, max_connections: 64 };
-        Ok(Policy { queues: vec![queue], services: vec![service], max_body: 0 })
+        let (queues, services) = (vec![queue], vec![service]);
+        Ok(Policy { queues, services, max_body: 0, organisations: None })
     }
 }
 
--- a/components/dispatch/src/call.rs
+++ b/components/dispatch/src/call.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use model::Name;
 use serde::{Deserialize, Serialize};
-use workload::{Document, JobSpec, JobState};
+use workload::{Credential, Document, JobSpec, JobState};
 
 /// What a caller wants at a path.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -37,6 +37,48 @@
     Publish(Document),
     /// An operator reads the configuration.
     Read,
+    /// A caller's that shows whom it is made for. Apart from [`Call::Job`] so that instances of earlier
+    /// versions still read calls without a key.
+    KeyedJob {
+        /// The host that the caller named.
+        host: Name,
+        /// The path of the call.
+        path: Name,
+        /// The size of its body in bytes.
+        size: u64,
+        /// What it wants.
+        verb: Verb,
+        /// What it shows.
+        credential: Credential,
+    },
+}
+
+impl Call {
+    /// Makes a caller's call.
+    pub fn of_caller(
+        (host, path): (Name, Name),
+        size: u64,
+        verb: Verb,
+        credential: Credential,
+    ) -> Call {
+        match credential {
+            Credential::None => Call::Job { host, path, size, verb },
+            _ => Call::KeyedJob { host, path, size, verb, credential },
+        }
+    }
+
+    /// Gives what a caller wants, and at which path.
+    pub fn verb(&self) -> Option<(&Name, &Verb)> {
+        match self {
+            Call::Job { path, verb, .. } | Call::KeyedJob { path, verb, .. } => Some((path, verb)),
+            Call::Publish(_) | Call::Read => None,
+        }
+    }
+
+    /// Tells whether the call changes nothing.
+    pub fn only_reads(&self) -> bool {
+        matches!(self, Call::Read) || matches!(self.verb(), Some((_, Verb::Look)))
+    }
 }
 
 /// The answer to a [`Call`].
@@ -72,4 +114,6 @@
         /// When to ask again.
         retry_after: Millis,
     },
+    /// The call shows no key of an organisation, and the queue is not public. Nothing was done.
+    NoKey,
 }
--- a/components/dispatch/src/callers.rs
+++ b/components/dispatch/src/callers.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 
 use events::kinds;
-use workload::{Command, Document, JobId, JobSpec, JobState, Queue};
+use model::Name;
+use workload::{Command, Credential, Document, JobId, JobSpec, JobState, Queue};
 
 use crate::call::{Answer, Call, Verb};
 use crate::dispatcher::Dispatcher;
 use crate::input::{Moment, Token};
-use crate::limits::COME_BACK;
+use crate::limits::{COME_BACK, KEY_TOLD_AGAIN};
+use crate::organisations::{Caller, step_beyond_limit};
 
 impl Dispatcher {
     /// Answers a call, now or once what it rests on is committed.
@@ -22,7 +24,10 @@
             Call::Publish(document) => self.publish(m, document),
             Call::Read => self.read_document(),
             Call::Job { host, path, size, verb } => {
-                self.answer_caller(m, (&host, &path), size, verb)
+                self.answer_caller(m, (&host, &path), size, verb, Credential::None)
+            }
+            Call::KeyedJob { host, path, size, verb, credential } => {
+                self.answer_caller(m, (&host, &path), size, verb, credential)
             }
         };
         self.reply(token, answer);
@@ -64,11 +69,15 @@
         (host, path): (&str, &str),
         size: u64,
         verb: Verb,
+        credential: Credential,
     ) -> Answer {
         let Some(policy) = self.policy.clone() else {
             return Answer::NotDone { retry_after: COME_BACK };
         };
         let Some((queue, rest)) = policy.route(host, path) else { return Answer::NoQueue };
+        let Some(caller) = Caller::of(&policy, queue, &credential) else {
+            return self.refuse_key(m, queue, &credential);
+        };
         if policy.max_body > 0 && size > policy.max_body {
             return Answer::TooLarge;
         }
@@ -77,7 +86,11 @@
         }
         let id = rest.parse::<JobId>();
         match (verb, id) {
-            (Verb::Submit(spec), Ok(id)) => self.submit(m, queue, id, spec),
+            (Verb::Submit(_), Ok(id)) if !self.may_handle(queue, &caller, id) => {
+                Answer::Invalid("the id is that of another organisation's job".into())
+            }
+            (_, Ok(id)) if !self.may_handle(queue, &caller, id) => Answer::NoJob,
+            (Verb::Submit(spec), Ok(id)) => self.submit(m, (queue, caller), id, spec),
             (Verb::Submit(_), Err(_)) => Answer::Invalid("the id is not 16 hex digits".into()),
             (Verb::Look, Ok(id)) => self.look(id),
             (Verb::Cancel, Ok(id)) => self.cancel(m, id),
@@ -85,12 +98,44 @@
         }
     }
 
-    fn submit(&mut self, m: Moment, queue: &Queue, id: JobId, spec: Arc<JobSpec>) -> Answer {
+    /// Refuses a call that shows no key of an organisation, and tells of it by the fingerprint of what it shows.
+    fn refuse_key(&mut self, m: Moment, queue: &Queue, credential: &Credential) -> Answer {
+        if m.now >= self.tell_key_at {
+            self.tell_key_at = m.now + KEY_TOLD_AGAIN;
+            let shown = match credential {
+                Credential::None => "nothing".to_owned(),
+                Credential::Malformed => "no_key".to_owned(),
+                Credential::Key(key) => key.to_string(),
+            };
+            let version = self.book.document().version;
+            let details = format!("shown={shown} config={version}");
+            self.note(&kinds::KEY_REFUSED, &queue.name, details);
+        }
+        Answer::NoKey
+    }
+
+    fn submit(
+        &mut self,
+        m: Moment,
+        (queue, caller): (&Queue, Caller),
+        id: JobId,
+        spec: Arc<JobSpec>,
+    ) -> Answer {
         if let Err(findings) = spec.check() {
             let faults: Vec<String> = findings.list.iter().map(ToString::to_string).collect();
             return Answer::Invalid(faults.join("; ").into());
         }
         if self.book.job(id).is_none() {
+            let organisation = match caller {
+                Caller::Organisation(name) => Some(name),
+                Caller::Anyone => None,
+            };
+            if let Some(name) = &organisation {
+                if let Some(answer) = self.refuse_beyond_limit(name, &spec) {
+                    return answer;
+                }
+                self.propose(Command::Owned { job: id, organisation: name.clone() });
+            }
             self.accepted.insert(id, m.now);
             self.propose(Command::Submit {
                 id,
@@ -102,12 +147,23 @@
                 spec,
             });
             let version = self.book.document().version;
-            let details = format!("queue={} config={version} term={}", queue.name, self.term);
+            let of = organisation.as_deref().unwrap_or("-");
+            let (queue, term) = (&queue.name, self.term);
+            let details = format!("queue={queue} organisation={of} config={version} term={term}");
             self.note(&kinds::JOB_ACCEPTED, id, details);
         }
         Answer::Accepted
     }
 
+    /// Refuses a job that could not run if its organisation had nothing else running.
+    fn refuse_beyond_limit(&self, organisation: &Name, spec: &JobSpec) -> Option<Answer> {
+        let organisations = self.policy.as_ref()?.organisations.as_ref()?;
+        let organisation = organisations.get(organisation)?;
+        let step = step_beyond_limit(organisation, spec)?;
+        let message = format!("steps[{step}] needs more at once than the organisation may run");
+        Some(Answer::Invalid(message.into()))
+    }
+
     fn look(&self, id: JobId) -> Answer {
         self.book.job(id).map_or(Answer::NoJob, |job| Answer::State(job.state))
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -78,6 +78,8 @@
     gated: VecDeque<(u64, Gated)>,
     actions: Vec<Action>,
     forget_at: Millis,
+    /// When a line may next tell of a call without a key.
+    pub(crate) tell_key_at: Millis,
     /// When the last input came.
     moment: Moment,
     /// Whether something has happened since the last plan that may let a task start.
@@ -120,6 +122,7 @@
             gated: VecDeque::new(),
             actions: Vec::new(),
             forget_at: m.now,
+            tell_key_at: m.now,
             moment: m,
             plan_due: true,
             plan_at: m.now,
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -21,6 +21,7 @@
 mod lives;
 mod order;
 mod orders;
+mod organisations;
 mod place;
 mod plan_state;
 mod renewals;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -266,5 +266,7 @@
 pub(crate) const WAIT_TOLD_AGAIN: Millis = Millis(5_000);
 /// How many such lines are written in a second at most. Each looks at all workers.
 pub(crate) const MOST_WAIT_LINES: usize = 5;
+/// How often a line tells of a call that shows no key of an organisation, at most.
+pub(crate) const KEY_TOLD_AGAIN: Millis = Millis(1_000);
 /// When callers come back that could not be served.
 pub(crate) const COME_BACK: Millis = Millis(300);
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -37,12 +37,14 @@
             .collect();
         for (task, run, stage, tries) in again {
             let starting = stage == Stage::Starting;
+            let may_start = !leaving && !self.is_over_limit(task.step.job);
             if starting && !self.book.is_wanted(&task, run) {
                 self.stop_unwanted_start(id, &task, run);
-            } else if starting && tries < START_TRIES && !leaving {
+            } else if starting && tries < START_TRIES && may_start {
                 self.order_start(m, id, &task, run);
             } else {
-                // A worker that is leaving must not be told to start anything, not even once more.
+                // A worker that is leaving must not be told to start anything, not even once more, and an
+                // organisation whose limit was lowered must not start anything above it.
                 self.send_stop(id, &task, run);
             }
         }
@@ -70,17 +72,19 @@
     pub(crate) fn send_start(&mut self, m: Moment, id: &WorkerId, task: &TaskKey, run: u32) {
         let wanted = self.book.is_wanted(task, run);
         let over_room = self.book.worker(id).is_some_and(Worker::is_over_room);
+        let over_limit = self.is_over_limit(task.step.job);
         let Some(view) = self.views.get_mut(id) else { return };
         let usable = view.in_contact && !view.leaving && view.reading.is_some();
         let Some(order) = view.orders.get(task).filter(|o| o.run == run) else { return };
         if order.stage != Stage::Held {
             return;
         }
-        if !wanted || !usable || over_room {
+        if !wanted || !usable || over_room || over_limit {
             view.orders.remove(task);
             let why = match (wanted, over_room) {
                 (false, _) => "not wanted any more",
                 (true, true) => "the worker has shrunk",
+                (true, false) if over_limit => "the organisation's limit was lowered",
                 (true, false) => "the worker is not usable",
             };
             self.never_started(id, vec![(*task, run)], why);
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -5,7 +5,7 @@
 use clock::Millis;
 use events::kinds;
 use model::{Name, Size};
-use workload::{Command, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
+use workload::{Command, Job, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
 use crate::advice::Urge;
 use crate::asking::Need;
@@ -15,7 +15,7 @@
 use crate::seats::Seated;
 use crate::standing::Reach;
 use crate::view::{Order, Stage, View};
-use crate::window::Looked;
+use crate::window::{Looked, Standing};
 
 /// Which of a step's tasks a plan looks at, and before what.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -60,6 +60,9 @@
         self.plan_state.put_back.truncate(waiting);
         self.ask_for_waiting(m);
         for entry in self.desk.due_ahead(m.now) {
+            if self.is_at_limit(&entry.key) {
+                continue;
+            }
             self.ask_ahead(m, entry);
         }
         self.tell_other_waits(m);
@@ -69,9 +72,15 @@
     /// Chooses the open steps that a plan looks at.
     fn look_at(&mut self, m: Moment) -> Looked {
         let mut window = std::mem::take(&mut self.window);
-        let is_due =
-            |key: &StepKey| self.book.job(key.job).is_some_and(|j| m.wall >= j.spec.due(key.round));
-        let looked = window.next(self.book.open(), is_due);
+        let standing = |key: &StepKey| {
+            let is_due = |j: &Job| m.wall >= j.spec.due(key.round);
+            match self.book.job(key.job).is_some_and(is_due) {
+                false => Standing::NotDue,
+                true if self.is_at_limit(key) => Standing::AtLimit,
+                true => Standing::MayStart,
+            }
+        };
+        let looked = window.next(self.book.open(), standing);
         self.window = window;
         looked
     }
@@ -84,7 +93,7 @@
         waits.sort_unstable();
         let entries = waits.into_iter().filter_map(|(_, key)| self.open_step(key));
         let is_new = |e: &OpenStep| !urgent.contains(e) && !by_turns.contains(e);
-        entries.filter(is_new).take(MOST_OWED).collect()
+        entries.filter(is_new).filter(|e| !self.is_at_limit(&e.key)).take(MOST_OWED).collect()
     }
 
     /// Gives a step with its place among those that wait.
@@ -99,7 +108,7 @@
     /// Load pattern: a backlog of smaller tasks, more and less urgent ones, takes all room as it comes free and all
     /// calls for advice. A task that lasts asks for little and waits once in a while, but never finds both at once.
     fn owed_steps(&self, m: Moment) -> Vec<OpenStep> {
-        let owed = self.waits.owed_steps(m.now);
+        let owed = self.waits.owed_steps(m.now).filter(|(key, _)| !self.is_at_limit(key));
         let mut owed: Vec<(Millis, StepKey)> = owed.map(|(k, at)| (at, *k)).collect();
         owed.sort_unstable();
         if owed.len() > MOST_OWED {
@@ -134,9 +143,10 @@
             turn == Turn::Usual || self.waits.is_owed(m.now, &TaskKey { step: key, index: *index })
         };
         let meant: Vec<u32> = step.waiting().filter(is_meant).collect();
-        let meant_count = meant.len();
+        let meant = self.within_limit(&key, spec, meant);
+        let allowed_count = meant.len();
         let waiting = self.may_start(m, &key, spec, meant);
-        let held_back = meant_count - waiting.len();
+        let held_back = allowed_count - waiting.len();
         if waiting.is_empty() {
             self.tell_wait(m, &key, true);
             return 0;
--- a/components/dispatch/src/wait_lines.rs
+++ b/components/dispatch/src/wait_lines.rs
@@ -66,9 +66,10 @@
         }
         let held_back = waiting.len() - self.may_start_of(m, key, &waiting);
         let details = format!(
-            "since_ms={} tasks={} held_back={held_back} looked={} {}",
+            "since_ms={} tasks={} held_back={held_back} at_limit={} looked={} {}",
             m.now.since(since).0,
             waiting.len(),
+            if self.is_at_limit(key) { "yes" } else { "no" },
             if looked { "yes" } else { "no" },
             self.causes(m, task),
         );
--- a/components/dispatch/src/waits.rs
+++ b/components/dispatch/src/waits.rs
@@ -82,7 +82,8 @@
             | Command::Suspected { .. }
             | Command::LivedOn { .. }
             | Command::Resized { .. }
-            | Command::Cleared { .. } => {}
+            | Command::Cleared { .. }
+            | Command::Owned { .. } => {}
         }
     }
 
--- a/components/dispatch/src/window.rs
+++ b/components/dispatch/src/window.rs
@@ -16,6 +16,17 @@
 /// its turn every second, for a quarter of a plan's time more.
 const BY_TURNS: usize = 50;
 
+/// Whether a step may start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standing {
+    /// Nothing but the workers stands against it.
+    MayStart,
+    /// Its round is not due, nor are the later ones of its job.
+    NotDue,
+    /// Its organisation has as much running as it may.
+    AtLimit,
+}
+
 /// Where the turns of the steps behind the most urgent ones have come to.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Window {
@@ -28,18 +39,18 @@
     pub(crate) urgent: Vec<OpenStep>,
     /// Those whose turn it is.
     pub(crate) by_turns: Vec<OpenStep>,
-    /// How many jobs were passed over because no round of theirs is due.
+    /// How many jobs were passed over because no round of theirs is due, and steps whose organisation is at its limit.
     pub(crate) passed_over: u64,
 }
 
 impl Window {
-    /// Gives the steps that the next plan looks at. `is_due` tells whether a step's round is due.
+    /// Gives the steps that the next plan looks at, of those that may start.
     pub(crate) fn next(
         &mut self,
         open: &BTreeSet<OpenStep>,
-        is_due: impl Fn(&StepKey) -> bool,
+        standing: impl Fn(&StepKey) -> Standing,
     ) -> Looked {
-        let mut due = DueSteps { open, is_due, from: Bound::Unbounded, passed_over: 0 };
+        let mut due = DueSteps { open, standing, from: Bound::Unbounded, passed_over: 0 };
         let urgent: Vec<OpenStep> = due.by_ref().take(MOST_URGENT).collect();
         let Some(last_urgent) = urgent.last().copied().filter(|_| urgent.len() == MOST_URGENT)
         else {
@@ -58,27 +69,31 @@
     }
 }
 
-/// Goes through the open steps whose round is due.
+/// Goes through the open steps that may start.
 struct DueSteps<'a, F> {
     open: &'a BTreeSet<OpenStep>,
-    is_due: F,
+    standing: F,
     from: Bound<OpenStep>,
     passed_over: u64,
 }
 
-impl<F: Fn(&StepKey) -> bool> Iterator for DueSteps<'_, F> {
+impl<F: Fn(&StepKey) -> Standing> Iterator for DueSteps<'_, F> {
     type Item = OpenStep;
 
     fn next(&mut self) -> Option<OpenStep> {
         loop {
             let entry = *self.open.range((self.from, Bound::Unbounded)).next()?;
-            if (self.is_due)(&entry.key) {
-                self.from = Bound::Excluded(entry);
-                return Some(entry);
+            match (self.standing)(&entry.key) {
+                Standing::MayStart => {
+                    self.from = Bound::Excluded(entry);
+                    return Some(entry);
+                }
+                Standing::NotDue => {
+                    self.from = Bound::Included(first_of(entry.priority, entry.order + 1));
+                }
+                Standing::AtLimit => self.from = Bound::Excluded(entry),
             }
-            // The later rounds of the job are not due either.
             self.passed_over += 1;
-            self.from = Bound::Included(first_of(entry.priority, entry.order + 1));
         }
     }
 }
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -5,9 +5,11 @@
 pub mod fleet;
 pub mod host;
 pub mod mix;
+pub mod organisations;
 pub mod setups;
 pub mod watch;
 pub mod worker;
+pub mod world;
 
 use std::sync::Arc;
 
@@ -19,12 +21,12 @@
 use errors::Result;
 use model::{InstanceId, Name, Size};
 use workload::{
-    AdvicePolicy, Book, Command, Document, End, EndKind, JobId, JobSpec, Policy, PolicyReader,
-    Queue, Service, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
+    AdvicePolicy, Book, Command, Credential, Document, End, EndKind, JobId, JobSpec, Policy,
+    PolicyReader, Queue, Service, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
 };
 
 /// Reads any text as three queues at host `h`: `/q/` for quick jobs, which come first, `/mid/`, and `/bulk/`.
-/// All have advice if the text says so; that on bulk jobs takes long, and that on `/mid/` too if the text
+/// All have advice if the text says so; `/mid/` is open to callers without a key if it says `public`; that on bulk jobs takes long, and that on `/mid/` too if the text
 /// says `long`.
 struct ThreeQueues;
 
@@ -44,6 +46,7 @@
             stretch: 1.5,
             target_latency: Millis(250),
             advice: text.contains("advice").then_some(advice),
+            public: false,
         };
         let long = AdvicePolicy { base_ms: 400.0, per_worker_ms: 5.0, ..advice };
         let bulk = Queue {
@@ -59,6 +62,7 @@
             path_prefix: "/mid/".into(),
             priority: 1,
             advice: if text.contains("long") { bulk.advice } else { queue.advice },
+            public: text.contains("public"),
             ..queue.clone()
         };
         let service = Service { name: "s".into(), checks_room: false, max_connections: 64 };
@@ -66,7 +70,9 @@
         if text.contains("other") {
             services.push(Service { name: "other".into(), ..services[0].clone() });
         }
-        Ok(Policy { queues: vec![queue, mid, bulk], services, max_body: 1_000 })
+        let queues = vec![queue, mid, bulk];
+        let organisations = organisations::read_organisations(text);
+        Ok(Policy { queues, services, max_body: 1_000, organisations })
     }
 }
 
@@ -211,6 +217,21 @@
         self.call(Call::Job { host: "h".into(), path: path.into(), size: 100, verb })
     }
 
+    /// Calls on behalf of whoever holds a key.
+    pub fn call_with(&mut self, credential: Credential, path: &str, verb: Verb) -> u64 {
+        self.call(Call::of_caller(("h".into(), path.into()), 100, verb, credential))
+    }
+
+    /// Hands in a job on behalf of whoever holds a key.
+    pub fn submit_with(&mut self, key: &str, path: &str, spec: Arc<JobSpec>) -> u64 {
+        self.call_with(organisations::with_key(key), path, Verb::Submit(spec))
+    }
+
+    /// Publishes a configuration.
+    pub fn publish(&mut self, version: u64, text: &str) -> u64 {
+        self.call(Call::Publish(Document { version, text: text.into() }))
+    }
+
     pub fn submit(&mut self, id: u64, spec: Arc<JobSpec>) -> u64 {
         self.call_path(&format!("/q/{}", JobId(id)), Verb::Submit(spec))
     }
--- /dev/null
+++ b/components/dispatch/tests/common/world.rs
@@ -0,0 +1,377 @@
+//! A dispatcher over fake workers whose every order has its own luck: answers lost, orders late, workers silent and
+//! restarted, leaders replaced. What must hold is checked as each task begins.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use clock::Millis;
+use dispatch::{Action, Call, CallError, Input, Refusal, Report, Verb};
+use model::{Name, Size};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use workload::{Document, EndKind, JobId, JobSpec, StepSpec, TaskKey, WorkerId};
+
+use super::organisations::{ORGANISATIONS, configuration, key_of, with_key};
+use super::worker::FakeWorker;
+use super::{Bench, SILENT, spec, step};
+
+const CORES: u64 = 4;
+
+pub struct World {
+    pub bench: Bench,
+    rng: StdRng,
+    pub workers: BTreeMap<String, FakeWorker>,
+    /// Orders that are carried out later, after no answer.
+    late: Vec<Action>,
+    term: u64,
+    jobs: u64,
+    /// What the organisations may have running by the configurations sent that may be in force, if there are any.
+    limits: Option<Limits>,
+}
+
+/// The limits of organisations, of processor time in thousandths of a core.
+#[derive(Default)]
+struct Limits {
+    /// Those of each version sent, from the one that was committed as the last one was sent.
+    sent: BTreeMap<u64, BTreeMap<Name, u64>>,
+    /// The highest of its organisation that might be in force as a run was first ordered.
+    at_order: BTreeMap<(TaskKey, u32), u64>,
+}
+
+impl Limits {
+    /// Gives the highest limit of an organisation that may be in force.
+    fn highest(&self, committed: u64, organisation: &str) -> u64 {
+        let may_be = self.sent.iter().filter(|(version, _)| **version >= committed);
+        let limit = |limits: &BTreeMap<Name, u64>| limits.get(organisation).copied().unwrap_or(0);
+        let unlimited = |limit: u64| if limit == 0 { u64::MAX } else { limit };
+        may_be.map(|(_, limits)| unlimited(limit(limits))).max().unwrap_or(u64::MAX)
+    }
+}
+
+impl World {
+    pub fn new(seed: u64) -> World {
+        let mut world = World {
+            bench: Bench::new(""),
+            rng: StdRng::seed_from_u64(seed),
+            workers: BTreeMap::new(),
+            late: Vec::new(),
+            term: 1,
+            jobs: 0,
+            limits: None,
+        };
+        for i in 0..3 {
+            world.announce(&format!("w{i}-0"));
+        }
+        world
+    }
+
+    /// Makes a world in which every job belongs to an organisation, and limits change.
+    pub fn with_organisations(seed: u64) -> World {
+        let mut world = World::new(seed);
+        world.limits = Some(Limits::default());
+        world.change_limits();
+        world.bench.commit();
+        world
+    }
+
+    /// Publishes a configuration with other limits; zero is none.
+    fn change_limits(&mut self) {
+        let mut draw = || *[0, 2_000, 3_000, 6_000].choose(&mut self.rng).unwrap_or(&0);
+        let drawn = ORGANISATIONS.iter().map(|name| (Name::from(*name), draw())).collect();
+        self.publish_limits(drawn);
+    }
+
+    /// Publishes a configuration without limits.
+    pub fn lift_limits(&mut self) {
+        let drawn = ORGANISATIONS.iter().map(|name| (Name::from(*name), 0)).collect();
+        self.publish_limits(drawn);
+    }
+
+    fn publish_limits(&mut self, drawn: BTreeMap<Name, u64>) {
+        let Some(limits) = &mut self.limits else { return };
+        let version = limits.sent.keys().max().copied().unwrap_or(1) + 1;
+        let text = configuration(drawn.iter().map(|(name, limit)| (name.as_ref(), *limit)));
+        limits.sent.insert(version, drawn);
+        self.bench.call(Call::Publish(Document { version, text: text.as_str().into() }));
+    }
+
+    /// Hands in a job at a queue, on behalf of an organisation if there are any.
+    fn hand_in(&mut self, queue: &str, job: Arc<JobSpec>) {
+        let path = format!("/{queue}/{:016x}", self.jobs);
+        match self.limits {
+            None => self.bench.call_path(&path, Verb::Submit(job)),
+            Some(_) => {
+                let name = ORGANISATIONS.choose(&mut self.rng).copied().unwrap_or_default();
+                self.bench.submit_with(&key_of(name), &path, job)
+            }
+        };
+    }
+
+    /// Cancels a job on behalf of whoever handed it in.
+    pub fn cancel(&mut self, id: JobId) {
+        let path = format!("/q/{id}");
+        let owner = self.bench.dispatcher.book().ownership().owner(id).cloned();
+        match owner {
+            None => self.bench.call_path(&path, Verb::Cancel),
+            Some(name) => self.bench.call_with(with_key(&key_of(&name)), &path, Verb::Cancel),
+        };
+    }
+
+    fn announce(&mut self, name: &str) {
+        self.workers.insert(name.to_string(), FakeWorker::default());
+        self.bench.feed(Input::News(super::news(name, CORES)));
+    }
+
+    /// Carries out what the dispatcher wants done, each order with its own luck.
+    pub fn perform(&mut self) {
+        for action in std::mem::take(&mut self.bench.actions) {
+            match action {
+                Action::Renew { .. } | Action::Start { .. } | Action::Stop { .. } => {
+                    self.note_limit(&action);
+                    self.order(action);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn order(&mut self, action: Action) {
+        let luck = self.rng.random_range(0..20);
+        let silent = self.worker_of(&action).is_some_and(|w| w.silent);
+        if silent || luck == 0 {
+            self.answer(&action, Err(SILENT()));
+        } else if luck == 1 {
+            self.late.push(action.clone());
+            self.answer(&action, Err(SILENT()));
+        } else if luck == 2 {
+            // It is carried out, and the answer is lost.
+            let _ = self.carry_out(&action);
+            self.answer(&action, Err(SILENT()));
+        } else {
+            let result = self.carry_out(&action);
+            self.answer(&action, result);
+        }
+    }
+
+    fn worker_of(&mut self, action: &Action) -> Option<&mut FakeWorker> {
+        let (Action::Renew { worker, .. }
+        | Action::Start { worker, .. }
+        | Action::Stop { worker, .. }) = action
+        else {
+            return None;
+        };
+        self.workers.get_mut(worker.0.as_ref())
+    }
+
+    fn carry_out(&mut self, action: &Action) -> Result<Report, CallError> {
+        let now = self.bench.now;
+        let Some(worker) = self.worker_of(action) else {
+            return Err(CallError::Refused(Refusal::OtherLife));
+        };
+        worker.lapse(now);
+        let mut began = None;
+        match action {
+            Action::Start { order, .. } => match worker.start(now, order) {
+                Ok(true) => began = Some(order.task),
+                Ok(false) => {}
+                Err(why) => return Err(CallError::Refused(why)),
+            },
+            Action::Stop { order, .. } => worker.stop(order).map_err(CallError::Refused)?,
+            Action::Renew { order, .. } => worker.renew(order).map_err(CallError::Refused)?,
+            _ => {}
+        }
+        let report = worker.report(now);
+        if let Some(key) = began {
+            self.check_start(key);
+        }
+        Ok(report)
+    }
+
+    /// Notes which limit held as a run was first ordered.
+    fn note_limit(&mut self, action: &Action) {
+        let (Some(limits), Action::Start { order, .. }) = (&mut self.limits, action) else {
+            return;
+        };
+        let book = &self.bench.committed;
+        let Some(owner) = book.ownership().owner(order.task.step.job) else { return };
+        let highest = limits.highest(book.document().version, owner);
+        limits.at_order.entry((order.task, order.run)).or_insert(highest);
+    }
+
+    /// Checks, by what the workers run, that no organisation has more running than it might as the last of its runs
+    /// was ordered.
+    fn check_limits(&self) {
+        let Some(limits) = &self.limits else { return };
+        let mut of: BTreeMap<&Name, (Size, u64)> = BTreeMap::new();
+        let (now, book) = (self.bench.now, &self.bench.committed);
+        let alive = self.workers.values().filter(|w| now < w.lease);
+        for (task, run) in alive.flat_map(|w| &w.running) {
+            let Some(owner) = book.ownership().owner(task.step.job) else { continue };
+            let size = book.step_spec(&task.step).map_or(Size::ZERO, |s| s.size);
+            let limit = limits.at_order.get(&(*task, *run)).copied().unwrap_or(0);
+            let entry = of.entry(owner).or_default();
+            *entry = (entry.0.plus(&size), entry.1.max(limit));
+        }
+        for (name, (used, limit)) in of {
+            assert!(used.cpu_milli <= limit, "{name} has {used} running, its limit was {limit}");
+        }
+    }
+
+    /// What must hold when a task begins.
+    fn check_start(&self, key: TaskKey) {
+        let now = self.bench.now;
+        let alive = |w: &&FakeWorker| w.running.contains_key(&key) && now < w.lease;
+        assert_eq!(self.workers.values().filter(alive).count(), 1, "{key} runs twice");
+        for (name, worker) in &self.workers {
+            let size = |key: &TaskKey| self.bench.committed.step_spec(&key.step).map(|s| s.size);
+            let taken = worker.running.keys().filter_map(size).fold(0, |n, s| n + s.cpu_milli);
+            assert!(taken <= CORES * 1_000, "{name} is over its room");
+        }
+        self.check_limits();
+        let noted = self.bench.committed.task(&key).is_some_and(|t| t.done);
+        assert!(!noted, "{key} starts after its end was noted");
+    }
+
+    fn answer(&mut self, action: &Action, result: Result<Report, CallError>) {
+        let sent_at = self.bench.now;
+        let clock = result.clone().map(|r| r.clock);
+        match action.clone() {
+            Action::Renew { worker, .. } => {
+                self.bench.feed(Input::Renewed { worker, sent_at, result });
+            }
+            Action::Start { worker, order, .. } => {
+                let (task, run) = (order.task, order.run);
+                self.bench.feed(Input::Started { worker, task, run, result: clock });
+            }
+            Action::Stop { worker, order, .. } => {
+                let (task, run) = (order.task, order.run);
+                self.bench.feed(Input::Stopped { worker, task, run, result: clock });
+            }
+            _ => {}
+        }
+    }
+
+    pub fn step(&mut self) {
+        match self.rng.random_range(0..24) {
+            0..=4 => {
+                self.jobs += 1;
+                let second = StepSpec { depends_on: vec![0], ..step(2) };
+                let lasts = self.rng.random_bool(0.1);
+                let gang = self.rng.random_bool(0.2);
+                let first = StepSpec { long_running: lasts, gang: gang && !lasts, ..step(3) };
+                let steps = if lasts { vec![first] } else { vec![first, second] };
+                self.submit(steps);
+            }
+            5..=9 => self.finish_some(),
+            10..=12 => self.bench.commit(),
+            13 => {
+                let id = self.rng.random_range(1..=self.jobs.max(1));
+                self.cancel(JobId(id));
+            }
+            14 => self.toggle_silence(),
+            15 => self.restart_worker(),
+            16 => self.replace_leader(),
+            17 => self.carry_out_late(),
+            20 if self.limits.is_some() => self.change_limits(),
+            18 => self.pass(Millis(2_000)),
+            _ => self.pass(Millis(60)),
+        }
+        self.perform();
+    }
+
+    pub fn pass(&mut self, span: Millis) {
+        self.bench.now += span;
+        let now = self.bench.now;
+        self.workers.values_mut().for_each(|w| w.lapse(now));
+        self.bench.feed(Input::Tick);
+    }
+
+    /// Hands in a quick job, a batch job that may be stopped for others, or one that others are stopped for.
+    fn submit(&mut self, steps: Vec<StepSpec>) {
+        let keeps = StepSpec { checkpointing: true, estimate: Millis(30_000), ..step(3) };
+        let size = model::Size::new(3_000, 1_000, 0);
+        let large = StepSpec { size, estimate: Millis(2_000), ..step(2) };
+        match self.rng.random_range(0..4) {
+            0 => self.hand_in("bulk", spec(vec![keeps])),
+            1 => self.hand_in("mid", spec(vec![large])),
+            _ => self.hand_in("q", spec(steps)),
+        }
+    }
+
+    /// The members of a gang work only while all of them are there, so none is done before.
+    fn can_work(&self, key: TaskKey) -> bool {
+        let Some(spec) = self.bench.committed.step_spec(&key.step) else { return true };
+        let runs = |w: &&FakeWorker| w.running.keys().filter(|k| k.step == key.step).count();
+        let present: usize = self.workers.values().map(|w| runs(&w)).sum();
+        !spec.gang || present >= spec.count as usize
+    }
+
+    pub fn finish_some(&mut self) {
+        let kinds = [EndKind::Done, EndKind::Done, EndKind::Done, EndKind::Failed];
+        for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+            let keys: Vec<TaskKey> = self.workers[&name].running.keys().copied().collect();
+            let Some(key) = keys.choose(&mut self.rng).copied() else { continue };
+            let drawn = *kinds.choose(&mut self.rng).unwrap_or(&EndKind::Done);
+            let kind = if self.can_work(key) { drawn } else { EndKind::Failed };
+            if let Some(worker) = self.workers.get_mut(&name) {
+                worker.end(key, kind);
+            }
+        }
+        for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+            let report = Action::Renew {
+                worker: WorkerId::from(name.as_str()),
+                address: "".into(),
+                order: dispatch::RenewOrder {
+                    fence: self.term,
+                    seen: 0,
+                    deadline: None,
+                    wait: Millis::ZERO,
+                    answer_within: Millis(400),
+                },
+            };
+            if !self.workers[&name].silent {
+                let result = self.carry_out(&report);
+                self.answer(&report, result);
+            }
+        }
+    }
+
+    fn toggle_silence(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        let name = names.choose(&mut self.rng).cloned().unwrap_or_default();
+        if let Some(worker) = self.workers.get_mut(&name) {
+            worker.silent = !worker.silent;
+        }
+    }
+
+    /// A worker dies with all that it runs, and another life takes its place.
+    fn restart_worker(&mut self) {
+        let names: Vec<String> = self.workers.keys().cloned().collect();
+        let name = names.choose(&mut self.rng).cloned().unwrap_or_default();
+        let Some(old) = self.workers.remove(&name) else { return };
+        let base = name.split('-').next().unwrap_or_default();
+        let next = format!("{base}-{}", old.life + 1);
+        self.announce(&next);
+        if let Some(worker) = self.workers.get_mut(&next) {
+            worker.life = old.life + 1;
+        }
+    }
+
+    /// Another instance leads, with what is committed; what was not is lost.
+    fn replace_leader(&mut self) {
+        self.term += 1;
+        let committed = self.bench.committed.clone();
+        self.bench = Bench::take_over(committed, self.term, self.bench.now);
+        for name in self.workers.keys().cloned().collect::<Vec<_>>() {
+            self.bench.feed(Input::News(super::news(&name, CORES)));
+        }
+    }
+
+    fn carry_out_late(&mut self) {
+        if let Some(action) = self.late.pop() {
+            // Nobody awaits the answer any more.
+            let _ = self.carry_out(&action);
+        }
+    }
+}
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -96,6 +96,7 @@
         LOAD_TOLD = 917 Info "load_told" "What the leader has to do with, once a second.";
         CONFIG_TAKEN = 921 Info "config_taken" "A configuration with a higher version was proposed.";
         CONFIG_FAULTY = 922 Warn "config_faulty" "A configuration was refused or cannot be read.";
+        KEY_REFUSED = 923 Warn "key_refused" "A call showed no key of an organisation at a queue that is not public; told once a second at most, with the fingerprint of what was shown.";
         JOB_ACCEPTED = 931 Info "job_accepted" "A job was proposed; its caller hears of it once that is committed.";
         JOB_GIVEN_UP = 932 Info "job_given_up" "A caller cancelled its job.";
         JOB_OVER = 933 Info "job_over" "A job has come to its end.";
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use clock::Millis;
-use dispatch::{Answer, Call, Verb};
+use dispatch::{Answer, Call};
 use model::InstanceId;
 
 use crate::message::Message;
@@ -175,8 +175,7 @@
 }
 
 fn last_word(pending: &Pending) -> Answer {
-    let changes = !matches!(pending.call, Call::Read | Call::Job { verb: Verb::Look, .. });
-    match changes && (pending.maybe_taken || pending.awaited) {
+    match !pending.call.only_reads() && (pending.maybe_taken || pending.awaited) {
         true => Answer::Unsure { retry_after: pending.come_back },
         false => Answer::NotDone { retry_after: pending.come_back },
     }
--- a/components/node/src/waiters.rs
+++ b/components/node/src/waiters.rs
@@ -36,7 +36,9 @@
         tx: oneshot::Sender<Answer>,
     ) {
         let (about, verb) = match call {
-            Call::Job { path, verb, .. } => (path.clone(), verb_name(verb)),
+            Call::Job { path, verb, .. } | Call::KeyedJob { path, verb, .. } => {
+                (path.clone(), verb_name(verb))
+            }
             Call::Publish(document) => (Name::from(document.version.to_string()), "publish"),
             Call::Read => (Name::from("configuration"), "read"),
         };
@@ -88,5 +90,6 @@
         Answer::Document(_) => "document",
         Answer::NotDone { .. } => "not_done",
         Answer::Unsure { .. } => "unsure",
+        Answer::NoKey => "no_key",
     }
 }
--- a/components/workload/src/book.rs
+++ b/components/workload/src/book.rs
@@ -10,8 +10,8 @@
 
 use crate::{
     Blame, Command, CrashLedger, Document, End, EndKind, Job, JobId, JobState, MOST_CRASHES,
-    MOST_CRASHES_AT_ALL, MOST_CRASHES_IN_COMPANY, Round, StepKey, StepSpec, StepState, TaskKey,
-    TaskState, Worker, WorkerId,
+    MOST_CRASHES_AT_ALL, MOST_CRASHES_IN_COMPANY, Ownership, Round, StepKey, StepSpec, StepState,
+    TaskKey, TaskState, Worker, WorkerId,
 };
 
 /// A step with tasks that wait for a worker and that nothing earlier holds back, in the order in
@@ -37,6 +37,9 @@
     /// Written behind the rest, so that books from before there were any are still read.
     #[serde(skip)]
     crashes: CrashLedger,
+    /// Written behind those, for the same reason.
+    #[serde(skip)]
+    ownership: Ownership,
 }
 
 impl Book {
@@ -50,8 +53,13 @@
         }
         let fault = |e: postcard::Error| Error::Decode { what: "a book", reason: e.to_string() };
         let (mut book, rest) = postcard::take_from_bytes::<Book>(bytes).map_err(fault)?;
+        if rest.is_empty() {
+            return Ok(book);
+        }
+        let (crashes, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
+        book.crashes = crashes;
         if !rest.is_empty() {
-            book.crashes = postcard::from_bytes(rest).map_err(fault)?;
+            book.ownership = postcard::from_bytes(rest).map_err(fault)?;
         }
         Ok(book)
     }
@@ -63,7 +71,8 @@
     pub fn encode(&self) -> Result<Vec<u8>> {
         let fault = |e: postcard::Error| Error::Decode { what: "a book", reason: e.to_string() };
         let bytes = postcard::to_allocvec(self).map_err(fault)?;
-        postcard::to_extend(&self.crashes, bytes).map_err(fault)
+        let bytes = postcard::to_extend(&self.crashes, bytes).map_err(fault)?;
+        postcard::to_extend(&self.ownership, bytes).map_err(fault)
     }
 
     /// Gives the configuration in force.
@@ -116,6 +125,11 @@
         &self.crashes
     }
 
+    /// Gives which organisations jobs belong to, and what these have running.
+    pub fn ownership(&self) -> &Ownership {
+        &self.ownership
+    }
+
     /// Gives the task by which the ledger of crashes holds a task: the first one of its gang, or itself.
     pub fn suspect(&self, task: &TaskKey) -> TaskKey {
         match self.step_spec(&task.step).is_some_and(|s| s.gang) {
@@ -195,6 +209,8 @@
                 ends.iter().for_each(|end| self.end_run(worker, end, *at));
             }
             Command::Forget { before } => self.forget(*before),
+            Command::Owned { job, .. } if self.jobs.contains_key(job) => {}
+            Command::Owned { job, organisation } => self.ownership.assign(*job, organisation),
         }
     }
 
@@ -209,6 +225,7 @@
         let keep = |j: &Job| j.ended_at.is_none_or(|t| t >= before) || j.placed() > 0;
         self.jobs.retain(|_, j| keep(j));
         self.crashes.retain(|id| self.jobs.contains_key(&id));
+        self.ownership.retain(|id| self.jobs.contains_key(&id));
     }
 
     fn resize(&mut self, worker: &WorkerId, capacity: Size) {
@@ -219,7 +236,7 @@
 
     fn start(&mut self, worker: &WorkerId, key: &TaskKey, run: u32) {
         let Some(spec) = self.step_spec(&key.step) else { return };
-        let room = spec.room();
+        let (room, size) = (spec.room(), spec.size);
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return };
         let Some(step) = step_mut(job, &key.step) else { return };
         let Some(task) = step.tasks.get_mut(key.index as usize) else { return };
@@ -230,6 +247,7 @@
         step.placed += 1;
         place.used = place.used.plus(&room);
         place.runs.insert(*key, run);
+        self.ownership.add_run(key.step.job, &size);
         if job.state == JobState::Queued {
             job.state = JobState::Running;
         }
@@ -238,13 +256,16 @@
 
     /// Takes a run off its worker; tells whether it was there.
     fn release(&mut self, worker: &WorkerId, key: &TaskKey, run: u32) -> bool {
-        let room = self.step_spec(&key.step).map_or(Size::ZERO, StepSpec::room);
+        let spec = self.step_spec(&key.step);
+        let room = spec.map_or(Size::ZERO, StepSpec::room);
+        let size = spec.map_or(Size::ZERO, |s| s.size);
         let Some(place) = self.workers.get_mut(worker) else { return false };
         if place.runs.get(key) != Some(&run) {
             return false;
         }
         place.runs.remove(key);
         place.used = place.used.minus(&room);
+        self.ownership.remove_run(key.step.job, &size);
         let Some(job) = self.jobs.get_mut(&key.step.job) else { return true };
         let Some(step) = step_mut(job, &key.step) else { return true };
         step.tasks[key.index as usize].at = None;
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -156,4 +156,11 @@
         /// The tasks; of gangs the first one.
         tasks: Vec<TaskKey>,
     },
+    /// Fixes which organisation a job belongs to that is about to be accepted.
+    Owned {
+        /// The job's id.
+        job: JobId,
+        /// The organisation.
+        organisation: Name,
+    },
 }
--- a/components/workload/src/policy.rs
+++ b/components/workload/src/policy.rs
@@ -1,5 +1,6 @@
 //! The configuration that operators hand in from outside: queues, services and limits.
 
+use std::fmt;
 use std::sync::Arc;
 
 use clock::Millis;
@@ -7,9 +8,11 @@
 use model::Name;
 use serde::{Deserialize, Serialize};
 
+use crate::Organisations;
+
 /// A configuration as it was handed in: the highest version holds, and its text is read back as it
 /// was sent.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Document {
     /// The number its author gave it; zero before the first one.
     pub version: u64,
@@ -17,6 +20,14 @@
     pub text: Arc<str>,
 }
 
+/// Leaves out the text, which holds keys.
+impl fmt::Debug for Document {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Document { version, text } = self;
+        write!(f, "Document {{ version: {version}, text: {} bytes }}", text.len())
+    }
+}
+
 /// Reads a document's text. The format belongs to whoever hands documents in.
 pub trait PolicyReader: Send + Sync {
     /// Reads and checks a text.
@@ -58,6 +69,8 @@
     pub target_latency: Millis,
     /// Whether an advice service allows only some workers for each step.
     pub advice: Option<AdvicePolicy>,
+    /// Whether calls need no key of an organisation.
+    pub public: bool,
 }
 
 /// One pool of workers.
@@ -80,6 +93,8 @@
     pub services: Vec<Service>,
     /// The largest body of a caller in bytes; zero for no limit.
     pub max_body: u64,
+    /// The organisations; `None` where calls bear no keys at all.
+    pub organisations: Option<Organisations>,
 }
 
 impl Policy {
--- /dev/null
+++ b/components/workload/tests/organisations.rs
@@ -0,0 +1,116 @@
+//! Organisations: keys, limits, and what the book keeps of them.
+
+mod common;
+
+use clock::Millis;
+use common::{join, step, submit, task};
+use model::Size;
+use rstest::rstest;
+use workload::{
+    Book, Command, Credential, End, EndKind, JobId, KeyDigest, Organisation, Organisations,
+    WorkerId,
+};
+
+fn organisation(name: &str, limit: Size) -> Organisation {
+    Organisation { name: name.into(), weight: 1.0, limit }
+}
+
+fn owned(job: u64, name: &str) -> Command {
+    Command::Owned { job: JobId(job), organisation: name.into() }
+}
+
+fn started(run: u32) -> Command {
+    Command::Started { worker: WorkerId::from("w"), runs: vec![(task(0), run)] }
+}
+
+/// A book in which the first task of a job of organisation `a` runs.
+fn running() -> Book {
+    let mut book = Book::default();
+    let commands = [join("w"), owned(1, "a"), submit(1, vec![step(2)]), started(1)];
+    commands.iter().for_each(|c| book.apply(c));
+    book
+}
+
+#[rstest]
+#[case::no_limit(Size::ZERO, Size::new(9_000, 0, 0), u64::MAX)]
+#[case::by_processor(Size::new(4_500, 0, 0), Size::new(1_000, 0, 0), 3)]
+#[case::by_memory(Size::new(9_000, 250, 0), Size::new(1_000, 50, 0), 2)]
+#[case::full(Size::new(2_000, 0, 0), Size::new(2_000, 0, 0), 0)]
+#[case::above_a_lowered_limit(Size::new(2_000, 0, 0), Size::new(8_000, 0, 0), 0)]
+fn tasks_fit_below_every_limit(#[case] limit: Size, #[case] used: Size, #[case] tasks: u64) {
+    let task = Size::new(1_000, 100, 0);
+    assert_eq!(organisation("a", limit).tasks_within_limit(&used, &task), tasks);
+}
+
+#[test]
+fn a_key_belongs_to_one_organisation() {
+    let mut all = Organisations::default();
+    assert!(all.add(organisation("a", Size::ZERO)) && all.add(organisation("b", Size::ZERO)));
+    assert!(!all.add(organisation("a", Size::ZERO)));
+    assert!(all.add_key(KeyDigest::of("k"), &"a".into()));
+    assert!(all.add_key(KeyDigest::of("k"), &"a".into()), "said twice of the same one");
+    assert!(!all.add_key(KeyDigest::of("k"), &"b".into()));
+    let holder = |key| all.holder(&Credential::Key(KeyDigest::of(key))).map(|n| &**n);
+    assert_eq!((holder("k"), holder("K")), (Some("a"), None));
+}
+
+#[test]
+fn a_digest_shows_neither_the_key_nor_itself_whole() {
+    let digest = KeyDigest::of("a-secret-key");
+    let shown = format!("{digest} {digest:?} {:?}", Credential::Key(digest));
+    assert!(!shown.contains("secret"));
+    assert_eq!(digest.to_string().len(), 8);
+}
+
+#[rstest]
+#[case::done(Command::Ended {
+    worker: WorkerId::from("w"),
+    ends: vec![End { number: 1, task: task(0), run: 1, kind: EndKind::Done, checkpoint: "".into() }],
+    at: Millis(20),
+})]
+#[case::not_started(Command::NotStarted { worker: WorkerId::from("w"), runs: vec![(task(0), 1)] })]
+#[case::lapsed(Command::Lapsed { worker: WorkerId::from("w"), saved: vec![] })]
+#[case::worker_gone(Command::WorkerGone { worker: WorkerId::from("w"), saved: vec![] })]
+fn a_run_counts_from_its_start_until_it_is_surely_over(#[case] over: Command) {
+    let mut book = running();
+    assert_eq!(book.ownership().used("a"), Size::new(1_000, 100, 0));
+    book.apply(&over);
+    assert_eq!(book.ownership().used("a"), Size::ZERO);
+}
+
+#[test]
+fn a_cancelled_job_counts_while_its_runs_may_be_alive() {
+    let mut book = running();
+    book.apply(&Command::Cancel { id: JobId(1), at: Millis(20) });
+    book.apply(&Command::Forget { before: Millis(1_000_000) });
+    assert_eq!(book.ownership().used("a"), Size::new(1_000, 100, 0));
+}
+
+#[test]
+fn the_owner_of_a_job_that_is_known_never_changes() {
+    let mut book = running();
+    book.apply(&owned(1, "b"));
+    assert_eq!(book.ownership().owner(JobId(1)).map(|o| &**o), Some("a"));
+}
+
+#[test]
+fn the_owner_of_a_job_that_never_came_is_forgotten() {
+    let mut book = running();
+    book.apply(&owned(7, "b"));
+    book.apply(&Command::Forget { before: Millis(0) });
+    assert_eq!(book.ownership().owner(JobId(7)), None);
+    assert_eq!(book.ownership().owner(JobId(1)).map(|o| &**o), Some("a"));
+}
+
+#[test]
+fn a_snapshot_keeps_owners_and_one_from_before_has_none() {
+    let book = running();
+    let bytes = book.encode().unwrap();
+    assert_eq!(Book::decode(&bytes).unwrap(), book);
+    // An earlier version wrote the same without its last part.
+    let ownership = postcard::to_allocvec(book.ownership()).unwrap();
+    let before = &bytes[..bytes.len() - ownership.len()];
+    let read = Book::decode(before).unwrap();
+    assert_eq!(read.jobs(), book.jobs());
+    assert_eq!(read.ownership().owner(JobId(1)), None);
+}
