Instances kept free for short calls for advice follow what short calls use

One of three instances was kept free for short calls whatever these use: eleven of 34, where two are busy with them on average.

Change: the time that short calls take is averaged with a half-life of two seconds; twice what they keep busy stays free, between one in eight and one in three. A new leader keeps a third until it knows.

Ruled out: the most short calls under way at once as the measure: several are made in one plan, so that it stays at a third even where they keep half an instance busy (seen in a test schedule: 3 of 10 in 4,321 of 4,369 plans).

The new test fails before: 11 of 16 instances make long calls, 14 after.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -11,8 +11,9 @@
 use crate::limits::{
     ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_PAUSE,
     ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK, HELPER_REST,
-    HELPERS_A_RESERVED, LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
+use crate::reserve::Reserve;
 
 /// Gives what a call that names so many workers takes, in milliseconds.
 pub(crate) fn cost_ms(policy: &AdvicePolicy, workers: usize) -> f64 {
@@ -140,6 +141,9 @@
     /// How many instances are free to make calls in the plan under way. Counting them for each of hundreds of
     /// steps would take as long as the rest of a plan.
     free: usize,
+    /// How many instances are kept free of calls that take long.
+    kept_free: usize,
+    reserve: Reserve,
     /// Instances whose last call got no answer, and until when they make none.
     resting: BTreeMap<InstanceId, Millis>,
     rates: BTreeMap<Name, Rate>,
@@ -174,11 +178,10 @@
     /// Gives how many instances must be free for a call. The service takes the calls of an instance one after
     /// the other, so some instances are kept free of calls that take long.
     fn fewest_free(&self, policy: &AdvicePolicy, urge: Urge) -> usize {
-        let reserved = self.helpers.len() / HELPERS_A_RESERVED;
         match urge {
             _ if is_short(policy) => 1,
-            Urge::Usual => reserved + 1,
-            Urge::Owed => reserved / 2 + 1,
+            Urge::Usual => self.kept_free + 1,
+            Urge::Owed => self.kept_free / 2 + 1,
         }
     }
 
@@ -314,10 +317,12 @@
         self.again.extend(again);
     }
 
-    /// Begins a plan: no step is to be looked at again yet, and the instances that are free are counted.
+    /// Begins a plan: no step is to be looked at again yet, and the instances that are free or to be kept free are
+    /// counted.
     pub(crate) fn begin_plan(&mut self, now: Millis) {
         self.again.clear();
         self.free = self.free_helpers(now).count();
+        self.kept_free = self.reserve.kept(now, self.helpers.len());
     }
 
     /// Notes that a step has no tasks left that wait.
@@ -390,6 +395,9 @@
             overdue: false,
         };
         self.calls.insert(id, asked);
+        if is_short(&want.policy) {
+            self.reserve.note(now, cost);
+        }
         Some(AdviceAsk { id, helper, step: want.step, workers })
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod place;
 mod plan_state;
 mod renewals;
+mod reserve;
 mod room;
 mod seats;
 mod silence;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -143,8 +143,6 @@
 pub(crate) const ADVICE_LATE: f64 = 1.5;
 /// How much longer still: the ways there and back, and a wait for a processor share at either end.
 pub(crate) const ADVICE_SLACK: Millis = Millis(200);
-/// One of so many instances is kept free of calls for advice that take long.
-pub(crate) const HELPERS_A_RESERVED: usize = 3;
 /// For how long an instance makes no calls for advice after one of its calls got no answer.
 pub(crate) const HELPER_REST: Millis = Millis(1_500);
 /// The most workers that one call for advice may name; the service takes no more.
--- /dev/null
+++ b/components/dispatch/tests/advice_load.rs
@@ -0,0 +1,89 @@
+//! Calls for advice when more steps wait than there are instances to make calls.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use clock::Millis;
+use common::{Bench, spec, step};
+use dispatch::AdviceAsk;
+use workload::StepSpec;
+
+const INSTANCES: usize = 16;
+
+fn names() -> Vec<String> {
+    (0..INSTANCES).map(|i| format!("e{i:02}")).collect()
+}
+
+/// A fleet with room for everything, and sixteen instances that call for advice.
+fn fleet(workers: usize) -> Bench {
+    let mut b = Bench::new("advice, long");
+    let names = names();
+    b.helpers(&names.iter().map(String::as_str).collect::<Vec<_>>());
+    for i in 0..workers {
+        b.join(&format!("w{i:02}"), 16);
+    }
+    b
+}
+
+/// Hands in batch steps, more than there are instances.
+fn hand_in_backlog(b: &mut Bench) {
+    for n in 0..40 {
+        let batch = StepSpec { estimate: Millis(4_000), ..step(4) };
+        b.submit_bulk(0x1000 + n, spec(vec![batch]));
+    }
+    b.commit();
+    b.pass(Millis(200));
+}
+
+/// Gives the instances that make long calls, as far as these are not answered.
+fn busy_with_long_calls(b: &Bench) -> BTreeSet<String> {
+    let long = |a: &AdviceAsk| a.step.job.0 >= 0x1000;
+    b.asks(None).into_iter().filter(long).map(|a| a.helper.to_string()).collect()
+}
+
+#[test]
+fn a_new_leader_keeps_a_third_of_the_instances_for_short_calls() {
+    let mut b = fleet(8);
+    hand_in_backlog(&mut b);
+    assert_eq!(busy_with_long_calls(&b).len(), INSTANCES - INSTANCES / 3);
+}
+
+/// Load pattern: batch steps wait by the dozen while hardly any quick ones come. Instances that were kept free for calls
+/// nobody makes stood idle beside workers with room.
+#[test]
+fn without_short_calls_nearly_all_instances_make_long_ones() {
+    let mut b = fleet(8);
+    b.pass(Millis(100));
+    b.pass(Millis(20_000));
+    hand_in_backlog(&mut b);
+    assert_eq!(busy_with_long_calls(&b).len(), INSTANCES - INSTANCES / 8);
+}
+
+/// Load pattern: quick steps come by the dozen a second. Each call takes 25 ms or more, so a third of the instances is
+/// what a burst of them may need.
+#[test]
+fn beside_many_short_calls_a_third_of_the_instances_stays_free_of_long_ones() {
+    let mut b = fleet(60);
+    let mut confirmed = 0;
+    for turn in 0..150 {
+        let ids = turn * 4 + 1..=turn * 4 + 4;
+        for id in ids.clone() {
+            b.submit(id, spec(vec![step(1)]));
+        }
+        b.pass(Millis(20));
+        let asks: Vec<AdviceAsk> = ids.flat_map(|id| b.asks(Some(id))).collect();
+        for ask in asks {
+            let allowed: Vec<String> = ask.workers.iter().map(ToString::to_string).collect();
+            b.advise(&ask, &allowed.iter().map(String::as_str).collect::<Vec<_>>());
+        }
+        b.pass(Millis(20));
+        for (w, start) in b.starts().split_off(confirmed) {
+            b.started(&w.0, start.task, start.run, Ok(()));
+            confirmed += 1;
+        }
+    }
+    hand_in_backlog(&mut b);
+    let busy = busy_with_long_calls(&b).len();
+    assert!(0 < busy && busy <= INSTANCES - INSTANCES / 3, "{busy} make long calls");
+}
