A long call for advice names as many workers as take half of its fixed time

Change: a long call names at least as many workers as make it half as long again as one that names nobody.

The new test names 10 workers before and 40 after.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -9,9 +9,9 @@
 use workload::{AdvicePolicy, OpenStep, StepKey, WorkerId};
 
 use crate::limits::{
-    ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_PAUSE,
-    ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK, HELPER_REST,
-    LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_NAMED_PART,
+    ADVICE_PAUSE, ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK,
+    HELPER_REST, LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
 use crate::reserve::Reserve;
 
@@ -20,6 +20,13 @@
     policy.base_ms + policy.per_worker_ms * workers as f64
 }
 
+/// Gives how many workers a long call names at least: as many as make it half as long again as one that names nobody.
+/// Calls are what binds when much waits, and each that names too few is followed by another.
+fn least_named(policy: &AdvicePolicy) -> usize {
+    let workers = policy.base_ms * ADVICE_NAMED_PART / policy.per_worker_ms;
+    (workers as usize).clamp(ADVICE_LEAST_WORKERS, ADVICE_MOST_WORKERS)
+}
+
 /// Tells whether calls under a policy are over quickly, so that they need not make way for others.
 fn is_short(policy: &AdvicePolicy) -> bool {
     cost_ms(policy, ADVICE_LEAST_WORKERS) <= ADVICE_SHORT_MS
@@ -478,7 +485,7 @@
     let mut full = 0;
     for p in open.into_iter().take(ADVICE_MOST_WORKERS) {
         let known = allowed.contains(&p.worker);
-        let least = if all_short { ADVICE_SHORT_WORKERS } else { ADVICE_LEAST_WORKERS };
+        let least = if all_short { ADVICE_SHORT_WORKERS } else { least_named(&want.policy) };
         let named_enough = (known && !all_short) || workers.len() >= least;
         if expected >= needed && (p.fits == 0 || named_enough) {
             break;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -161,6 +161,8 @@
 pub(crate) const ADVICE_ROOM_FACTOR: f64 = 1.5;
 /// How many workers a first call names at least.
 pub(crate) const ADVICE_LEAST_WORKERS: usize = 10;
+/// What part of the time that a long call takes whomever it names it may take for those that it names at least.
+pub(crate) const ADVICE_NAMED_PART: f64 = 0.5;
 /// From how many jobs on of which runs have failed in a row a worker may be set aside.
 pub(crate) const FAILED_JOBS_IN_A_ROW: usize = 2;
 /// What part of a service's workers may be set aside at once, as one in so many: two thirds carry a usual load, and
--- a/components/dispatch/tests/advice_load.rs
+++ b/components/dispatch/tests/advice_load.rs
@@ -87,3 +87,12 @@
     let busy = busy_with_long_calls(&b).len();
     assert!(0 < busy && busy <= INSTANCES - INSTANCES / 3, "{busy} make long calls");
 }
+
+/// Load pattern: much waits on a fleet that has little room left, so that a call which names few workers finds places for
+/// few tasks, and the step waits for another one. A call of 400 ms and 5 ms a worker names 40 for half as much again.
+#[test]
+fn a_long_call_names_as_many_workers_as_take_half_of_its_fixed_time() {
+    let mut b = fleet(60);
+    b.submit_bulk(1, spec(vec![step(2)]));
+    assert_eq!(b.asks(Some(1)).remove(0).workers.len(), 40);
+}
