Long calls name more workers only where steps wait for an instance to make a call

A call that names more on a fleet with room only takes longer. Short calls named more, too, which was not meant.

Change: a long call names more only if steps lacked a caller in the last plan. The line on a task that waits says at_limit only where it is, as its tests expect of all other lines.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -20,9 +20,12 @@
     policy.base_ms + policy.per_worker_ms * workers as f64
 }
 
-/// Gives how many workers a long call names at least: as many as make it half as long again as one that names nobody.
-/// Calls are what binds when much waits, and each that names too few is followed by another.
-fn least_named(policy: &AdvicePolicy) -> usize {
+/// Gives how many workers a call names at least. Where steps wait for an instance to make a call, a long one names as many
+/// as make it half as long again as one that names nobody: each that names too few is followed by another.
+fn least_named(policy: &AdvicePolicy, lacked_callers: bool) -> usize {
+    if is_short(policy) || !lacked_callers {
+        return ADVICE_LEAST_WORKERS;
+    }
     let workers = policy.base_ms * ADVICE_NAMED_PART / policy.per_worker_ms;
     (workers as usize).clamp(ADVICE_LEAST_WORKERS, ADVICE_MOST_WORKERS)
 }
@@ -151,6 +154,8 @@
     /// How many instances are kept free of calls that take long.
     kept_free: usize,
     reserve: Reserve,
+    /// Whether steps wanted calls in the last plan that no instance was free to make.
+    lacked_callers: bool,
     /// Instances whose last call got no answer, and until when they make none.
     resting: BTreeMap<InstanceId, Millis>,
     rates: BTreeMap<Name, Rate>,
@@ -326,8 +331,9 @@
 
     /// Begins a plan: no step is to be looked at again yet, and the instances that are free or to be kept free are
     /// counted.
-    pub(crate) fn begin_plan(&mut self, now: Millis) {
+    pub(crate) fn begin_plan(&mut self, now: Millis, lacked_callers: bool) {
         self.again.clear();
+        self.lacked_callers = lacked_callers;
         self.free = self.free_helpers(now).count();
         self.kept_free = self.reserve.kept(now, self.helpers.len());
     }
@@ -365,7 +371,7 @@
         let rate = self.rates.get(want.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let room_to_ask_about = open.iter().any(|p| p.fits > 0);
         let has_room = room_to_ask_about && (!want.gang || room >= want.tasks);
-        let workers = choose(want, open, &known.allowed, rate);
+        let workers = choose(want, open, (&known.allowed, rate), self.lacked_callers);
         if workers.is_empty() {
             known.next_at = known.next_look(now, renewal);
         }
@@ -470,8 +476,8 @@
 fn choose(
     want: &Want<'_>,
     mut open: Vec<Prospect>,
-    allowed: &BTreeSet<WorkerId>,
-    rate: f64,
+    (allowed, rate): (&BTreeSet<WorkerId>, f64),
+    lacked_callers: bool,
 ) -> Vec<WorkerId> {
     // Looking up who is allowed at each comparison would cost more than the sort.
     open.sort_by_cached_key(|p| {
@@ -485,7 +491,11 @@
     let mut full = 0;
     for p in open.into_iter().take(ADVICE_MOST_WORKERS) {
         let known = allowed.contains(&p.worker);
-        let least = if all_short { ADVICE_SHORT_WORKERS } else { least_named(&want.policy) };
+        let least = if all_short {
+            ADVICE_SHORT_WORKERS
+        } else {
+            least_named(&want.policy, lacked_callers)
+        };
         let named_enough = (known && !all_short) || workers.len() >= least;
         if expected >= needed && (p.fits == 0 || named_enough) {
             break;
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -35,12 +35,13 @@
         let Looked { mut urgent, mut by_turns, passed_over } = self.look_at(m);
         by_turns.extend(self.long_waiting(m, &urgent, &by_turns));
         let steps = (urgent.len() + by_turns.len()) as u64;
+        let lacked_callers = self.plan_state.without_caller > 0;
         self.plan_state.begin(passed_over + steps * LOOKS_A_STEP);
         urgent.sort_by_cached_key(|e| self.urgency(m, e));
         by_turns.sort_by_cached_key(|e| self.urgency(m, e));
         self.find_young_suspects(m);
         self.find_spared(m);
-        self.desk.begin_plan(m.now);
+        self.desk.begin_plan(m.now, lacked_callers);
         let owed = self.owed_steps(m);
         self.plan_state.looks += owed.len() as u64 * LOOKS_A_STEP;
         self.desk.look_again(m.now, Urge::Owed, owed.iter().map(|e| &e.key), owed.len());
--- a/components/dispatch/src/wait_lines.rs
+++ b/components/dispatch/src/wait_lines.rs
@@ -66,12 +66,12 @@
         }
         let held_back = waiting.len() - self.may_start_of(m, key, &waiting);
         let details = format!(
-            "since_ms={} tasks={} held_back={held_back} at_limit={} looked={} {}",
+            "since_ms={} tasks={} held_back={held_back} looked={} {}{}",
             m.now.since(since).0,
             waiting.len(),
-            if self.is_at_limit(key) { "yes" } else { "no" },
             if looked { "yes" } else { "no" },
             self.causes(m, task),
+            if self.is_at_limit(key) { " at_limit=yes" } else { "" },
         );
         self.wait_lines.note_told(m.now, *key);
         self.note(&kinds::TASK_WAITS, task, details);
