The own cell's teams are organisations, as everywhere else

One word for one thing: job files, quotas, messages and code say organisation; files that say team are still read, both at once are refused. The test of a missing key names the new one; those that write the earlier one stay, and two cases are added.

--- a/components/api/src/convert.rs
+++ b/components/api/src/convert.rs
@@ -19,7 +19,7 @@
 pub fn job_message(spec: &JobSpec) -> pb::Job {
     pb::Job {
         name: spec.name.as_str().into(),
-        team: spec.team.as_ref().into(),
+        organisation: spec.organisation.as_ref().into(),
         kind: match spec.kind {
             JobKind::Service => pb::Kind::Service,
             JobKind::Batch => pb::Kind::Batch,
@@ -51,7 +51,7 @@
 pub fn job_spec(job: &pb::Job) -> Result<JobSpec, Findings> {
     let spec = JobSpec {
         name: job.name.as_str().into(),
-        team: job.team.as_str().into(),
+        organisation: job.organisation.as_str().into(),
         kind: match job.kind {
             pb::Kind::Service => JobKind::Service,
             pb::Kind::Batch => JobKind::Batch,
--- a/components/bench/src/trace.rs
+++ b/components/bench/src/trace.rs
@@ -123,6 +123,6 @@
 }
 
 fn plain(name: String, kind: JobKind, tasks: u32, class: Class) -> JobSpec {
-    let team = format!("team{}", name.len() as u32 + tasks % 7);
-    JobSpec { class, ..JobSpec::new(&name, &team, kind, tasks, Size::ZERO) }
+    let organisation = format!("organisation{}", name.len() as u32 + tasks % 7);
+    JobSpec { class, ..JobSpec::new(&name, &organisation, kind, tasks, Size::ZERO) }
 }
--- a/components/instance/src/core/apply.rs
+++ b/components/instance/src/core/apply.rs
@@ -85,7 +85,7 @@
         }
         match command {
             Command::CreateJob { spec, .. } => {
-                let text = format!("{} tasks for team {}", spec.tasks, spec.team);
+                let text = format!("{} tasks for organisation {}", spec.tasks, spec.organisation);
                 journal.note(&kinds::JOB_CREATED, Subject::job(&spec.name), text);
             }
             Command::CancelJob { name } => {
--- a/components/instance/src/zone_role.rs
+++ b/components/instance/src/zone_role.rs
@@ -239,13 +239,13 @@
     }
 }
 
-/// A team's ceiling is cut equally over the zones, so that the sum holds without asking.
+/// An organisation's ceiling is cut equally over the zones, so that the sum holds without asking.
 fn allocator_config(zone: ZoneId, epoch: Epoch, cell: &Cell) -> AllocatorConfig {
     let config = &cell.config.config;
     let zones = cell.zones.iter().count().max(1) as u64;
     let part =
         |s: &Size| Size::new(s.cpu_milli / zones, s.memory_mb / zones, s.accelerators / zones);
-    let quotas = config.quotas.iter().map(|q| (q.team.clone(), part(&q.size))).collect();
+    let quotas = config.quotas.iter().map(|q| (q.organisation.clone(), part(&q.size))).collect();
     AllocatorConfig {
         zone,
         epoch,
--- a/components/model/src/config.rs
+++ b/components/model/src/config.rs
@@ -16,11 +16,11 @@
     Packing,
 }
 
-/// A team's ceiling over the whole cell.
+/// An organisation's ceiling over the whole cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Quota {
-    /// The team.
-    pub team: Name,
+    /// The organisation.
+    pub organisation: Name,
     /// The most it may have placed at once.
     pub size: Size,
 }
@@ -42,7 +42,7 @@
     pub retry_percent: u32,
     /// How long a worker's lease lasts.
     pub worker_lease: Millis,
-    /// The teams' ceilings; a team without one is not limited.
+    /// The organisations' ceilings; an organisation without one is not limited.
     pub quotas: Vec<Quota>,
 }
 
--- a/components/model/src/file.rs
+++ b/components/model/src/file.rs
@@ -97,9 +97,13 @@
     }
 }
 
+/// What the key of an organisation was called before; files that have it are still read.
+const EARLIER_ORGANISATION_KEY: &str = "team";
+
 const JOB_KEYS: &[&str] = &[
     "name",
-    "team",
+    "organisation",
+    EARLIER_ORGANISATION_KEY,
     "kind",
     "tasks",
     "cpu_milli",
@@ -183,7 +187,7 @@
     let before = src.findings.list.len();
     src.unknown_keys(t, JOB_KEYS);
     let name = src.field::<String>(t, at, "name", None);
-    let team = src.field::<String>(t, at, "team", None);
+    let organisation = organisation(src, t, at);
     let kind = src.field::<JobKind>(t, at, "kind", None);
     let tasks = src.field(t, at, "tasks", Some(1u32));
     let cpu_milli = src.field::<u64>(t, at, "cpu_milli", None);
@@ -197,7 +201,7 @@
     let repeatable = src.field(t, at, "repeatable", Some(true));
     let spec = JobSpec {
         name: name?.as_str().into(),
-        team: team?.as_str().into(),
+        organisation: organisation?.as_str().into(),
         kind: kind?,
         tasks: tasks?,
         size: Size::new(cpu_milli?, memory_mb?, accelerators?),
@@ -212,6 +216,23 @@
     (src.findings.list.len() == before).then_some(spec)
 }
 
+/// Reads an organisation by its key, or by the earlier one if that stands alone.
+fn organisation<'a>(src: &mut Source<'a>, t: &Table<'a>, at: &Range<usize>) -> Option<String> {
+    let has = |key: &str| t.iter().any(|(k, _)| k.get_ref().as_ref() == key);
+    let key = match (has("organisation"), has(EARLIER_ORGANISATION_KEY)) {
+        (true, true) => {
+            src.fault(
+                at.clone(),
+                format!("write \"organisation\" without \"{EARLIER_ORGANISATION_KEY}\""),
+            );
+            return None;
+        }
+        (false, true) => EARLIER_ORGANISATION_KEY,
+        (_, false) => "organisation",
+    };
+    src.field(t, at, key, None)
+}
+
 fn read_config<'a>(src: &mut Source<'a>, root: &Table<'a>) -> CellConfig {
     let d = CellConfig::default();
     let at = &(0..0);
@@ -235,23 +256,27 @@
     }
 }
 
+const QUOTA_KEYS: &[&str] =
+    &["organisation", EARLIER_ORGANISATION_KEY, "cpu_milli", "memory_mb", "accelerators"];
+
 fn quotas<'a>(src: &mut Source<'a>, root: &Table<'a>) -> Vec<Quota> {
     let mut quotas: Vec<Quota> = Vec::new();
     for (t, at) in tables(src, root, "quota") {
-        src.unknown_keys(&t, &["team", "cpu_milli", "memory_mb", "accelerators"]);
-        let team = src.field::<String>(&t, &at, "team", None);
+        src.unknown_keys(&t, QUOTA_KEYS);
+        let organisation = organisation(src, &t, &at);
         let cpu_milli = src.field::<u64>(&t, &at, "cpu_milli", None);
         let memory_mb = src.field::<u64>(&t, &at, "memory_mb", None);
         let accelerators = src.field(&t, &at, "accelerators", Some(0u64));
-        let (Some(team), Some(c), Some(m), Some(a)) = (team, cpu_milli, memory_mb, accelerators)
+        let (Some(organisation), Some(c), Some(m), Some(a)) =
+            (organisation, cpu_milli, memory_mb, accelerators)
         else {
             continue;
         };
-        if quotas.iter().any(|q| *q.team == *team) {
-            src.fault(at, format!("the team \"{team}\" has two quotas"));
+        if quotas.iter().any(|q| *q.organisation == *organisation) {
+            src.fault(at, format!("the organisation \"{organisation}\" has two quotas"));
             continue;
         }
-        quotas.push(Quota { team: team.as_str().into(), size: Size::new(c, m, a) });
+        quotas.push(Quota { organisation: organisation.as_str().into(), size: Size::new(c, m, a) });
     }
     quotas
 }
--- a/components/model/src/spec.rs
+++ b/components/model/src/spec.rs
@@ -69,8 +69,8 @@
 pub struct JobSpec {
     /// The job's name, unique in the cell.
     pub name: JobName,
-    /// The team whose quota it counts against.
-    pub team: Name,
+    /// The organisation whose quota it counts against.
+    pub organisation: Name,
     /// Service, batch or gang.
     pub kind: JobKind,
     /// How many tasks it has.
@@ -95,14 +95,14 @@
 impl JobSpec {
     /// The most tasks one job may have, so that a call's cost stays bounded.
     pub const MAX_TASKS: u32 = 20_000;
-    /// The longest name of a job or team, in bytes.
+    /// The longest name of a job or organisation, in bytes.
     pub const MAX_NAME: usize = 100;
 
     /// Declares a job with the defaults that a job file has for what is left out.
-    pub fn new(name: &str, team: &str, kind: JobKind, tasks: u32, size: Size) -> JobSpec {
+    pub fn new(name: &str, organisation: &str, kind: JobKind, tasks: u32, size: Size) -> JobSpec {
         JobSpec {
             name: name.into(),
-            team: team.into(),
+            organisation: organisation.into(),
             kind,
             tasks,
             size,
@@ -118,7 +118,7 @@
     /// Gives every fault of the spec as field and message.
     pub fn faults(&self) -> Vec<(&'static str, String)> {
         let mut faults = Vec::new();
-        for (field, name) in [("name", &self.name.0), ("team", &self.team)] {
+        for (field, name) in [("name", &self.name.0), ("organisation", &self.organisation)] {
             if let Some(fault) = name_fault(name) {
                 faults.push((field, fault));
             }
--- a/components/model/tests/files.rs
+++ b/components/model/tests/files.rs
@@ -7,7 +7,7 @@
 const GOOD: &str = r#"
 [[job]]
 name = "watch"
-team = "portal"
+organisation = "portal"
 kind = "service"
 tasks = 3
 cpu_milli = 500
@@ -58,7 +58,7 @@
     };
     has(7, 1, "unknown key \"typo\"");
     has(6, 13, "memory_mb");
-    has(9, 1, "\"team\" is missing");
+    has(9, 1, "\"organisation\" is missing");
     has(9, 1, "\"kind\" is missing");
     has(9, 1, "\"cpu_milli\" is missing");
 }
@@ -119,7 +119,12 @@
     fewer_connections_than_slots: "upstream_connections = 4" => "upstream_connections";
     too_many_retries: "retry_percent = 101" => "retry_percent";
     a_lease_too_short: "worker_lease_ms = 10" => "worker_lease_ms";
-    two_quotas_of_a_team:
+    two_quotas_of_an_organisation:
+        "[[quota]]\norganisation=\"t\"\ncpu_milli=1\nmemory_mb=1\n[[quota]]\norganisation=\"t\"\ncpu_milli=1\nmemory_mb=1"
+        => "two quotas";
+    two_words_for_one_organisation:
+        "[[quota]]\norganisation=\"t\"\nteam=\"t\"\ncpu_milli=1\nmemory_mb=1" => "without \"team\"";
+    two_quotas_by_the_earlier_key:
         "[[quota]]\nteam=\"t\"\ncpu_milli=1\nmemory_mb=1\n[[quota]]\nteam=\"t\"\ncpu_milli=1\nmemory_mb=1"
         => "two quotas";
 }
--- a/components/placement/src/estimate.rs
+++ b/components/placement/src/estimate.rs
@@ -21,7 +21,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Estimator {
     by_job: BTreeMap<JobName, u64>,
-    by_team: BTreeMap<(Name, JobKindKey), u64>,
+    by_organisation: BTreeMap<(Name, JobKindKey), u64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -41,7 +41,7 @@
         }
         let ratio = (ran.0.saturating_mul(ONE) / spec.run_time.0)
             .clamp(*RATIO_RANGE.start(), *RATIO_RANGE.end());
-        blend(self.by_team.entry((spec.team.clone(), spec.kind.into())), ratio);
+        blend(self.by_organisation.entry((spec.organisation.clone(), spec.kind.into())), ratio);
         if self.by_job.len() < KEPT_JOBS || self.by_job.contains_key(&spec.name) {
             blend(self.by_job.entry(spec.name.clone()), ratio);
         }
@@ -57,8 +57,8 @@
         if spec.kind == JobKind::Service {
             return Millis::MAX;
         }
-        let team = (spec.team.clone(), spec.kind.into());
-        let ratio = self.by_job.get(&spec.name).or_else(|| self.by_team.get(&team));
+        let organisation = (spec.organisation.clone(), spec.kind.into());
+        let ratio = self.by_job.get(&spec.name).or_else(|| self.by_organisation.get(&organisation));
         let ratio = ratio.copied().unwrap_or(ONE);
         Millis(spec.run_time.0.saturating_mul(ratio) / ONE)
     }
--- a/components/placement/src/limits.rs
+++ b/components/placement/src/limits.rs
@@ -1,4 +1,4 @@
-//! Who may have more: ceilings of teams, room kept for urgent work, and jobs that no worker can hold.
+//! Who may have more: ceilings of organisations, room kept for urgent work, and jobs that no worker can hold.
 
 use model::{Class, JobKind, JobSpec, Name, Profile};
 
@@ -8,9 +8,9 @@
 const HEADROOM_PERCENT: u64 = 5;
 
 impl Planner {
-    /// Gives the largest part that a team has of any dimension, in millionths.
-    pub(crate) fn dominant_share(&self, team: &Name) -> u64 {
-        let Some(used) = self.usage.get(team) else { return 0 };
+    /// Gives the largest part that an organisation has of any dimension, in millionths.
+    pub(crate) fn dominant_share(&self, organisation: &Name) -> u64 {
+        let Some(used) = self.usage.get(organisation) else { return 0 };
         let total = self.ledger.total();
         let part = |d| used.get(d).saturating_mul(1_000_000).checked_div(total.get(d));
         model::Dimension::ALL.into_iter().filter_map(part).max().unwrap_or(0)
@@ -33,11 +33,11 @@
         None
     }
 
-    /// Tells whether the team's ceiling and the headroom for urgent work leave room.
+    /// Tells whether the organisation's ceiling and the headroom for urgent work leave room.
     pub(crate) fn within_limits(&self, spec: &JobSpec, tasks: usize) -> bool {
         let wanted = spec.size.times(tasks as u64);
-        if let Some(quota) = self.policy.quotas.get(&spec.team) {
-            let used = self.usage.get(&spec.team).copied().unwrap_or_default();
+        if let Some(quota) = self.policy.quotas.get(&spec.organisation) {
+            let used = self.usage.get(&spec.organisation).copied().unwrap_or_default();
             if !used.plus(&wanted).fits(quota) {
                 return false;
             }
--- a/components/placement/src/line.rs
+++ b/components/placement/src/line.rs
@@ -1,6 +1,6 @@
-//! The jobs of one class that one team has waiting, and how a round goes through them.
+//! The jobs of one class that one organisation has waiting, and how a round goes through them.
 //!
-//! Load pattern: hundreds of a team's jobs wait, and the oldest of them can start nowhere. A round that tried
+//! Load pattern: hundreds of an organisation's jobs wait, and the oldest of them can start nowhere. A round that tried
 //! the oldest ones only would never come to those behind, however much is free for them. So each round also
 //! tries some of the rest, by turns.
 
--- a/components/placement/src/placing.rs
+++ b/components/placement/src/placing.rs
@@ -113,7 +113,7 @@
         if spec.spread != Spread::None {
             self.spread.entry(spec.name.clone()).or_default().add(&rack, worker);
         }
-        let used = self.usage.entry(spec.team.clone()).or_default();
+        let used = self.usage.entry(spec.organisation.clone()).or_default();
         *used = used.plus(&spec.size);
         self.by_worker.entry(worker).or_default().insert(task.clone());
         let spec = spec.clone();
--- a/components/placement/src/planner.rs
+++ b/components/placement/src/planner.rs
@@ -1,4 +1,4 @@
-//! Who gets what is free: classes first, then fair shares between teams, then age.
+//! Who gets what is free: classes first, then fair shares between organisations, then age.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -104,7 +104,7 @@
         if let Some(counts) = self.spread.get_mut(&task.job) {
             counts.remove(&self.ledger.info(placed.worker).rack, placed.worker);
         }
-        if let Some(used) = self.usage.get_mut(&placed.spec.team) {
+        if let Some(used) = self.usage.get_mut(&placed.spec.organisation) {
             *used = used.minus(&placed.spec.size);
         }
         Some(placed)
@@ -190,25 +190,27 @@
     fn plan_class(&mut self, now: Millis, class: Class, budget: usize, round: &mut Round) {
         let mut walks: BTreeMap<Name, Walk> = BTreeMap::new();
         while round.decisions.len() < budget {
-            let Some((team, job)) = self.next_job(class, &walks) else { return };
+            let Some((organisation, job)) = self.next_job(class, &walks) else { return };
             if !self.try_job(now, &job, round) {
-                self.queue.pass_over(&job, walks.entry(team).or_default(), round.lap);
+                self.queue.pass_over(&job, walks.entry(organisation).or_default(), round.lap);
             }
         }
     }
 
-    /// Gives the next job of the team that uses the least, passing over jobs already tried.
+    /// Gives the next job of the organisation that uses the least, passing over jobs already tried.
     fn next_job(&self, class: Class, walks: &BTreeMap<Name, Walk>) -> Option<(Name, JobName)> {
         let mut best: Option<(u64, &Name, &JobName)> = None;
-        for team in self.queue.teams(class) {
-            let walk = walks.get(team).copied().unwrap_or_default();
-            let Some(bundle) = self.queue.next_in_line(class, team, &walk) else { continue };
-            let share = self.dominant_share(team);
-            if best.is_none_or(|(s, t, _)| (share, team) < (s, t)) {
-                best = Some((share, team, &bundle.spec.name));
+        for organisation in self.queue.organisations(class) {
+            let walk = walks.get(organisation).copied().unwrap_or_default();
+            let Some(bundle) = self.queue.next_in_line(class, organisation, &walk) else {
+                continue;
+            };
+            let share = self.dominant_share(organisation);
+            if best.is_none_or(|(s, t, _)| (share, organisation) < (s, t)) {
+                best = Some((share, organisation, &bundle.spec.name));
             }
         }
-        best.map(|(_, team, job)| (team.clone(), job.clone()))
+        best.map(|(_, organisation, job)| (organisation.clone(), job.clone()))
     }
 
     /// Tries to start a task of `job`, or all of a gang's. Gives false if it has to be passed over.
--- a/components/placement/src/policy.rs
+++ b/components/placement/src/policy.rs
@@ -17,7 +17,7 @@
     pub backfill: bool,
     /// Whether only tasks that may not move are started.
     pub only_fixed: bool,
-    /// The teams' ceilings in this zone.
+    /// The organisations' ceilings in this zone.
     pub quotas: BTreeMap<Name, Size>,
 }
 
--- a/components/placement/src/queue.rs
+++ b/components/placement/src/queue.rs
@@ -1,4 +1,4 @@
-//! The tasks that wait, by class and team.
+//! The tasks that wait, by class and organisation.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
@@ -28,7 +28,7 @@
     pub(crate) room_search: Option<RoomSearch>,
 }
 
-/// All bundles: by class, then team, then age.
+/// All bundles: by class, then organisation, then age.
 #[derive(Clone, Debug, Default)]
 pub struct Queue {
     bundles: BTreeMap<JobName, Bundle>,
@@ -38,7 +38,7 @@
 }
 
 impl Queue {
-    /// Adds tasks of a job, behind what its team has waiting already.
+    /// Adds tasks of a job, behind what its organisation has waiting already.
     pub fn add(
         &mut self,
         now: Millis,
@@ -66,8 +66,11 @@
         }
         if bundle.order == order {
             self.next_order += 1;
-            let teams = self.lines.entry(spec.class).or_default();
-            teams.entry(spec.team.clone()).or_default().insert(order, spec.name.clone());
+            let organisations = self.lines.entry(spec.class).or_default();
+            organisations
+                .entry(spec.organisation.clone())
+                .or_default()
+                .insert(order, spec.name.clone());
         }
     }
 
@@ -86,12 +89,12 @@
     pub fn remove(&mut self, job: &JobName) -> Option<Bundle> {
         let bundle = self.bundles.remove(job)?;
         self.waiting -= bundle.waiting.len();
-        if let Some(teams) = self.lines.get_mut(&bundle.spec.class)
-            && let Some(line) = teams.get_mut(&bundle.spec.team)
+        if let Some(organisations) = self.lines.get_mut(&bundle.spec.class)
+            && let Some(line) = organisations.get_mut(&bundle.spec.organisation)
         {
             line.remove(bundle.order);
             if line.is_empty() {
-                teams.remove(&bundle.spec.team);
+                organisations.remove(&bundle.spec.organisation);
             }
         }
         Some(bundle)
@@ -121,21 +124,26 @@
         self.waiting == 0
     }
 
-    pub(crate) fn teams(&self, class: Class) -> impl Iterator<Item = &Name> {
-        self.lines.get(&class).into_iter().flat_map(|teams| teams.keys())
+    pub(crate) fn organisations(&self, class: Class) -> impl Iterator<Item = &Name> {
+        self.lines.get(&class).into_iter().flat_map(|organisations| organisations.keys())
     }
 
-    /// Gives the job that a round tries next in a team's line.
-    pub(crate) fn next_in_line(&self, class: Class, team: &Name, walk: &Walk) -> Option<&Bundle> {
-        let job = self.lines.get(&class)?.get(team)?.next(walk)?;
+    /// Gives the job that a round tries next in an organisation's line.
+    pub(crate) fn next_in_line(
+        &self,
+        class: Class,
+        organisation: &Name,
+        walk: &Walk,
+    ) -> Option<&Bundle> {
+        let job = self.lines.get(&class)?.get(organisation)?.next(walk)?;
         self.bundles.get(job)
     }
 
     /// Notes that a round of a lap passes over a job that cannot start now.
     pub(crate) fn pass_over(&mut self, job: &JobName, walk: &mut Walk, lap: u64) {
         let Some(bundle) = self.bundles.get(job) else { return };
-        let teams = self.lines.get_mut(&bundle.spec.class);
-        if let Some(line) = teams.and_then(|t| t.get_mut(&bundle.spec.team)) {
+        let organisations = self.lines.get_mut(&bundle.spec.class);
+        if let Some(line) = organisations.and_then(|t| t.get_mut(&bundle.spec.organisation)) {
             line.pass_over(bundle.order, walk, lap);
         }
     }
--- a/components/placement/tests/differential.rs
+++ b/components/placement/tests/differential.rs
@@ -276,8 +276,8 @@
     }
     assert_eq!(p.estimator.expected(&job), Millis(100_000));
     let mut sibling = spec("sibling", JobKind::Batch, 1, 1_000);
-    sibling.team = "job".into();
-    assert_eq!(p.estimator.expected(&sibling), Millis(100_000), "a team's jobs are alike");
+    sibling.organisation = "job".into();
+    assert_eq!(p.estimator.expected(&sibling), Millis(100_000), "an organisation's jobs are alike");
 }
 
 #[test]
--- a/components/placement/tests/starvation.rs
+++ b/components/placement/tests/starvation.rs
@@ -22,10 +22,10 @@
     planner
 }
 
-/// A job of one task, of the one team here.
+/// A job of one task, of the one organisation here.
 fn spec(name: &str, kind: JobKind, cpu: u64) -> JobSpec {
     let run_time = Millis(10_000);
-    JobSpec { run_time, ..JobSpec::new(name, "team", kind, 1, Size::new(cpu, 100, 0)) }
+    JobSpec { run_time, ..JobSpec::new(name, "organisation", kind, 1, Size::new(cpu, 100, 0)) }
 }
 
 fn submit(planner: &mut Planner, spec: JobSpec) {
@@ -54,7 +54,7 @@
     planner
 }
 
-/// A small job behind so many of its team's jobs that cannot start does so within so many plans.
+/// A small job behind so many of its organisation's jobs that cannot start does so within so many plans.
 macro_rules! starts_behind {
     ($($name:ident: $stuck:expr => $plans:expr;)*) => {$(
         #[test]
--- a/components/zone/src/allocator.rs
+++ b/components/zone/src/allocator.rs
@@ -31,7 +31,7 @@
     pub worker_lease: Millis,
     /// What placement weighs most.
     pub profile: Profile,
-    /// The teams' ceilings in this zone.
+    /// The organisations' ceilings in this zone.
     pub quotas: BTreeMap<Name, Size>,
 }
 
