--- a/components/dispatch/tests/capacity.rs
+++ b/components/dispatch/tests/capacity.rs
@@ -117,3 +117,20 @@
     b.pass(Millis(50));
     assert!(b.stops().is_empty());
 }
+
+/// A quarter of the workers shrink to little more than half, and a burst comes on top: each worker is filled to what it has
+/// left, and the rest waits.
+#[test]
+fn a_burst_on_workers_that_have_shrunk_fills_what_is_left() {
+    let mut b = Bench::new("");
+    let names = ["w1", "w2", "w3", "w4"];
+    names.iter().for_each(|name| b.join(name, 9));
+    b.submit(1, spec(vec![step(12)]));
+    b.commit();
+    announce(&mut b, "w1", 5, 2);
+    b.submit(2, spec(vec![step(40)]));
+    b.commit();
+    b.pass(Millis(100));
+    let on = |name: &str| b.starts().iter().filter(|(w, _)| w.0.as_ref() == name).count();
+    assert_eq!(names.map(on), [5, 9, 9, 9]);
+}
--- a/components/dispatch/tests/crashes.rs
+++ b/components/dispatch/tests/crashes.rs
@@ -363,3 +363,32 @@
         }
     }
 }
+
+/// For ten seconds a tenth of all quick jobs have a task that ends its worker as it starts, and the leader is lost while some
+/// of them are on their way. The next leader counts on from what is committed, so no job takes down more than the bound.
+#[rstest]
+fn tasks_that_crash_their_workers_are_given_up_though_the_leader_is_lost(
+    #[values(1, 2, 3)] seed: u64,
+) {
+    let mut f = fleet(seed);
+    let mut mix = Mix::everyday(0.3);
+    mix.play(&mut f, Millis(2_000));
+    for turn in 0..25 {
+        let job = f.hand_in(Kind::Quick, "q", vec![step(6)]);
+        f.make_faulty(task(job.0, 0, 0), Fault::AtStart);
+        mix.play(&mut f, Millis(400));
+        if turn == 17 {
+            f.hand_in(Kind::Quick, "q", vec![step(6)]);
+            f.pass(Millis(30));
+            f.lose_leader();
+            f.pass(Millis(600));
+            f.take_over();
+        }
+    }
+    mix.play(&mut f, UNDERSTOOD);
+    f.pass(Millis(15_000));
+    for job in f.crashes.faulty_jobs() {
+        assert!(f.crashes.by_job(job) <= MOST_IN_COMPANY, "seed {seed}: {job}");
+        assert_eq!(state(&f, job), Some(JobState::Failed), "seed {seed}: {job}");
+    }
+}
