Operators see each organisation's use, limit and what waits for it

The leader's figures by organisation: processor time in use and allowed, steps that wait, and those that the limit holds back.

--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -4,7 +4,7 @@
 
 use clock::Millis;
 use model::{Name, Size};
-use workload::{TaskKey, Worker};
+use workload::{Organisation, TaskKey, Worker};
 
 use crate::dispatcher::Dispatcher;
 use crate::view::{Order, Stage, View};
@@ -56,7 +56,41 @@
     pub lasting_waiting: u64,
 }
 
+/// The same of one organisation.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct OrganisationFigures {
+    /// What it may have running; zero in a dimension sets no limit there.
+    pub limit: Size,
+    /// What it has running, or may have.
+    pub used: Size,
+    /// Its steps with tasks that wait for a worker.
+    pub open_steps: u64,
+    /// Those of them of which no task may start because of the limit.
+    pub steps_at_limit: u64,
+}
+
 impl Dispatcher {
+    /// Gives the figures of each organisation that is configured.
+    pub fn organisation_figures(&self) -> BTreeMap<Name, OrganisationFigures> {
+        let organisations = self.policy.iter().filter_map(|p| p.organisations.as_ref());
+        let figures = |o: &Organisation| OrganisationFigures {
+            limit: o.limit,
+            used: self.book.ownership().used(&o.name),
+            ..OrganisationFigures::default()
+        };
+        let mut of: BTreeMap<Name, OrganisationFigures> = organisations
+            .flat_map(|all| all.iter())
+            .map(|o| (o.name.clone(), figures(o)))
+            .collect();
+        for entry in self.book.open() {
+            let owner = self.book.ownership().owner(entry.key.job);
+            let Some(figures) = owner.and_then(|name| of.get_mut(name)) else { continue };
+            figures.open_steps += 1;
+            figures.steps_at_limit += u64::from(self.is_at_limit(&entry.key));
+        }
+        of
+    }
+
     /// Gives what there is to do at the moment.
     pub fn figures(&self) -> Figures {
         let settled = |o: &Order| matches!(o.stage, Stage::Confirmed { .. });
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -45,7 +45,7 @@
 pub use advice::AdviceAsk;
 pub use call::{Answer, Call, Verb};
 pub use dispatcher::{Dispatcher, Setup};
-pub use figures::{Figures, ServiceFigures};
+pub use figures::{Figures, OrganisationFigures, ServiceFigures};
 pub use input::{Input, Moment, Token};
 pub use limits::{Limits, Mechanisms};
 pub use order::{
--- a/components/dispatch/tests/organisations.rs
+++ b/components/dispatch/tests/organisations.rs
@@ -239,3 +239,15 @@
     b.pass(Millis(50));
     assert_eq!(b.starts().len(), 2);
 }
+
+#[test]
+fn the_figures_tell_what_waits_at_a_limit() {
+    let mut b = Bench::new(TWO);
+    b.join("w1", 16);
+    b.submit_with("key-a", PATH, spec(vec![step(6)]));
+    b.commit();
+    let of = b.dispatcher.organisation_figures();
+    assert_eq!((of["a"].open_steps, of["a"].steps_at_limit), (1, 1));
+    assert_eq!((of["a"].used.cpu_milli, of["a"].limit.cpu_milli), (4_000, 4_000));
+    assert_eq!(of["b"], dispatch::OrganisationFigures::default());
+}
--- a/components/metrics/src/registry.rs
+++ b/components/metrics/src/registry.rs
@@ -19,8 +19,8 @@
     seconds: BTreeMap<&'static str, Histogram<u64>>,
     /// By name and service; operators configure the services, so their number is bounded.
     by_service: BTreeMap<(&'static str, Arc<str>), u64>,
-    /// By name, then by service.
-    service_gauges: BTreeMap<&'static str, BTreeMap<Arc<str>, u64>>,
+    /// By name, then by the value of a label; operators configure what these name, so their number is bounded.
+    labelled_gauges: BTreeMap<&'static str, (&'static str, BTreeMap<Arc<str>, u64>)>,
 }
 
 /// The figures of one process.
@@ -53,7 +53,21 @@
 
     /// Sets a gauge that is kept for each service. Services that are not named are told of no more.
     pub fn set_by_service(&self, name: &'static str, values: BTreeMap<Arc<str>, u64>) {
-        self.lock().service_gauges.insert(name, values);
+        self.set_labelled(name, "service", values);
+    }
+
+    /// Sets a gauge that is kept for each organisation. Those that are not named are told of no more.
+    pub fn set_by_organisation(&self, name: &'static str, values: BTreeMap<Arc<str>, u64>) {
+        self.set_labelled(name, "organisation", values);
+    }
+
+    fn set_labelled(
+        &self,
+        name: &'static str,
+        label: &'static str,
+        values: BTreeMap<Arc<str>, u64>,
+    ) {
+        self.lock().labelled_gauges.insert(name, (label, values));
     }
 
     /// Notes how long something took, in milliseconds. The name must end in `_seconds`.
@@ -69,11 +83,11 @@
         let mut out = String::new();
         write_counters(&mut out, "kind", &kept.counters);
         write_counters(&mut out, "service", &kept.by_service);
-        for (name, values) in &kept.service_gauges {
+        for (name, (label, values)) in &kept.labelled_gauges {
             let _ = writeln!(out, "# TYPE {name} gauge");
-            for (service, value) in values {
-                let service = service.escape_default();
-                let _ = writeln!(out, "{name}{{service=\"{service}\"}} {value}");
+            for (named, value) in values {
+                let named = named.escape_default();
+                let _ = writeln!(out, "{name}{{{label}=\"{named}\"}} {value}");
             }
         }
         for (name, value) in &kept.gauges {
--- a/components/node/src/leading.rs
+++ b/components/node/src/leading.rs
@@ -4,9 +4,9 @@
 use std::collections::BTreeMap;
 
 use clock::{Clock, Millis};
-use dispatch::{Action, Answer, Dispatcher, Input, Setup};
+use dispatch::{Action, Answer, Dispatcher, Input, OrganisationFigures, Setup};
 use events::{kinds, tell};
-use model::InstanceId;
+use model::{InstanceId, Name};
 
 use crate::control::Control;
 use crate::control_event::ControlEvent;
@@ -18,6 +18,12 @@
 
 /// The workers of each service that get nothing for a while since they fail what they run.
 const WORKERS_ASIDE: &str = "heathvale_workers_aside";
+/// What each organisation has running, and may have, in thousandths of a core.
+const ORGANISATION_USED: &str = "heathvale_organisation_cpu_millis_used";
+const ORGANISATION_LIMIT: &str = "heathvale_organisation_cpu_millis_limit";
+/// The steps of each organisation that wait, and those of them that its limit holds back.
+const ORGANISATION_OPEN: &str = "heathvale_organisation_open_steps";
+const ORGANISATION_HELD: &str = "heathvale_organisation_steps_at_limit";
 /// The tasks of each service that last and wait for a worker.
 const LASTING_WAITING: &str = "heathvale_lasting_waiting";
 
@@ -72,6 +78,7 @@
         self.metrics.set_by_service(WORKERS_ASIDE, aside.collect());
         let waiting = of.iter().map(|(service, f)| (service.clone(), f.lasting_waiting));
         self.metrics.set_by_service(LASTING_WAITING, waiting.collect());
+        self.measure_organisations(&leading.dispatcher.organisation_figures());
         let connections = self.ports.workers.connections();
         self.metrics.set("heathvale_connections_open", connections.open as u64);
         self.metrics.set("heathvale_connections_limit", connections.limit as u64);
@@ -101,10 +108,22 @@
         tell(&kinds::LOAD_TOLD, &self.settings.name, &details);
     }
 
+    fn measure_organisations(&self, of: &BTreeMap<Name, OrganisationFigures>) {
+        let gauge = |name: &'static str, value: fn(&OrganisationFigures) -> u64| {
+            let values = of.iter().map(|(organisation, f)| (organisation.clone(), value(f)));
+            self.metrics.set_by_organisation(name, values.collect());
+        };
+        gauge(ORGANISATION_USED, |f| f.used.cpu_milli);
+        gauge(ORGANISATION_LIMIT, |f| f.limit.cpu_milli);
+        gauge(ORGANISATION_OPEN, |f| f.open_steps);
+        gauge(ORGANISATION_HELD, |f| f.steps_at_limit);
+    }
+
     /// Tells no more of what only a leader knows, so that no alert stands on what was.
     pub(crate) fn forget_services(&self) {
         self.metrics.set_by_service(WORKERS_ASIDE, BTreeMap::new());
         self.metrics.set_by_service(LASTING_WAITING, BTreeMap::new());
+        self.measure_organisations(&BTreeMap::new());
     }
 
     pub(crate) fn on_call(&mut self, from: InstanceId, token: u64, call: dispatch::Call) {
