A job is not given up since many workers start again at once

Its step is not open and none of its members counts as running, so the job is over: it was given up. Each of its runs lost one worker as a third of all workers started again, and three such losses count as a task that crashes its workers. A wide gang has a member on one of the lost workers nearly every time.

Ruled out: a member that is never settled (no order without an answer, unsettled=0, no torn gang at the end), a step that waits unseen (open_steps=0 to 2 at the end, calls for advice made for these).

Change: where a fifth of all workers, eight at least, is lost within 2.5 s, runs that had been well for two seconds are not blamed. E974 gang_torn tells of members that hold up their gangs.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
 use crate::plan_state::PlanState;
 use crate::speed::StepSpeeds;
 use crate::strangers::Strangers;
+use crate::suspects::MassCrashes;
 use crate::view::{Order, Stage, View};
 use crate::wait_lines::WaitLines;
 use crate::waits::LastingWaits;
@@ -64,6 +65,8 @@
     pub(crate) avoid: BTreeMap<TaskKey, BTreeSet<WorkerId>>,
     /// When jobs that go on were accepted, by the clock that never jumps.
     pub(crate) accepted: BTreeMap<JobId, Millis>,
+    /// When workers have crashed of late.
+    pub(crate) mass_crashes: MassCrashes,
     /// How fast the tasks of steps come on.
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
     /// How long workers take to answer.
@@ -113,6 +116,7 @@
             sweep: BTreeSet::new(),
             avoid: BTreeMap::new(),
             accepted: BTreeMap::new(),
+            mass_crashes: MassCrashes::default(),
             speeds: BTreeMap::new(),
             answer_times: AnswerTimes::unknown(),
             silent_zones: BTreeSet::new(),
@@ -333,6 +337,7 @@
     /// Drops what nobody asks for any more.
     fn forget(&mut self, m: Moment) {
         self.strangers.forget_old(m.now);
+        self.tell_torn_gangs();
         let before = m.wall.since(self.limits.remember);
         let old = |t: Option<Millis>| t.is_some_and(|t| t < before);
         if self.book.jobs().values().any(|j| old(j.ended_at)) {
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -35,6 +35,7 @@
 mod stragglers;
 mod strangers;
 mod suspects;
+mod torn_gangs;
 mod view;
 mod wait_lines;
 mod waits;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -247,6 +247,10 @@
 pub(crate) const TOGETHER: Millis = Millis(2_500);
 /// What part of the workers that must be, as one in so many: some fall silent at any time in a large fleet.
 pub(crate) const TOGETHER_ONE_IN: usize = 100;
+/// What part of all workers must be lost within that time for no task to seem at fault, as one in so many.
+pub(crate) const AMONG_MANY_ONE_IN: usize = 5;
+/// How many these must be at least: tasks at fault take down several workers within that time.
+pub(crate) const FEWEST_AMONG_MANY: usize = 8;
 /// From how many tasks on that crashed their workers a step may seem to be at fault as a whole. With fewer, starting
 /// them all takes down as many workers at most, and no job that is well waits for it.
 pub(crate) const FEWEST_SUSPECTS: usize = 4;
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -6,7 +6,7 @@
 //! is young. docs/design/platform.md weighs this against other ways.
 
 use std::cmp::Reverse;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use clock::Millis;
@@ -20,7 +20,8 @@
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
 use crate::limits::{
-    CLEARED_AFTER, FEWEST_SUSPECTS, MOST_UNHEARD, SEEMS_WELL, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
+    AMONG_MANY_ONE_IN, CLEARED_AFTER, FEWEST_AMONG_MANY, FEWEST_SUSPECTS, MOST_UNHEARD, SEEMS_WELL,
+    TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
 };
 use crate::view::{Order, Stage, View};
 
@@ -112,6 +113,21 @@
     }
 }
 
+/// When workers have crashed of late.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct MassCrashes(VecDeque<Millis>);
+
+impl MassCrashes {
+    fn note(&mut self, now: Millis) {
+        self.0.retain(|at| now.since(*at) < TOGETHER);
+        self.0.push_back(now);
+    }
+
+    fn lately(&self, now: Millis) -> usize {
+        self.0.iter().filter(|at| now.since(**at) < TOGETHER).count()
+    }
+}
+
 impl Dispatcher {
     /// Gives what is held against a task.
     pub(crate) fn suspicion(&self, task: &TaskKey) -> Suspicion {
@@ -267,6 +283,32 @@
         }
     }
 
+    /// Gives the runs that a worker has crashed under, as far as that speaks against them. Where a good part of all workers is
+    /// lost at once, something else has ended those on which all runs had been well for a while.
+    fn blame_for_crash(&self, worker: &WorkerId) -> Blame {
+        let blame = self.blame(worker);
+        match !blame.young && self.fell_among_many(worker) {
+            true => Blame::default(),
+            false => blame,
+        }
+    }
+
+    /// Tells whether a worker fell silent together with a good part of all workers, those counted that are known to have
+    /// crashed by now.
+    fn fell_among_many(&self, worker: &WorkerId) -> bool {
+        let many = self.silent_together(worker) + self.mass_crashes.lately(self.now());
+        many >= FEWEST_AMONG_MANY && many * AMONG_MANY_ONE_IN >= self.views.len()
+    }
+
+    /// Gives how many workers fell silent about when one did, that one counted.
+    fn silent_together(&self, worker: &WorkerId) -> usize {
+        let since = |view: &View| view.silent_since;
+        let Some(at) = self.views.get(worker).and_then(since) else { return 0 };
+        let with_it =
+            |view: &View| since(view).is_some_and(|s| s.since(at) + at.since(s) < TOGETHER);
+        self.views.values().filter(|v| with_it(v)).count()
+    }
+
     /// Gives the runs that a worker may have crashed under whose lease is over, until its fate is known.
     pub(crate) fn blame_for_silence(&self, worker: &WorkerId) -> Blame {
         Blame { alone: self.fell_silent_alone(worker), ..self.blame(worker) }
@@ -275,17 +317,16 @@
     /// Tells whether a worker fell silent by itself. One that did so with others is more likely cut off, or lost for a
     /// reason that is no task's.
     fn fell_silent_alone(&self, worker: &WorkerId) -> bool {
-        let since = |view: &View| view.silent_since;
-        let Some(at) = self.views.get(worker).and_then(since) else { return false };
-        let with_it =
-            |view: &View| since(view).is_some_and(|s| s.since(at) + at.since(s) < TOGETHER);
-        let together = self.views.values().filter(|v| with_it(v)).count();
-        together < 2 || together * TOGETHER_ONE_IN < self.views.len()
+        match self.silent_together(worker) {
+            0 => false,
+            together => together < 2 || together * TOGETHER_ONE_IN < self.views.len(),
+        }
     }
 
     /// Ends the life of a worker that had not said it would leave: whatever had begun there is suspect.
     pub(crate) fn worker_crashed(&mut self, id: &WorkerId, saved: Vec<(TaskKey, Arc<str>)>) {
-        let (blame, at) = (self.blame(id), self.wall());
+        let (blame, at) = (self.blame_for_crash(id), self.wall());
+        self.mass_crashes.note(self.now());
         let command = Command::WorkerCrashed { worker: id.clone(), saved, blame, at };
         self.end_life(id, command);
     }
--- /dev/null
+++ b/components/dispatch/src/torn_gangs.rs
@@ -0,0 +1,59 @@
+//! Telling of gangs of which some members count as running and others wait. A gang starts again only once nothing of its last
+//! run is left, so a member that is never settled holds up the whole job.
+
+use events::kinds;
+use workload::{JobId, StepKey, TaskKey};
+
+use crate::dispatcher::Dispatcher;
+
+/// Of how many members a look tells.
+const MOST_TOLD: usize = 5;
+
+impl Dispatcher {
+    /// Tells of members that hold up their gangs now, and in what state their orders are.
+    pub(crate) fn tell_torn_gangs(&mut self) {
+        let torn: Vec<TaskKey> = self.torn_members().take(MOST_TOLD).collect();
+        for member in torn {
+            let details = self.member_state(&member);
+            self.note(&kinds::GANG_TORN, member, details);
+        }
+    }
+
+    fn torn_members(&self) -> impl Iterator<Item = TaskKey> + '_ {
+        let jobs = self.book.jobs().iter().filter(|(_, j)| !j.state.is_final());
+        jobs.flat_map(|(id, job)| {
+            let rounds = (0..).zip(&job.rounds);
+            rounds.flat_map(move |(round, r)| {
+                let steps = (0..).zip(&r.steps).zip(&job.spec.steps);
+                let torn = steps.filter(|((_, s), spec)| {
+                    let torn = s.placed > 0 && (s.placed as usize) < s.tasks.len();
+                    spec.gang && torn && !s.is_done()
+                });
+                torn.flat_map(move |((step, s), _)| placed_members(*id, round, step, s))
+            })
+        })
+    }
+
+    fn member_state(&self, member: &TaskKey) -> String {
+        let Some(task) = self.book.task(member) else { return String::new() };
+        let Some(worker) = &task.at else { return String::new() };
+        let view = self.views.get(worker);
+        let order = view.and_then(|v| v.orders.get(member));
+        let stage = order.map_or("none", |o| o.stage.name());
+        let listed = view.is_some_and(|v| v.rows.contains_key(member));
+        let in_contact = view.is_some_and(|v| v.in_contact);
+        let run = task.run;
+        format!("run={run} worker={worker} stage={stage} listed={listed} in_contact={in_contact}")
+    }
+}
+
+/// Gives the members of a gang that count as running.
+fn placed_members(
+    job: JobId,
+    round: u32,
+    step: u32,
+    of: &workload::StepState,
+) -> impl Iterator<Item = TaskKey> + '_ {
+    let placed = (0..).zip(&of.tasks).filter(|(_, t)| t.at.is_some());
+    placed.map(move |(index, _)| TaskKey { step: StepKey { job, round, step }, index })
+}
--- a/components/dispatch/tests/crashes.rs
+++ b/components/dispatch/tests/crashes.rs
@@ -392,3 +392,23 @@
         assert_eq!(state(&f, job), Some(JobState::Failed), "seed {seed}: {job}");
     }
 }
+
+/// A third of all workers starts again, five times, each time while a wide gang is at work that is well. No gang of that
+/// width has no member among them, and none of them is at fault.
+#[rstest]
+fn a_gang_is_not_given_up_since_many_workers_start_again(#[values(1, 2, 3)] seed: u64) {
+    let mut f = fleet(seed);
+    f.crashes.down_for = Millis(400);
+    let spec = StepSpec { gang: true, estimate: Millis(9_000), ..step(16) };
+    let job = f.hand_in(Kind::Gang, "bulk", vec![spec]);
+    for _ in 0..5 {
+        f.pass(Millis(6_000));
+        let working = f.workers(|h| !h.fake.running.is_empty());
+        let idle = f.workers(|h| h.fake.running.is_empty() && h.is_usable());
+        let third = f.workers(Host::is_usable).len() / 3;
+        let hit: Vec<WorkerId> = working.into_iter().take(2).chain(idle).take(third).collect();
+        hit.iter().for_each(|id| f.crash(id));
+    }
+    f.pass(Millis(30_000));
+    assert_eq!(state(&f, job), Some(JobState::Completed), "seed {seed}");
+}
