The soak and the tests of real processes have organisations, with a limit and a key that change with each configuration

A job is seen and cancelled by its organisation alone; 401 without a key that the configuration holds, nothing stored.

--- a/components/dispatch/tests/organisations.rs
+++ b/components/dispatch/tests/organisations.rs
@@ -8,7 +8,7 @@
 use dispatch::{Answer, Verb};
 use model::Size;
 use rstest::rstest;
-use workload::{Credential, EndKind, JobState, StepSpec};
+use workload::{Command, Credential, EndKind, JobState, StepSpec};
 
 const PATH: &str = "/q/00000000000000aa";
 const TWO: &str = "public org=a:4000:1:key-a,other-a org=b:0:1:key-b";
@@ -132,6 +132,17 @@
     assert_eq!(b.starts().len(), 11);
 }
 
+/// What is placed and taken back would fill the log with both at every plan.
+#[test]
+fn a_plan_places_no_more_than_the_limit() {
+    let mut b = Bench::new(TWO);
+    b.join("w1", 16);
+    b.submit_with("key-a", PATH, spec(vec![step(6)]));
+    let commands = b.pending.iter().flat_map(|(_, commands)| commands);
+    let placed = |c: &Command| if let Command::Started { runs, .. } = c { runs.len() } else { 0 };
+    assert_eq!(commands.map(placed).sum::<usize>(), 4);
+}
+
 #[test]
 fn a_new_leader_counts_what_runs() {
     let mut b = Bench::new(TWO);
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -276,8 +276,15 @@
         lines.collect::<Vec<_>>().join("\n")
     }
 
+    /// A configuration in which every call needs a key. One organisation's limit and the other's key change with each
+    /// version.
     fn config(version: u64) -> Value {
+        let memory = 2_000 + 1_000 * (version % 3);
         json!({
+            "tenants": [
+                {"name": "a", "api_keys": [OWN_KEY], "weight": 2, "max_items": {"mem_mb": memory}},
+                {"name": "b", "api_keys": [OTHER_KEY, format!("key-b-{version}")]},
+            ],
             "version": version,
             "routes": [{"name": "q", "host": "h.example", "path_prefix": "/q/", "kind": "unsafe",
                 "timeout_ms": 3000, "target_latency_ms": 250, "priority": 0, "service": "s",
@@ -376,13 +383,28 @@
     }
 }
 
-/// Makes a caller's call on a job; gives the status and the body.
+/// The key of the organisation that hands jobs in.
+const OWN_KEY: &str = "key-a";
+/// A key of another one.
+pub const OTHER_KEY: &str = "key-b";
+
+/// Makes a call on a job on behalf of the organisation that hands jobs in; gives the status and the body.
 pub fn job_call(front: SocketAddr, method: &str, id: &str, body: &str) -> Option<(u32, Vec<u8>)> {
+    job_call_with(&format!("Token {OWN_KEY}"), front, (method, id, body))
+}
+
+/// The same that shows something else.
+pub fn job_call_with(
+    authorization: &str,
+    front: SocketAddr,
+    (method, id, body): (&str, &str, &str),
+) -> Option<(u32, Vec<u8>)> {
     let line = format!("{method} /q/{id} HTTP/1.1");
     let head = [
         ("host", "h.example".to_string()),
         ("content-type", "application/json".to_string()),
         ("x-deadline-ms", "3000".to_string()),
+        ("authorization", authorization.to_string()),
     ];
     let answer = call(front, &line, &head, body.as_bytes(), CALL_LIMIT)?;
     Some((answer.status(), answer.body))
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,7 +9,7 @@
 
 use std::process::Command;
 
-use cell::{Cell, job_body, job_call};
+use cell::{Cell, OTHER_KEY, job_body, job_call, job_call_with};
 
 fn submit(cell: &Cell, id: &str, body: &str) -> u32 {
     job_call(cell.fronts()[0], "POST", id, body).map_or(0, |(status, _)| status)
@@ -53,6 +53,33 @@
     assert!(elsewhere.is_some_and(|s| s >= 400));
 }
 
+#[test]
+fn a_job_is_its_organisations_alone_and_nobodys_without_a_key() {
+    let mut cell = Cell::start(1);
+    let (id, refused) = ("00000000000000b4", "00000000000000b5");
+    cell.wait("a job is taken", |c| submit(c, id, &job_body(1)) == 200);
+    let front = cell.fronts()[0];
+    let status = |shown: &str, method: &str, id: &str| {
+        job_call_with(shown, front, (method, id, &job_body(1))).map(|a| a.0)
+    };
+    for shown in ["Token key-z", "Token", "key-a", ""] {
+        assert_eq!(status(shown, "POST", refused), Some(401), "{shown:?}");
+        assert_eq!(status(shown, "GET", id), Some(401), "{shown:?}");
+        assert_eq!(status(shown, "DELETE", id), Some(401), "{shown:?}");
+    }
+    let other = format!("Token {OTHER_KEY}");
+    assert_eq!(status(&other, "GET", id), Some(410));
+    assert_eq!(status(&other, "DELETE", id), Some(410));
+    assert_eq!(status(&other, "POST", id), Some(400));
+    assert_eq!(job_call(front, "GET", refused, "").map(|a| a.0), Some(410), "nothing was stored");
+    // The key of the first version goes with the next one.
+    assert_eq!(status("Token key-b-1", "GET", refused), Some(410));
+    cell.wait("another configuration is taken", |c| c.publish());
+    assert_eq!(status("Token key-b-1", "GET", refused), Some(401));
+    assert!(!cell.lines_about("key_refused").contains("key-z"));
+    cell.wait("the job is done", |c| c.state(id).as_deref() == Some("completed"));
+}
+
 #[test]
 fn a_planned_stop_of_each_instance_ends_with_code_0_and_loses_no_job() {
     let mut cell = Cell::start(2);
