--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -19,7 +19,7 @@
 use crate::plan_state::PlanState;
 use crate::speed::StepSpeeds;
 use crate::strangers::Strangers;
-use crate::suspects::MassCrashes;
+use crate::suspects::RecentCrashes;
 use crate::view::{Order, Stage, View};
 use crate::wait_lines::WaitLines;
 use crate::waits::LastingWaits;
@@ -66,7 +66,7 @@
     /// When jobs that go on were accepted, by the clock that never jumps.
     pub(crate) accepted: BTreeMap<JobId, Millis>,
     /// When workers have crashed of late.
-    pub(crate) mass_crashes: MassCrashes,
+    pub(crate) recent_crashes: RecentCrashes,
     /// How fast the tasks of steps come on.
     pub(crate) speeds: BTreeMap<StepKey, StepSpeeds>,
     /// How long workers take to answer.
@@ -116,7 +116,7 @@
             sweep: BTreeSet::new(),
             avoid: BTreeMap::new(),
             accepted: BTreeMap::new(),
-            mass_crashes: MassCrashes::default(),
+            recent_crashes: RecentCrashes::default(),
             speeds: BTreeMap::new(),
             answer_times: AnswerTimes::unknown(),
             silent_zones: BTreeSet::new(),
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -15,7 +15,7 @@
 use crate::seats::Seated;
 use crate::standing::Reach;
 use crate::view::{Order, Stage, View};
-use crate::window::{Looked, Standing};
+use crate::window::{Looked, Readiness};
 
 /// Which of a step's tasks a plan looks at, and before what.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -73,15 +73,15 @@
     /// Chooses the open steps that a plan looks at.
     fn look_at(&mut self, m: Moment) -> Looked {
         let mut window = std::mem::take(&mut self.window);
-        let standing = |key: &StepKey| {
+        let readiness = |key: &StepKey| {
             let is_due = |j: &Job| m.wall >= j.spec.due(key.round);
             match self.book.job(key.job).is_some_and(is_due) {
-                false => Standing::NotDue,
-                true if self.is_at_limit(key) => Standing::AtLimit,
-                true => Standing::MayStart,
+                false => Readiness::NotDue,
+                true if self.is_at_limit(key) => Readiness::AtLimit,
+                true => Readiness::MayStart,
             }
         };
-        let looked = window.next(self.book.open(), standing);
+        let looked = window.next(self.book.open(), readiness);
         self.window = window;
         looked
     }
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -115,9 +115,9 @@
 
 /// When workers have crashed of late.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct MassCrashes(VecDeque<Millis>);
+pub(crate) struct RecentCrashes(VecDeque<Millis>);
 
-impl MassCrashes {
+impl RecentCrashes {
     fn note(&mut self, now: Millis) {
         self.0.retain(|at| now.since(*at) < TOGETHER);
         self.0.push_back(now);
@@ -296,7 +296,7 @@
     /// Tells whether a worker fell silent together with a good part of all workers, those counted that are known to have
     /// crashed by now.
     fn fell_among_many(&self, worker: &WorkerId) -> bool {
-        let many = self.silent_together(worker) + self.mass_crashes.lately(self.now());
+        let many = self.silent_together(worker) + self.recent_crashes.lately(self.now());
         many >= FEWEST_AMONG_MANY && many * AMONG_MANY_ONE_IN >= self.views.len()
     }
 
@@ -326,7 +326,7 @@
     /// Ends the life of a worker that had not said it would leave: whatever had begun there is suspect.
     pub(crate) fn worker_crashed(&mut self, id: &WorkerId, saved: Vec<(TaskKey, Arc<str>)>) {
         let (blame, at) = (self.blame_for_crash(id), self.wall());
-        self.mass_crashes.note(self.now());
+        self.recent_crashes.note(self.now());
         let command = Command::WorkerCrashed { worker: id.clone(), saved, blame, at };
         self.end_life(id, command);
     }
--- a/components/dispatch/src/window.rs
+++ b/components/dispatch/src/window.rs
@@ -18,7 +18,7 @@
 
 /// Whether a step may start now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Standing {
+pub(crate) enum Readiness {
     /// Nothing but the workers stands against it.
     MayStart,
     /// Its round is not due, nor are the later ones of its job.
@@ -48,9 +48,9 @@
     pub(crate) fn next(
         &mut self,
         open: &BTreeSet<OpenStep>,
-        standing: impl Fn(&StepKey) -> Standing,
+        readiness: impl Fn(&StepKey) -> Readiness,
     ) -> Looked {
-        let mut due = DueSteps { open, standing, from: Bound::Unbounded, passed_over: 0 };
+        let mut due = DueSteps { open, readiness, from: Bound::Unbounded, passed_over: 0 };
         let urgent: Vec<OpenStep> = due.by_ref().take(MOST_URGENT).collect();
         let Some(last_urgent) = urgent.last().copied().filter(|_| urgent.len() == MOST_URGENT)
         else {
@@ -72,26 +72,26 @@
 /// Goes through the open steps that may start.
 struct DueSteps<'a, F> {
     open: &'a BTreeSet<OpenStep>,
-    standing: F,
+    readiness: F,
     from: Bound<OpenStep>,
     passed_over: u64,
 }
 
-impl<F: Fn(&StepKey) -> Standing> Iterator for DueSteps<'_, F> {
+impl<F: Fn(&StepKey) -> Readiness> Iterator for DueSteps<'_, F> {
     type Item = OpenStep;
 
     fn next(&mut self) -> Option<OpenStep> {
         loop {
             let entry = *self.open.range((self.from, Bound::Unbounded)).next()?;
-            match (self.standing)(&entry.key) {
-                Standing::MayStart => {
+            match (self.readiness)(&entry.key) {
+                Readiness::MayStart => {
                     self.from = Bound::Excluded(entry);
                     return Some(entry);
                 }
-                Standing::NotDue => {
+                Readiness::NotDue => {
                     self.from = Bound::Included(first_of(entry.priority, entry.order + 1));
                 }
-                Standing::AtLimit => self.from = Bound::Excluded(entry),
+                Readiness::AtLimit => self.from = Bound::Excluded(entry),
             }
             self.passed_over += 1;
         }
