Losses that show by time limits are compared with each other: no job is given up as many workers lose power

Cause: a machine without power breaks no connection. Calls run into their time limits over 1.5 s, 21 ms apart among 350 workers, and the rule for losses in a row took them for single ones.

Change: a loss is known at once, by a time limit or from before the term; those by time limits are compared within the span of a renewal.

--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -88,7 +88,7 @@
 /// take in a second, and ends are told at once whatever the wait.
 const BUSY_WAIT_PER_WORKER: u64 = 4;
 /// How long it may become: the lease must be renewed well before it ends.
-const LONGEST_BUSY_WAIT: Millis = Millis(1_500);
+pub(crate) const LONGEST_BUSY_WAIT: Millis = Millis(1_500);
 
 /// Gives how long a renewal waits at a worker that runs something, among so many workers.
 pub(crate) fn busy_wait(workers: usize) -> Millis {
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -23,7 +23,7 @@
 use crate::limits::{
     CLEARED_AFTER, FEWEST_SUSPECTS, MOST_UNHEARD, SEEMS_WELL, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
 };
-use crate::losses::LostRun;
+use crate::losses::{LostAt, LostRun};
 use crate::view::{Order, Stage, View};
 
 /// What is held against a task.
@@ -326,28 +326,25 @@
     /// Gives how much the loss of a worker speaks against one of its runs, up to [`FULL_WEIGHT`].
     fn weight_of_loss(&self, worker: &WorkerId, task: &TaskKey) -> u16 {
         let Some(info) = self.book.worker(worker).map(|w| &w.info) else { return FULL_WEIGHT };
-        // Of a worker that has not answered in this term it is not known when it was lost.
-        let Some(view) = self.views.get(worker).filter(|v| v.reading.is_some()) else {
-            return FULL_WEIGHT;
-        };
+        let Some(view) = self.views.get(worker) else { return FULL_WEIGHT };
         let began = view.orders.get(task).map_or(self.now(), |o| o.since);
         let gang = self.book.step_spec(&task.step).filter(|s| s.gang);
         let run = LostRun {
             job: task.step.job,
             service: info.service.clone(),
             began,
-            silent_since: view.silent_since.unwrap_or(self.now()),
+            at: view.lost_at(self.now()),
             workers: gang.map_or(1, |s| s.count as usize),
         };
         let lost = self.recent_losses.unrelated_to(&run);
-        let others: Vec<Millis> = lost.chain(self.silent_beside(worker, &run)).collect();
+        let others: Vec<LostAt> = lost.chain(self.silent_beside(worker, &run)).collect();
         run.weight(&others, self.workers_without(run.job, &run.service))
     }
 
     /// Gives since when other workers of a run's service are silent that run nothing of its job, and may be lost.
-    fn silent_beside(&self, worker: &WorkerId, run: &LostRun) -> impl Iterator<Item = Millis> {
-        let answered = self.views.iter().filter(|(_, v)| v.reading.is_some());
-        let silent = answered.filter_map(|(id, v)| Some((id, v.silent_since?)));
+    fn silent_beside(&self, worker: &WorkerId, run: &LostRun) -> impl Iterator<Item = LostAt> {
+        let silent = self.views.iter().filter(|(_, v)| v.silent_since.is_some());
+        let silent = silent.map(|(id, v)| (id, v.lost_at(self.now())));
         let others = silent.filter(move |(id, _)| *id != worker);
         let others = others.filter_map(|(id, at)| Some((self.book.worker(id)?, at)));
         let of_service = others.filter(|(w, _)| w.info.service == run.service);
@@ -394,13 +391,11 @@
         self.end_life(id, settled.into_iter().chain([crashed]));
     }
 
-    /// Notes when a worker was lost that had answered in this term.
+    /// Notes when a worker was lost.
     fn note_loss(&mut self, id: &WorkerId) {
-        let view = self.views.get(id).filter(|v| v.reading.is_some());
-        let (Some(view), Some(worker)) = (view, self.book.worker(id)) else { return };
-        let silent_since = view.silent_since.unwrap_or(self.now());
+        let (Some(view), Some(worker)) = (self.views.get(id), self.book.worker(id)) else { return };
         let (service, jobs) = (worker.info.service.clone(), self.book.jobs_on(id));
-        self.recent_losses.note(silent_since, service, jobs);
+        self.recent_losses.note(view.lost_at(self.now()), service, jobs);
     }
 
     /// The same for a worker that runs nothing and was not heard of for so long that it counts as lost.
--- a/components/dispatch/src/view.rs
+++ b/components/dispatch/src/view.rs
@@ -6,6 +6,7 @@
 use workload::TaskKey;
 
 use crate::lease::Reading;
+use crate::losses::{Known, LostAt};
 use crate::order::RunRow;
 use crate::speed::Progress;
 use crate::standing::Record;
@@ -79,6 +80,8 @@
     /// Whether a call has broken off since the last sign of life, before its time was over: its life has ended then,
     /// or its connection was reset.
     pub(crate) broke_off: bool,
+    /// Whether that was the first that was noticed.
+    pub(crate) broke_off_first: bool,
     /// When everything on it has surely lapsed, by our clock.
     pub(crate) lapses_at: Millis,
     /// Whether a renewal is under way or held.
@@ -104,6 +107,7 @@
             in_contact: false,
             silent_since: None,
             broke_off: false,
+            broke_off_first: false,
             lapses_at,
             renewing: false,
             answer_due: now,
@@ -152,8 +156,22 @@
 
     /// Notes that an order or a renewal that was due to be answered at some time got no answer.
     pub(crate) fn note_silence(&mut self, now: Millis, due: Millis) {
-        self.silent_since.get_or_insert(now);
-        self.broke_off |= now < due;
+        let broke_off = now < due;
+        if self.silent_since.is_none() {
+            self.silent_since = Some(now);
+            self.broke_off_first = broke_off;
+        }
+        self.broke_off |= broke_off;
+    }
+
+    /// Gives when the worker was lost, if it is by now, and how well that is known.
+    pub(crate) fn lost_at(&self, now: Millis) -> LostAt {
+        let known = match (self.reading, self.broke_off_first) {
+            (None, _) => Known::BeforeTerm,
+            (Some(_), true) => Known::AtOnce,
+            (Some(_), false) => Known::ByTimeLimit,
+        };
+        LostAt { silent_since: self.silent_since.unwrap_or(now), known }
     }
 
     /// Gives the deadline of a lease of `span` and notes it, or `None` before the clock was read.
--- a/components/dispatch/tests/restart_waves.rs
+++ b/components/dispatch/tests/restart_waves.rs
@@ -102,6 +102,31 @@
     }
 }
 
+/// Guards against jobs given up since workers lost power together: calls to those run into their time limits one by one, so
+/// it is not known to the moment when each was lost.
+#[rstest]
+fn no_job_that_is_well_is_given_up_as_workers_lose_power(#[values(1, 2, 3)] seed: u64) {
+    let mut f = fleet(seed, 48);
+    let mut mix = Mix::new(0.08, 0.1, 0.05);
+    for _ in 0..6 {
+        f.hand_in(Kind::Batch, "bulk", vec![StepSpec { estimate: Millis(9_000), ..step(24) }]);
+    }
+    mix.play(&mut f, Millis(2_000));
+    for _ in 0..5 {
+        let mut dark = f.workers(Host::is_usable);
+        dark.shuffle(&mut f.rng);
+        dark.truncate(16);
+        dark.iter().for_each(|id| f.set_silent(id, true));
+        mix.play(&mut f, Millis(2_600));
+        dark.iter().for_each(|id| f.crash(id));
+        mix.play(&mut f, Millis(2_500));
+    }
+    mix.play(&mut f, Millis(10_000));
+    if let Some(job) = given_up(&f).first() {
+        panic!("seed {seed}: {job} is given up\n{}", f.trace(*job));
+    }
+}
+
 /// Guards against a task at fault that is never found since other workers start again: it takes down five at most.
 #[rstest]
 #[case::at_once(Fault::After(Millis(10)))]
