A step at fault hears soon of its first task: a held-back step asks the worker by sending the start again

Callers saw: a job's task stands for 3 s beside 48 free places, since its step goes on with one task after all five lost their workers.

Change: while tasks are held back, workers of runs half a second old that have not answered since are sent the start once more, at most once a run and half second. A run that has ended refuses it as outdated; a later life refuses it by its id. Ruled out: a second renewal beside the one that waits (a stand-in and real workers keep one), shorter waits at idle workers (the one that is under way would still be answered late).

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -29,6 +29,7 @@
 mod reserve;
 mod room;
 mod seats;
+mod sign_of_life;
 mod silence;
 mod slack;
 mod speed;
--- a/components/dispatch/src/orders.rs
+++ b/components/dispatch/src/orders.rs
@@ -94,32 +94,50 @@
     }
 
     fn order_start(&mut self, m: Moment, id: &WorkerId, task: &TaskKey, run: u32) {
-        let Some(worker) = self.book.worker(id) else { return };
-        let Some(job) = self.book.job(task.step.job) else { return };
-        let Some(state) = self.book.task(task) else { return };
-        let address = worker.info.address.clone();
-        let (spec, checkpoint) = (job.spec.spec.clone(), state.checkpoint.clone());
+        if !self.send_start_again(m, id, task, run) {
+            return;
+        }
+        let order = self.views.get_mut(id).and_then(|v| v.orders.get_mut(task));
+        if let Some(order) = order {
+            order.stage = Stage::Starting;
+            order.tries += 1;
+            order.retry_at = None;
+        }
+    }
+
+    /// Sends the start of a run, whether or not it was confirmed before; tells whether that could be done.
+    pub(crate) fn send_start_again(
+        &mut self,
+        m: Moment,
+        id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+    ) -> bool {
+        let Some((address, order)) = self.start_order(m, id, task, run) else { return false };
+        self.act(Action::Start { worker: id.clone(), address, order });
+        true
+    }
+
+    fn start_order(
+        &mut self,
+        m: Moment,
+        id: &WorkerId,
+        task: &TaskKey,
+        run: u32,
+    ) -> Option<(Name, StartOrder)> {
+        let address = self.book.worker(id)?.info.address.clone();
+        let spec = self.book.job(task.step.job)?.spec.spec.clone();
+        let checkpoint = self.book.task(task)?.checkpoint.clone();
         let (fence, span) = (self.term, self.limits.lease);
-        let Some(view) = self.views.get_mut(id) else { return };
-        let Some(deadline) = view.grant(m.now, span) else { return };
-        let Some(order) = view.orders.get_mut(task) else { return };
-        order.stage = Stage::Starting;
-        order.tries += 1;
-        order.retry_at = None;
-        order.sent_at = m.now;
-        let ticket = order.ticket.clone();
         let answer_within = self.answer_times.limit();
-        let order = StartOrder {
-            task: *task,
-            run,
-            spec,
-            deadline,
-            fence,
-            checkpoint,
-            ticket,
-            answer_within,
-        };
-        self.act(Action::Start { worker: id.clone(), address, order });
+        let view = self.views.get_mut(id)?;
+        let deadline = view.grant(m.now, span)?;
+        let order = view.orders.get_mut(task)?;
+        order.sent_at = m.now;
+        let (task, ticket) = (*task, order.ticket.clone());
+        let order =
+            StartOrder { task, run, spec, deadline, fence, checkpoint, ticket, answer_within };
+        Some((address, order))
     }
 
     /// Takes in what came of a start.
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -143,16 +143,19 @@
         let is_meant = |index: &u32| {
             turn == Turn::Usual || self.waits.is_owed(m.now, &TaskKey { step: key, index: *index })
         };
+        let next_run = step.last_run() + 1;
         let meant: Vec<u32> = step.waiting().filter(is_meant).collect();
         let meant = self.within_limit(&key, spec, meant);
         let allowed_count = meant.len();
         let waiting = self.may_start(m, &key, spec, meant);
         let held_back = allowed_count - waiting.len();
+        if held_back > 0 {
+            self.ask_for_signs_of_life(m, &key);
+        }
         if waiting.is_empty() {
             self.tell_wait(m, &key, true);
             return 0;
         }
-        let next_run = step.last_run() + 1;
         let advice = self.advice_of.get(&queue).copied();
         let reach = self.reach(m, &key, spec, turn, advice.is_some());
         let mut seats = self.seats(m, reach, &key, spec, advice.is_some());
--- /dev/null
+++ b/components/dispatch/src/sign_of_life.rs
@@ -0,0 +1,42 @@
+//! Asking a worker whether it lives on with a run that others wait for.
+//!
+//! The tasks of a step at fault start one after the other, each once the one before seems well by an answer of its worker. A worker
+//! that ran nothing before has a renewal waiting for up to two seconds, so its next answer may come late. A start that is
+//! sent again is confirmed at once where its run is there, and does nothing else.
+
+use workload::{StepKey, TaskKey, WorkerId};
+
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
+use crate::limits::SEEMS_WELL;
+use crate::view::{Order, Stage, View};
+
+/// Tells whether a run is old enough to seem well and its worker has neither answered since then nor been asked.
+fn wants_asking(m: Moment, view: &View, order: &Order) -> bool {
+    let confirmed = matches!(order.stage, Stage::Confirmed { .. });
+    let seems_well_at = order.since + SEEMS_WELL;
+    let answered = view.reading.is_some_and(|r| r.at >= seems_well_at);
+    let asked = order.sent_at >= seems_well_at;
+    confirmed && view.is_usable() && m.now >= seems_well_at && !answered && !asked
+}
+
+impl Dispatcher {
+    /// Asks the workers that run tasks of a step at fault of which it is not known yet whether they seem well.
+    pub(crate) fn ask_for_signs_of_life(&mut self, m: Moment, key: &StepKey) {
+        for (worker, task, run) in self.unanswered_runs(m, key) {
+            self.send_start_again(m, &worker, &task, run);
+        }
+    }
+
+    fn unanswered_runs(&self, m: Moment, key: &StepKey) -> Vec<(WorkerId, TaskKey, u32)> {
+        let Some(step) = self.book.step(key) else { return Vec::new() };
+        let placed = (0..).zip(&step.tasks).filter_map(|(i, t)| Some((i, t.at.as_ref()?, t.run)));
+        let runs = placed.map(|(index, worker, run)| (worker, TaskKey { step: *key, index }, run));
+        let wanted = runs.filter(|(worker, task, run)| {
+            let Some(view) = self.views.get(*worker) else { return false };
+            let order = view.orders.get(task).filter(|o| o.run == *run);
+            order.is_some_and(|o| wants_asking(m, view, o))
+        });
+        wanted.map(|(worker, task, run)| (worker.clone(), task, run)).collect()
+    }
+}
