--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -11,7 +11,7 @@
 use crate::limits::{
     ADVICE_LATE, ADVICE_LEAST_WORKERS, ADVICE_MOST_FULL, ADVICE_MOST_WORKERS, ADVICE_NAMED_PART,
     ADVICE_PAUSE, ADVICE_ROOM_FACTOR, ADVICE_SHORT_MS, ADVICE_SHORT_WORKERS, ADVICE_SLACK,
-    HELPER_REST, LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
+    AGED_PART, HELPER_REST, LOOK_FOR_ROOM_AGAIN, NO_PROSPECTS_PAUSE, TICKET_MARGIN,
 };
 use crate::reserve::Reserve;
 
@@ -63,6 +63,8 @@
     barred: BTreeSet<WorkerId>,
     asked: Option<u64>,
     next_at: Millis,
+    /// Since when it has wanted a call and no instance was free to make it.
+    lacks_since: Option<Millis>,
     /// If the last look found nobody with room.
     waiting: Option<WaitForRoom>,
 }
@@ -97,6 +99,7 @@
     give_up_at: Millis,
     /// Whether that has happened. An answer still counts.
     overdue: bool,
+    urge: Urge,
 }
 
 /// How often workers were allowed, of those asked about.
@@ -130,6 +133,8 @@
 pub(crate) enum Urge {
     /// Not at all.
     Usual,
+    /// Not at all, before usual calls and for a part of all at most: the step has lacked a call for long.
+    Aged,
     /// Half of them: a task that lasts has waited for long.
     Owed,
 }
@@ -192,14 +197,30 @@
     fn fewest_free(&self, policy: &AdvicePolicy, urge: Urge) -> usize {
         match urge {
             _ if is_short(policy) => 1,
-            Urge::Usual => self.kept_free + 1,
+            Urge::Usual | Urge::Aged => self.kept_free + 1,
             Urge::Owed => self.kept_free / 2 + 1,
         }
     }
 
     /// Tells whether the plan under way finds an instance free to make a call.
     fn has_caller(&self, policy: &AdvicePolicy, urge: Urge) -> bool {
-        self.free >= self.fewest_free(policy, urge)
+        let may_call = urge != Urge::Aged || self.aged_calls() * AGED_PART < self.helpers.len();
+        may_call && self.free >= self.fewest_free(policy, urge)
+    }
+
+    /// Gives how many calls are under way for steps that had lacked one for long.
+    fn aged_calls(&self) -> usize {
+        self.calls.values().filter(|c| c.urge == Urge::Aged).count()
+    }
+
+    /// Gives since when a step has wanted a call that no instance was free to make.
+    pub(crate) fn lacks_since(&self, step: &StepKey) -> Option<Millis> {
+        self.steps.get(step)?.lacks_since
+    }
+
+    /// Notes that a step wants a call and that no instance is free to make it.
+    pub(crate) fn note_lack(&mut self, now: Millis, step: &StepKey) {
+        self.steps.entry(*step).or_default().lacks_since.get_or_insert(now);
     }
 
     /// Gives how many instances can make calls.
@@ -342,6 +363,7 @@
     pub(crate) fn all_placed(&mut self, step: &StepKey) {
         if let Some(known) = self.steps.get_mut(step) {
             known.waiting = None;
+            known.lacks_since = None;
         }
     }
 
@@ -396,6 +418,7 @@
         self.next_id += 1;
         let id = self.next_id;
         known.asked = Some(id);
+        known.lacks_since = None;
         known.next_at = now + ADVICE_PAUSE;
         self.busy.insert(helper.clone());
         self.free = self.free.saturating_sub(1);
@@ -406,6 +429,7 @@
             workers: workers.clone(),
             give_up_at: now + Millis((cost * ADVICE_LATE) as u64) + ADVICE_SLACK,
             overdue: false,
+            urge: want.urge,
         };
         self.calls.insert(id, asked);
         if is_short(&want.policy) {
--- /dev/null
+++ b/components/dispatch/src/aging.rs
@@ -0,0 +1,75 @@
+//! Calls for advice for steps that have lacked one for long while workers that may run them stand half empty.
+//!
+//! Load pattern: a backlog of urgent steps takes every call for advice that takes long, for as long as it lasts, and all of them
+//! lead to starts. A less urgent step that few workers may run gets none meanwhile, and those workers stand idle where the
+//! urgent steps may not use them. Such steps go first, a few at a time.
+
+use clock::Millis;
+use model::{Dimension, Size};
+use workload::{OpenStep, Worker};
+
+use crate::advice::Urge;
+use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
+use crate::limits::{AGED_AFTER, MOST_AGED, MOST_LOOKS_AT_AGED};
+use crate::seats::{fits, most_more};
+use crate::standing::Reach;
+use crate::view::View;
+
+/// Tells whether half or more of each thing is free that there is at all.
+fn is_half_empty(capacity: &Size, used: &Size) -> bool {
+    let half = |d: &Dimension| used.get(*d) * 2 <= capacity.get(*d);
+    Dimension::ALL.iter().all(half)
+}
+
+impl Dispatcher {
+    /// Gives the steps that have lacked a call for longest, of those for which a half-empty worker has room.
+    pub(crate) fn aged_steps<'a>(
+        &mut self,
+        m: Moment,
+        steps: impl Iterator<Item = &'a OpenStep>,
+    ) -> Vec<OpenStep> {
+        let lacked = |e: &OpenStep| Some((self.desk.lacks_since(&e.key)?, *e));
+        let mut aged: Vec<(Millis, OpenStep)> = steps.filter_map(lacked).collect();
+        aged.retain(|(since, _)| m.now.since(*since) >= AGED_AFTER);
+        aged.sort_unstable();
+        // Each in turn, as those that find no room stay among the first.
+        let first = self.aged_turn.checked_rem(aged.len()).unwrap_or(0);
+        aged.rotate_left(first);
+        aged.truncate(MOST_LOOKS_AT_AGED);
+        self.aged_turn = self.aged_turn.wrapping_add(aged.len());
+        let idle = self.half_empty_workers();
+        let looks = (aged.len() * idle.len()) as u64;
+        let aged = aged.into_iter().map(|(_, e)| e);
+        let stands = aged.filter(|e| self.has_room_on(m, e, &idle));
+        let stands: Vec<OpenStep> = stands.take(MOST_AGED).collect();
+        self.plan_state.looks += looks;
+        stands
+    }
+
+    fn half_empty_workers(&self) -> Vec<(&Worker, &View)> {
+        let usable = self.views.iter().filter(|(_, v)| v.is_usable());
+        let workers = usable.filter_map(|(id, v)| Some((self.book.worker(id)?, v)));
+        workers.filter(|(w, _)| is_half_empty(&w.info.capacity, &w.used)).collect()
+    }
+
+    /// Tells whether tasks of a step could start on one of some workers, as far as it is known who may run it.
+    fn has_room_on(&self, m: Moment, entry: &OpenStep, workers: &[(&Worker, &View)]) -> bool {
+        let key = &entry.key;
+        let Some(job) = self.book.job(key.job) else { return false };
+        let spec = &job.spec.steps[key.step as usize];
+        let barred = self.desk.barred(key);
+        let takes = |(worker, view): &(&Worker, &View)| {
+            let open = barred.is_none_or(|b| !b.contains(&worker.info.id));
+            let room = || fits(spec, &worker.free()).min(most_more(key, spec, worker));
+            let suitable = || self.is_suitable(m, Reach::Good, &job.service, spec, worker, view);
+            open && room() > 0 && suitable()
+        };
+        workers.iter().any(takes)
+    }
+
+    /// Has steps looked at in the plan that begins as if they could start, with a right to a call.
+    pub(crate) fn favour_aged(&mut self, m: Moment, aged: &[OpenStep]) {
+        self.desk.look_again(m.now, Urge::Aged, aged.iter().map(|e| &e.key), aged.len());
+    }
+}
--- a/components/dispatch/src/asking.rs
+++ b/components/dispatch/src/asking.rs
@@ -106,13 +106,17 @@
     /// step is put back: steps that wait for room would use up all calls there are, however many workers are
     /// free for the steps behind them.
     pub(crate) fn ask(&mut self, m: Moment, need: Need) {
+        let Need { key, policy, urge, .. } = &need;
+        let lacks_caller = self.desk.lacks_caller(key, policy, *urge, m.now);
+        if lacks_caller {
+            self.desk.note_lack(m.now, key);
+        }
         if self.desk.waits_for_room(&need.key) {
             self.plan_state.put_back.push((need, None));
             return;
         }
         if !self.may_scan(m, &need) {
             let Need { key, policy, urge, .. } = &need;
-            let lacks_caller = self.desk.lacks_caller(key, policy, *urge, m.now);
             let lacks_look = self.desk.may_ask(key, policy, *urge, m.now);
             self.plan_state.without_caller += u64::from(lacks_caller);
             self.plan_state.without_look += u64::from(lacks_look);
@@ -145,6 +149,7 @@
     pub(crate) fn urge(turn: Turn) -> Urge {
         match turn {
             Turn::Owed => Urge::Owed,
+            Turn::Aged => Urge::Aged,
             Turn::Usual => Urge::Usual,
         }
     }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -83,6 +83,8 @@
     forget_at: Millis,
     /// When a line may next tell of a call without a key.
     pub(crate) tell_key_at: Millis,
+    /// Which of the steps that have lacked a call for long are looked at next.
+    pub(crate) aged_turn: usize,
     /// When the last input came.
     moment: Moment,
     /// Whether something has happened since the last plan that may let a task start.
@@ -127,6 +129,7 @@
             actions: Vec::new(),
             forget_at: m.now,
             tell_key_at: m.now,
+            aged_turn: 0,
             moment: m,
             plan_due: true,
             plan_at: m.now,
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod action;
 mod advice;
+mod aging;
 mod answer_times;
 mod asking;
 mod call;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -143,6 +143,15 @@
 pub(crate) const ADVICE_LATE: f64 = 1.5;
 /// How much longer still: the ways there and back, and a wait for a processor share at either end.
 pub(crate) const ADVICE_SLACK: Millis = Millis(200);
+/// How long a step lacks a call for advice, beside workers that are half empty and may run it, until it goes first. A call
+/// takes half a second, and nothing is to stand for three.
+pub(crate) const AGED_AFTER: Millis = Millis(1_000);
+/// How many such steps a plan puts first.
+pub(crate) const MOST_AGED: usize = 4;
+/// At the workers of how many such steps a plan looks.
+pub(crate) const MOST_LOOKS_AT_AGED: usize = 20;
+/// What part of all instances may be busy with calls for such steps, as one in so many.
+pub(crate) const AGED_PART: usize = 6;
 /// For how long an instance makes no calls for advice after one of its calls got no answer.
 pub(crate) const HELPER_REST: Millis = Millis(1_500);
 /// The most workers that one call for advice may name; the service takes no more.
@@ -247,6 +256,8 @@
 pub(crate) const TOGETHER: Millis = Millis(2_500);
 /// What part of the workers that must be, as one in so many: some fall silent at any time in a large fleet.
 pub(crate) const TOGETHER_ONE_IN: usize = 100;
+/// What part of all workers tasks at fault take down in a second at most, as each is understood after three or four.
+pub(crate) const MOST_BY_TASKS_A_SECOND: f64 = LOST_TOGETHER_A_SECOND / 2.0;
 /// What part of all workers must be lost in a second, while they are being lost together, for that to have another cause
 /// than tasks at fault: each of these is understood after three or four workers, which are down for seconds each time.
 pub(crate) const LOST_TOGETHER_A_SECOND: f64 = 0.4;
--- a/components/dispatch/src/losses.rs
+++ b/components/dispatch/src/losses.rs
@@ -4,6 +4,7 @@
 //! that is well is how many workers without anything of its job were lost with its own: more than tasks at fault
 //! take down by themselves have another cause, which would have hit the run by chance as likely as any other.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeSet, VecDeque};
 
 use clock::Millis;
@@ -12,7 +13,7 @@
 
 use crate::limits::{
     LIKELY_HIT, LONGEST_BUSY_WAIT, LOSS_RATE_WINDOW, LOST_TOGETHER_A_SECOND, LOST_TOGETHER_GAP,
-    SURELY_NOT_BY_CHANCE,
+    MOST_BY_TASKS_A_SECOND, SURELY_NOT_BY_CHANCE,
 };
 
 /// How well it is known when a worker was lost.
@@ -34,6 +35,14 @@
     pub(crate) known: Known,
 }
 
+/// The loss of another worker, as seen from a run whose own is lost.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct OtherLoss {
+    pub(crate) at: LostAt,
+    /// Whether anything of the run's job was there, so that it may be the fault of that, too.
+    pub(crate) is_related: bool,
+}
+
 /// A worker that is lost.
 #[derive(Clone, Debug)]
 struct Loss {
@@ -59,13 +68,12 @@
     /// Gives how much the loss of its worker speaks against the run, up to [`FULL_WEIGHT`], by when other workers fell silent and how
     /// many there are, of those of its service that run nothing of its job. Weights add up as the chances of independent
     /// losses multiply.
-    pub(crate) fn weight(&self, others: &[LostAt], among: usize) -> u16 {
-        let among = among.max(others.len()).max(1) as f64;
-        let alike = others.iter().filter(|o| o.known == self.at.known);
-        let alike: Vec<Millis> = alike.map(|o| o.silent_since).collect();
+    pub(crate) fn weight(&self, others: &[OtherLoss], among: usize) -> u16 {
+        let unrelated = others.iter().filter(|o| !o.is_related).count();
+        let among = among.max(unrelated).max(1) as f64;
         let share = match self.at.known {
-            Known::AtOnce => self.share_lost_together(&alike, among),
-            Known::ByTimeLimit => self.share_lost_silently(&alike, among),
+            Known::AtOnce => share_of(self.lost_in_a_row(others, among), among),
+            Known::ByTimeLimit => share_of(self.lost_silently(others), among),
             Known::BeforeTerm => return FULL_WEIGHT,
         };
         let together = chance(share, self.workers);
@@ -76,46 +84,55 @@
         (weight * f64::from(FULL_WEIGHT)).round() as u16
     }
 
-    /// Gives what share of the workers was lost together with its own: one after the other, faster than tasks at fault take
+    /// Gives how many unrelated workers were lost in a row with its own: one after the other, faster than tasks at fault take
     /// workers down.
-    fn share_lost_together(&self, others: &[Millis], among: f64) -> f64 {
+    fn lost_in_a_row(&self, others: &[OtherLoss], among: f64) -> usize {
         let longest = longest_gap(among);
-        let mut before: Vec<Millis> = Vec::new();
-        let mut after: Vec<Millis> = Vec::new();
-        for at in others {
-            let side = if *at <= self.at.silent_since { &mut before } else { &mut after };
-            side.push(*at);
-        }
-        before.sort_unstable_by(|a, b| b.cmp(a));
-        after.sort_unstable();
-        let together = in_a_row(self.at.silent_since, &before, longest)
-            + in_a_row(self.at.silent_since, &after, longest);
-        share_of(together, among)
+        let at_once = others.iter().filter(|o| o.at.known == Known::AtOnce);
+        let (mut before, mut after): (Vec<OtherLoss>, Vec<OtherLoss>) =
+            at_once.partition(|o| o.at.silent_since <= self.at.silent_since);
+        before.sort_unstable_by_key(|o| Reverse(o.at.silent_since));
+        after.sort_unstable_by_key(|o| o.at.silent_since);
+        let since = self.at.silent_since;
+        unrelated_in_a_row(since, &before, longest) + unrelated_in_a_row(since, &after, longest)
     }
 
-    /// Gives what share of the workers fell silent without a broken connection, as machines do that lose power or are cut
+    /// Gives how many unrelated workers fell silent without a broken connection, as machines do that lose power or are cut
     /// off, within the time that renewals take to show it.
-    fn share_lost_silently(&self, others: &[Millis], among: f64) -> f64 {
-        let since = self.at.silent_since;
-        let near = |at: &&Millis| at.since(since).max(since.since(**at)) <= LONGEST_BUSY_WAIT;
-        share_of(others.iter().filter(near).count(), among)
+    fn lost_silently(&self, others: &[OtherLoss]) -> usize {
+        let by_limit = others.iter().filter(|o| o.at.known == Known::ByTimeLimit && !o.is_related);
+        by_limit
+            .filter(|o| apart(o.at.silent_since, self.at.silent_since) <= LONGEST_BUSY_WAIT)
+            .count()
     }
 
     /// Gives what share of the workers is lost in the time that the run had, as often as they were lost before.
-    fn share_lost_meanwhile(&self, others: &[LostAt], among: f64) -> f64 {
+    fn share_lost_meanwhile(&self, others: &[OtherLoss], among: f64) -> f64 {
         let since = self.at.silent_since;
-        let lately =
-            |o: &&LostAt| o.silent_since <= since && since.since(o.silent_since) < LOSS_RATE_WINDOW;
+        let lately = |o: &&OtherLoss| {
+            let at = o.at.silent_since;
+            !o.is_related && at <= since && since.since(at) < LOSS_RATE_WINDOW
+        };
         let lost = others.iter().filter(lately).count() as f64;
         let ran = since.since(self.began).0 as f64;
         (lost / among * ran / LOSS_RATE_WINDOW.0 as f64).min(1.0)
     }
 }
 
-/// Gives what share of the workers so many losses are. A single other one coincides now and then, in a small fleet as in a
-/// large one.
+/// Gives how far two moments lie apart.
+fn apart(a: Millis, b: Millis) -> Millis {
+    a.since(b).max(b.since(a))
+}
+
+/// Gives what share of the workers so many losses are, beyond those that coincide with one by tasks at fault. A single one
+/// coincides now and then in a fleet of any size.
 fn share_of(lost: usize, among: f64) -> f64 {
-    lost.saturating_sub(1) as f64 / (among - 1.0).max(1.0)
+    if lost < 2 {
+        return 0.0;
+    }
+    let both_sides = 2.0 * longest_gap(among).0 as f64 / 1_000.0;
+    let coincide = (among * MOST_BY_TASKS_A_SECOND * both_sides).min(1.0);
+    (lost as f64 - coincide) / (among - coincide).max(1.0)
 }
 
 /// Gives the longest time between two losses that come together, among so many workers.
@@ -125,11 +142,13 @@
     gap.max(shortest).min(longest)
 }
 
-/// Gives how many of the times, from the nearest on, follow each other with no longer gap between them.
-fn in_a_row(from: Millis, times: &[Millis], longest: Millis) -> usize {
-    let before = std::iter::once(&from).chain(times);
-    let gap = |(a, b): (&Millis, &Millis)| a.since(*b).max(b.since(*a));
-    before.zip(times).take_while(|pair| gap(*pair) <= longest).count()
+/// Gives how many of the losses are unrelated, of those that follow each other from the nearest on with no longer gap between
+/// them.
+fn unrelated_in_a_row(from: Millis, losses: &[OtherLoss], longest: Millis) -> usize {
+    let times = losses.iter().map(|o| o.at.silent_since);
+    let gaps = std::iter::once(from).chain(times.clone()).zip(times).map(|(a, b)| apart(a, b));
+    let in_a_row = losses.iter().zip(gaps).take_while(|(_, gap)| *gap <= longest);
+    in_a_row.filter(|(o, _)| !o.is_related).count()
 }
 
 /// Gives how likely it is that at least one of so many workers is hit where a share of all is.
@@ -149,9 +168,9 @@
         self.0.push_back(Loss { at, service, jobs });
     }
 
-    /// Gives when workers of a run's service were lost that ran nothing of its job.
-    pub(crate) fn unrelated_to(&self, run: &LostRun) -> impl Iterator<Item = LostAt> {
+    /// Gives the losses of workers of a run's service.
+    pub(crate) fn beside(&self, run: &LostRun) -> impl Iterator<Item = OtherLoss> {
         let of_service = self.0.iter().filter(|l| l.service == run.service);
-        of_service.filter(|l| !l.jobs.contains(&run.job)).map(|l| l.at)
+        of_service.map(|l| OtherLoss { at: l.at, is_related: l.jobs.contains(&run.job) })
     }
 }
--- a/components/dispatch/src/place.rs
+++ b/components/dispatch/src/place.rs
@@ -22,6 +22,8 @@
 pub(crate) enum Turn {
     /// Those that last and have waited for too long, before all other work.
     Owed,
+    /// Those of steps that have lacked a call for advice for long beside half-empty workers.
+    Aged,
     /// All that wait, by urgency.
     Usual,
 }
@@ -48,9 +50,12 @@
         self.desk.look_again(m.now, Urge::Usual, urgent.iter().map(|e| &e.key), MOST_LOOKS_AGAIN);
         let rest = by_turns.iter().map(|e| &e.key);
         self.desk.look_again(m.now, Urge::Usual, rest, by_turns.len());
+        let aged = self.aged_steps(m, urgent.iter().chain(&by_turns));
+        self.favour_aged(m, &aged);
         let mut orders = self.orders_under_way();
         self.plan_steps(m, Turn::Owed, owed, &mut orders);
         let owed_put_back = self.plan_state.put_back.len();
+        self.plan_steps(m, Turn::Aged, aged, &mut orders);
         self.plan_steps(m, Turn::Usual, urgent, &mut orders);
         // While some steps were not looked at for want of looks, as after a burst, these might start, so
         // they come before steps that wait. And tickets are kept at hand only for those that come first
@@ -141,7 +146,7 @@
         let Some(step) = self.book.step(&key) else { return 0 };
         // The members of a gang wait from the same moment on, so all of them are meant or none is.
         let is_meant = |index: &u32| {
-            turn == Turn::Usual || self.waits.is_owed(m.now, &TaskKey { step: key, index: *index })
+            turn != Turn::Owed || self.waits.is_owed(m.now, &TaskKey { step: key, index: *index })
         };
         let next_run = step.last_run() + 1;
         let meant: Vec<u32> = step.waiting().filter(is_meant).collect();
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -23,7 +23,7 @@
 use crate::limits::{
     CLEARED_AFTER, FEWEST_SUSPECTS, MOST_UNHEARD, SEEMS_WELL, TOGETHER, TOGETHER_ONE_IN, YOUNG_RUN,
 };
-use crate::losses::{LostAt, LostRun};
+use crate::losses::{LostRun, OtherLoss};
 use crate::view::{Order, Stage, View};
 
 /// What is held against a task.
@@ -336,19 +336,21 @@
             at: view.lost_at(self.now()),
             workers: gang.map_or(1, |s| s.count as usize),
         };
-        let lost = self.recent_losses.unrelated_to(&run);
-        let others: Vec<LostAt> = lost.chain(self.silent_beside(worker, &run)).collect();
+        let lost = self.recent_losses.beside(&run);
+        let others: Vec<OtherLoss> = lost.chain(self.silent_beside(worker, &run)).collect();
         run.weight(&others, self.workers_without(run.job, &run.service))
     }
 
-    /// Gives since when other workers of a run's service are silent that run nothing of its job, and may be lost.
-    fn silent_beside(&self, worker: &WorkerId, run: &LostRun) -> impl Iterator<Item = LostAt> {
+    /// Gives the other workers of a run's service that are silent, which may be lost.
+    fn silent_beside(&self, worker: &WorkerId, run: &LostRun) -> impl Iterator<Item = OtherLoss> {
         let silent = self.views.iter().filter(|(_, v)| v.silent_since.is_some());
-        let silent = silent.map(|(id, v)| (id, v.lost_at(self.now())));
         let others = silent.filter(move |(id, _)| *id != worker);
-        let others = others.filter_map(|(id, at)| Some((self.book.worker(id)?, at)));
+        let others = others.filter_map(|(id, v)| Some((self.book.worker(id)?, v)));
         let of_service = others.filter(|(w, _)| w.info.service == run.service);
-        of_service.filter(|(w, _)| !w.runs_any_of(run.job)).map(|(_, at)| at)
+        of_service.map(|(w, v)| OtherLoss {
+            at: v.lost_at(self.now()),
+            is_related: w.runs_any_of(run.job),
+        })
     }
 
     /// Gives how many workers of a service run nothing of a job.
