--- a/components/consensus/src/progress.rs
+++ b/components/consensus/src/progress.rs
@@ -14,7 +14,7 @@
     pub(crate) next: u64,
     /// When the append or chunk now under way was sent; `None` if none is.
     pub(crate) pending_since: Option<Millis>,
-    /// The last entry of the append under way; zero for a chunk.
+    /// The last entry sent since the append under way began; zero for a chunk.
     pub(crate) pending_last: u64,
     /// The newest of the leader's send times that the follower has answered in this term.
     pub(crate) acked_at: Option<Millis>,
--- a/components/consensus/src/replica.rs
+++ b/components/consensus/src/replica.rs
@@ -32,8 +32,19 @@
     committed: Vec<Committed>,
     notices: Vec<Notice>,
     snapshot: bool,
+    now: Millis,
+    /// When the sync began that was the last thing done, until its end is noticed.
+    syncs_since: Option<Millis>,
+    /// Until when the next sync waits after a slow one.
+    rests_until: Millis,
 }
 
+/// From how long on a sync is slow.
+const SLOW_SYNC: Millis = Millis(100);
+/// What part of the time that a slow sync took the next one waits, as one in so many. Nothing is taken in while a disk syncs, so
+/// members whose syncs begin a moment before each other's messages come would wait a whole sync for each of them.
+const REST_PART: u64 = 20;
+
 /// What may leave once it is lasting.
 #[derive(Debug, Default)]
 pub struct Flushed {
@@ -59,9 +70,26 @@
             committed: Vec::new(),
             notices: Vec::new(),
             snapshot: false,
+            now: Millis::ZERO,
+            syncs_since: None,
+            rests_until: Millis::ZERO,
+        }
+    }
+
+    /// Notes what time it is, and by that how long the sync took that was the last thing done.
+    fn note_time(&mut self, now: Millis) {
+        self.now = self.now.max(now);
+        let took = self.syncs_since.take().map_or(Millis::ZERO, |since| self.now.since(since));
+        if took >= SLOW_SYNC {
+            self.rests_until = self.now + Millis(took.0 / REST_PART);
         }
     }
 
+    /// Tells whether what was taken in waits for a later sync, so that more is taken in before that.
+    fn rests(&self) -> bool {
+        self.now < self.rests_until && !self.records.is_empty() && !self.snapshot
+    }
+
     /// Gives the member.
     pub fn node(&self) -> &Node {
         &self.node
@@ -69,12 +97,14 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, now: Millis) {
+        self.note_time(now);
         let out = self.node.tick(now);
         self.absorb(out);
     }
 
     /// Takes in a message.
     pub fn receive(&mut self, now: Millis, msg: Envelope) {
+        self.note_time(now);
         let out = self.node.receive(now, msg);
         self.absorb(out);
     }
@@ -117,6 +147,7 @@
 
     /// Hands leadership over, for a planned stop.
     pub fn hand_over(&mut self, now: Millis) {
+        self.rests_until = Millis::ZERO;
         let out = self.node.hand_over(now);
         self.absorb(out);
     }
@@ -157,13 +188,19 @@
         self.committed.drain(..count).collect()
     }
 
-    /// Syncs everything taken in so far and gives what may now leave.
+    /// Syncs everything taken in so far and gives what may now leave. For a moment after a slow sync it does neither.
     ///
     /// # Errors
     /// Any error means that the disk's content is unknown: this replica must not be used any more.
     pub fn flush(&mut self) -> Result<Flushed> {
+        if self.rests() {
+            return Ok(Flushed::default());
+        }
         self.copy_new();
         let synced = self.records.len();
+        if synced > 0 {
+            self.syncs_since = Some(self.now);
+        }
         if std::mem::take(&mut self.snapshot) {
             // The node's own log is the truth by now, whatever came before or after the snapshot.
             self.disk.install(self.node.base(), &self.node.tail_records())?;
--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -78,12 +78,19 @@
         let overdue = Millis(heartbeat.0 * RESEND_HEARTBEATS);
         let busy = p.pending_since.is_some_and(|t| now.since(t) < overdue);
         let lacks = p.next <= last || p.snapshot.is_some();
+        let lacks_more = p.pending_last > 0 && p.pending_last < last && p.snapshot.is_none();
         if lacks && !busy {
             p.pending_since = Some(now);
             p.beat_at = Some(now);
             self.send_next(id);
-        } else if due {
+            return;
+        }
+        if due {
             p.beat_at = Some(now);
+        }
+        // Whoever syncs for long has the newest entries at hand for its next sync.
+        let sent_more = lacks_more && self.send_more(id);
+        if due && !sent_more {
             self.send_heartbeat(id);
         }
     }
@@ -101,6 +108,21 @@
         self.send_append(id, prev, entries);
     }
 
+    /// Sends what has come since the append under way, if one more brings a follower up to date: one that is far behind gets
+    /// one append at a time. Tells whether it did.
+    fn send_more(&mut self, id: &InstanceId) -> bool {
+        let last = self.log.last_index();
+        let Some(p) = self.progress.get_mut(id) else { return false };
+        let prev = p.pending_last;
+        let entries = self.log.entries_from(prev + 1, MAX_APPEND);
+        if entries.last().is_none_or(|e| e.index < last) {
+            return false;
+        }
+        p.pending_last = last;
+        self.send_append(id, prev, entries);
+        true
+    }
+
     fn send_heartbeat(&mut self, id: &InstanceId) {
         let Some(p) = self.progress.get(id) else { return };
         // A heartbeat rests on an entry that the leader still has.
