--- a/components/dispatch/src/aging.rs
+++ b/components/dispatch/src/aging.rs
@@ -32,9 +32,12 @@
         let lacked = |e: &OpenStep| Some((self.desk.lacks_since(&e.key)?, *e));
         let mut aged: Vec<(Millis, OpenStep)> = steps.filter_map(lacked).collect();
         aged.retain(|(since, _)| m.now.since(*since) >= AGED_AFTER);
+        if aged.is_empty() {
+            return Vec::new();
+        }
         aged.sort_unstable();
         // Each in turn, as those that find no room stay among the first.
-        let first = self.aged_turn.checked_rem(aged.len()).unwrap_or(0);
+        let first = self.aged_turn % aged.len();
         aged.rotate_left(first);
         aged.truncate(MOST_LOOKS_AT_AGED);
         self.aged_turn = self.aged_turn.wrapping_add(aged.len());
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -178,10 +178,10 @@
         mut waiting: Vec<u32>,
     ) -> Vec<u32> {
         let ledger = self.book.crashes();
-        let task = |index: u32| self.book.suspect(&TaskKey { step: *key, index });
         if ledger.is_empty() {
             return waiting;
         }
+        let task = |index: u32| self.book.suspect(&TaskKey { step: *key, index });
         waiting.retain(|i| !self.book.must_wait(&task(*i)));
         let Some(step) = self.book.step(key) else { return waiting };
         let record = self.step_record(m, key, step);
