Losses are weighed by pace and age: no healthy job is given up as workers restart one after the other

Callers saw: while 16 of 48 workers restart one by one within 0.8 s, again and again, one to three jobs of 2,900 are shown as failed (E933 why="its workers crashed") though no task is at fault; the same in slower, uneven and overlapping series and with seven of 48 at one moment.

Cause: losses counted as one series by a chain of gaps that follows from a fixed pace. One gap ends the chain, so a series just below the pace counted fully. Ended incarnations and max(unrelated) made the fleet larger than it is, and so the gap shorter: 49 ms with 50 ms between two losses. The age of the run played no part, and partial weights only added up.

Ruled out: losses that are not recorded, the time of judgement, the detection.

Change: loss_weight.rs estimates the chance of a coincidence from the pace of unrelated losses over any span up to the run's age, and judges further losses of a task by how close their ages are. Losses that a recurring fault explains are no background for others. Workers are counted by address. The weighing leaves suspects.rs for loss_weighing.rs; no stored form changes.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -20,7 +20,7 @@
     CLEANUP_INTERVAL, EXAMINATIONS_PER_MS, LEASE_EXPIRY_MARGIN, Limits, MAX_CLOCK_DRIFT_PERCENT,
 };
 use crate::long_running_waits::LongRunningWaits;
-use crate::losses::RecentLosses;
+use crate::losses::{LossAges, RecentLosses};
 use crate::plan_state::PlanState;
 use crate::speed::StepSpeeds;
 use crate::step_selection::StepSelector;
@@ -70,6 +70,8 @@
     pub(crate) accepted: BTreeMap<JobId, Millis>,
     /// The workers that have crashed recently.
     pub(crate) recent_losses: RecentLosses,
+    /// The ages at which runs of each task were lost with their workers.
+    pub(crate) loss_ages: LossAges,
     /// The progress rates of the tasks of each step.
     pub(crate) step_speeds: BTreeMap<StepKey, StepSpeeds>,
     /// The estimate of how long workers take to answer.
@@ -123,6 +125,7 @@
             avoided_workers: BTreeMap::new(),
             accepted: BTreeMap::new(),
             recent_losses: RecentLosses::default(),
+            loss_ages: LossAges::default(),
             step_speeds: BTreeMap::new(),
             answer_times: AnswerTimes::unknown(),
             silent_zones: BTreeSet::new(),
@@ -356,6 +359,7 @@
         self.advice_scheduler.retain(|k| is_unfinished(&k.job));
         self.accepted.retain(|id, _| is_unfinished(id));
         self.avoided_workers.retain(|k, _| is_unfinished(&k.step.job));
+        self.loss_ages.retain(|k| is_unfinished(&k.step.job));
         self.step_speeds.retain(|k, _| is_unfinished(&k.job));
     }
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -22,6 +22,8 @@
 mod input;
 mod limits;
 mod long_running_waits;
+mod loss_weighing;
+mod loss_weight;
 mod losses;
 mod order_delivery;
 mod organisations;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -283,22 +283,28 @@
 /// The divisor of the number of all workers that gives how many must fall silent together to count
 /// as such. Some fall silent at any time in a large fleet.
 pub(crate) const SIMULTANEOUS_SILENCE_DIVISOR: usize = 100;
-/// The maximum fraction of all workers that faulty tasks take down in a second, as each is
-/// identified after three or four.
-pub(crate) const MAX_LOST_TO_TASKS_PER_SECOND: f64 = MIN_LOST_TOGETHER_PER_SECOND / 2.0;
-/// The minimum fraction of all workers lost per second, while they are being lost together, that
-/// indicates another cause than faulty tasks. Each faulty task is identified after three or four
-/// workers, which are down for seconds each time.
-pub(crate) const MIN_LOST_TOGETHER_PER_SECOND: f64 = 0.4;
-/// The bounds of the time between two losses that count as coincident. Processing hundreds of
-/// broken connections takes milliseconds, and machines that go down for one reason do so within a
-/// tenth of a second of each other.
-pub(crate) const LOST_TOGETHER_GAP_RANGE: (Millis, Millis) = (Millis(15), Millis(100));
-/// How long losses count towards the rate at which workers are lost.
-pub(crate) const LOSS_RATE_WINDOW: Millis = Millis(5_000);
-/// The minimum probability that a run's worker is lost at the observed rate of losses for that rate
-/// to excuse the loss. Below it a fault is the likelier cause.
-pub(crate) const MIN_CHANCE_TO_EXCUSE: f64 = 0.5;
+/// How far the recorded times of workers that are lost at the same moment lie apart at most, where
+/// their connections break: the processing of hundreds of broken connections takes milliseconds.
+pub(crate) const LOSS_TIME_RESOLUTION: Millis = Millis(15);
+/// How long the loss of a worker is kept, and around another loss how far losses are compared with
+/// it.
+pub(crate) const LOSS_RETENTION: Millis = Millis(5_000);
+/// The fraction of all workers that faulty tasks take down per second at most. Up to this pace,
+/// losses excuse no run that is lost for the first time.
+pub(crate) const MAX_FAULT_LOSSES_PER_SECOND: f64 = 0.05;
+/// The fraction of all workers lost per second from which a further loss of a run is judged by
+/// the ages of its losses. It is lower than for the first loss, because a faulty task is still
+/// told apart by crashing its workers at the same age.
+pub(crate) const MIN_UNRELATED_LOSSES_PER_SECOND: f64 = 0.02;
+/// By what factor a run may be older, or farther from the age of an earlier lost run, and still look
+/// as much like the cause of its worker's loss.
+pub(crate) const SIMILAR_AGE_FACTOR: f64 = 2.0;
+/// How far the ages of two lost runs may lie apart for one fault of their task to be the likely
+/// cause of both: the resolution of the time of each loss.
+pub(crate) const SAME_AGE_TOLERANCE: Millis = Millis(30);
+/// How many ages of lost runs are kept for a task: more than the crashes after which its job is
+/// given up.
+pub(crate) const MAX_LOSS_AGES_PER_TASK: usize = 8;
 /// The maximum probability that chance has hit a run for the loss of its worker to count fully
 /// against it.
 pub(crate) const MAX_CHANCE_FOR_FULL_WEIGHT: f64 = 0.01;
--- a/components/dispatch/src/order_delivery.rs
+++ b/components/dispatch/src/order_delivery.rs
@@ -186,7 +186,9 @@
                 // No order times out earlier than this, however quickly workers answer, so an
                 // earlier failure is a broken connection.
                 let due = order.sent_at + MIN_ANSWER_TIMEOUT;
-                view.record_silence(m.now, due);
+                view.record_silence(m.now, due, |task, age| {
+                    self.loss_ages.has_counted_near(&self.replicated.suspect_key(task), age)
+                });
                 self.log_event(&kinds::ORDER_UNANSWERED, task, details);
             }
             Err(CallError::Refused(Refusal::OtherLife)) => {
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -68,7 +68,9 @@
                 } else {
                     RENEWAL_RETRY_NO_CONTACT
                 };
-                view.record_silence(m.now, view.answer_due);
+                view.record_silence(m.now, view.answer_due, |task, age| {
+                    self.loss_ages.has_counted_near(&self.replicated.suspect_key(task), age)
+                });
                 if view.in_contact {
                     view.in_contact = false;
                     self.log_event(
--- a/components/dispatch/src/suspects.rs
+++ b/components/dispatch/src/suspects.rs
@@ -14,8 +14,7 @@
 use events::kinds;
 use model::Name;
 use workload::{
-    COUNTED_WEIGHT, Command, CrashSuspects, FULL_WEIGHT, JobId, MAX_CRASHES, StepKey, StepSpec,
-    StepState, TaskKey, UncertainLoss, WorkerId,
+    Command, CrashSuspects, JobId, MAX_CRASHES, StepKey, StepSpec, StepState, TaskKey, WorkerId,
 };
 
 use crate::action::Action;
@@ -25,7 +24,6 @@
     MAX_RUNS_OUT_OF_CONTACT, MAX_YOUNG_RUN_AGE, MIN_SUSPECTS_FOR_FAULTY_STEP, SEEMS_HEALTHY_AGE,
     SIMULTANEOUS_SILENCE_DIVISOR, SIMULTANEOUS_SILENCE_WINDOW, SUSPECT_CLEARED_AFTER,
 };
-use crate::losses::{LostRun, OtherLoss};
 use crate::worker_view::{Order, Stage, WorkerView};
 
 /// The level of suspicion against a task.
@@ -258,6 +256,7 @@
         let suspects = self.suspects().into_iter();
         let tasks: Vec<TaskKey> = suspects.filter(|t| self.has_outlived_suspicion(m, t)).collect();
         if !tasks.is_empty() {
+            self.loss_ages.retain(|t| !tasks.contains(t));
             self.propose(Command::SuspectsCleared { tasks });
         }
     }
@@ -298,107 +297,6 @@
         }
     }
 
-    /// Returns the runs under which a worker has crashed, without those that chance may have hit;
-    /// their losses are recorded as uncertain.
-    fn suspects_of_crash(&mut self, worker: &WorkerId) -> CrashSuspects {
-        let lapsed = self.replicated.crashes().lapsed_runs(worker).cloned();
-        let crash_suspects = lapsed.unwrap_or_else(|| self.crash_suspects(worker));
-        let uncertain = self.find_uncertain_losses(worker, &crash_suspects);
-        if uncertain.is_empty() {
-            return crash_suspects;
-        }
-        let counted = uncertain.iter().filter(|l| self.replicated.uncertain_losses().counts(l));
-        let counted: BTreeSet<(TaskKey, u32)> = counted.map(|l| (l.task, l.run)).collect();
-        let excused = uncertain.iter().map(|l| (l.task, l.run));
-        let excused: BTreeSet<_> = excused.filter(|run| !counted.contains(run)).collect();
-        for loss in &uncertain {
-            let details = format!(
-                "run={} worker={worker} weight_permille={} counted={}",
-                loss.run,
-                loss.weight,
-                counted.contains(&(loss.task, loss.run)),
-            );
-            self.log_event(&kinds::LOSS_IN_DOUBT, loss.task, details);
-        }
-        self.propose(Command::LossesUncertain { losses: uncertain });
-        self.without(crash_suspects, &excused)
-    }
-
-    /// Returns the uncertain losses: the runs among the suspects that chance may have hit.
-    fn find_uncertain_losses(
-        &self,
-        worker: &WorkerId,
-        crash_suspects: &CrashSuspects,
-    ) -> Vec<UncertainLoss> {
-        let weigh = |(task, run): &(TaskKey, u32)| UncertainLoss {
-            task: self.replicated.suspect_key(task),
-            run: *run,
-            weight: self.weight_of_loss(worker, task),
-        };
-        let mut losses: Vec<UncertainLoss> = crash_suspects.runs().map(weigh).collect();
-        losses.retain(|l| l.weight < COUNTED_WEIGHT);
-        // A gang may have several members on the worker.
-        losses.dedup_by_key(|l| (l.task, l.run));
-        losses
-    }
-
-    /// Returns the suspects without the excused runs, which are given by suspect task and run
-    /// number.
-    fn without(
-        &self,
-        crash_suspects: CrashSuspects,
-        excused: &BTreeSet<(TaskKey, u32)>,
-    ) -> CrashSuspects {
-        let is_left = |(task, run): &(TaskKey, u32)| {
-            !excused.contains(&(self.replicated.suspect_key(task), *run))
-        };
-        let left = |runs: Vec<(TaskKey, u32)>| runs.into_iter().filter(is_left).collect();
-        CrashSuspects {
-            primary: left(crash_suspects.primary),
-            secondary: left(crash_suspects.secondary),
-            ..crash_suspects
-        }
-    }
-
-    /// Returns how strongly the loss of a worker counts against one of its runs, up to
-    /// [`FULL_WEIGHT`].
-    fn weight_of_loss(&self, worker: &WorkerId, task: &TaskKey) -> u16 {
-        let Some(info) = self.replicated.worker(worker).map(|w| &w.info) else {
-            return FULL_WEIGHT;
-        };
-        let Some(view) = self.worker_views.get(worker) else { return FULL_WEIGHT };
-        let began = view.orders.get(task).map_or(self.now(), |o| o.since);
-        let gang = self.replicated.step_spec(&task.step).filter(|s| s.gang);
-        let run = LostRun {
-            job: task.step.job,
-            service: info.service.clone(),
-            began,
-            at: view.loss_time(self.now()),
-            workers: gang.map_or(1, |s| s.count as usize),
-        };
-        let lost = self.recent_losses.of_same_service(&run);
-        let others: Vec<OtherLoss> = lost.chain(self.silent_beside(worker, &run)).collect();
-        run.weight(&others, self.workers_without(run.job, &run.service))
-    }
-
-    /// Returns the other silent workers of the run's service, which may be lost.
-    fn silent_beside(&self, worker: &WorkerId, run: &LostRun) -> impl Iterator<Item = OtherLoss> {
-        let silent = self.worker_views.iter().filter(|(_, v)| v.silent_since.is_some());
-        let others = silent.filter(move |(id, _)| *id != worker);
-        let others = others.filter_map(|(id, v)| Some((self.replicated.worker(id)?, v)));
-        let of_service = others.filter(|(w, _)| w.info.service == run.service);
-        of_service.map(|(w, v)| OtherLoss {
-            at: v.loss_time(self.now()),
-            is_related: w.runs_any_of(run.job),
-        })
-    }
-
-    /// Returns the number of workers of a service that run nothing of a job.
-    fn workers_without(&self, job: JobId, service: &Name) -> usize {
-        let of_service = self.replicated.workers().values().filter(|w| w.info.service == *service);
-        of_service.filter(|w| !w.runs_any_of(job)).count()
-    }
-
     /// Returns the number of workers that fell silent at about the same time as one, including that
     /// one.
     fn silent_together(&self, worker: &WorkerId) -> usize {
@@ -443,16 +341,6 @@
         self.end_incarnation(id, settled.into_iter().chain([crashed]));
     }
 
-    /// Records the loss of a worker.
-    fn record_loss(&mut self, id: &WorkerId) {
-        let (Some(view), Some(worker)) = (self.worker_views.get(id), self.replicated.worker(id))
-        else {
-            return;
-        };
-        let (service, jobs) = (worker.info.service.clone(), self.replicated.jobs_on(id));
-        self.recent_losses.record(view.loss_time(self.now()), service, jobs);
-    }
-
     /// Ends the incarnation of a worker that runs nothing and was out of contact for so long that
     /// it counts as lost.
     pub(crate) fn worker_lost(&mut self, id: &WorkerId) {
--- a/components/dispatch/src/worker_view.rs
+++ b/components/dispatch/src/worker_view.rs
@@ -82,6 +82,9 @@
     pub(crate) connection_broke: bool,
     /// Whether the first failure noticed was such a broken connection.
     pub(crate) connection_broke_first: bool,
+    /// Whether a recurring fault is the likely cause of the silence: as it began, a run had reached
+    /// about the age at which an earlier loss counted against its task.
+    pub(crate) fault_recurs: bool,
     /// When everything on the worker has certainly lapsed, by the leader's clock.
     pub(crate) lapses_at: Millis,
     /// Whether a renewal is in flight or held until its commands are committed.
@@ -108,6 +111,7 @@
             silent_since: None,
             connection_broke: false,
             connection_broke_first: false,
+            fault_recurs: false,
             lapses_at,
             renewal_in_flight: false,
             answer_due: now,
@@ -156,12 +160,20 @@
     }
 
     /// Records that an order or renewal got no answer; `due` is when the answer was due at the
-    /// latest.
-    pub(crate) fn record_silence(&mut self, now: Millis, due: Millis) {
+    /// latest, and `recurs` returns whether a fault of a task recurs at an age of its run.
+    pub(crate) fn record_silence(
+        &mut self,
+        now: Millis,
+        due: Millis,
+        recurs: impl Fn(&TaskKey, Millis) -> bool,
+    ) {
         let connection_broke = now < due;
         if self.silent_since.is_none() {
             self.silent_since = Some(now);
             self.connection_broke_first = connection_broke;
+            let is_recurring =
+                |(task, order): (&TaskKey, &Order)| recurs(task, now.since(order.since));
+            self.fault_recurs = self.orders.iter().any(is_recurring);
         }
         self.connection_broke |= connection_broke;
     }
--- a/components/dispatch/tests/restart_waves.rs
+++ b/components/dispatch/tests/restart_waves.rs
@@ -106,6 +106,25 @@
     }
 }
 
+/// Guards against jobs that are given up because workers restart one after the other for seconds, so that no two losses
+/// are close to each other.
+#[rstest]
+#[case::a_third_of_48_over_1200_ms(Restarts { workers: 48, restarted: 16, pause: Millis(1_000), wave_duration: Millis(1_200) })]
+#[case::a_third_of_48_over_4_s(Restarts { workers: 48, restarted: 16, pause: Millis(1_000), wave_duration: Millis(4_000) })]
+#[case::nearly_all_of_48_over_4_s(Restarts { workers: 48, restarted: 44, pause: Millis(1_000), wave_duration: Millis(4_000) })]
+#[case::nearly_all_of_10_over_3_s(Restarts { workers: 10, restarted: 9, pause: Millis(1_000), wave_duration: Millis(3_000) })]
+fn no_job_that_is_well_is_given_up_in_slow_restarts(#[case] restarts: Restarts) {
+    let mut f = fleet(1, restarts.workers);
+    let mut mix = JobMix::new(0.08, 0.1, 0.05);
+    (0..3).for_each(|_| mix::long_running_job(&mut f, None));
+    mix.drive(&mut f, Millis(1_500));
+    drive(&mut f, &mut mix, restarts);
+    mix.drive(&mut f, Millis(10_000));
+    let given_up = given_up(&f);
+    let trace = given_up.first().map(|job| f.trace(*job)).unwrap_or_default();
+    assert!(given_up.is_empty(), "given up: {given_up:?}\n{trace}");
+}
+
 /// Guards against jobs that are given up because workers lost power together: calls to those workers time out one by
 /// one, so the exact moment of each loss is not known.
 #[rstest]
