--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -300,8 +300,8 @@
 /// the ages of its losses. It is lower than for the first loss, because a faulty task is still
 /// told apart by crashing its workers at the same age.
 pub(crate) const MIN_UNRELATED_LOSSES_PER_SECOND: f64 = 0.02;
-/// By what factor a run may be older, or farther from the age of an earlier lost run, and still look
-/// as much like the cause of its worker's loss.
+/// By what factor a run may be older, or farther from the age of an earlier lost run, and still
+/// look as much like the cause of its worker's loss.
 pub(crate) const SIMILAR_AGE_FACTOR: f64 = 2.0;
 /// How far the ages of two lost runs may lie apart for one fault of their task to be the likely
 /// cause of both: the resolution of the time of each loss.
--- a/components/dispatch/src/loss_weighing.rs
+++ b/components/dispatch/src/loss_weighing.rs
@@ -110,8 +110,8 @@
         crash_suspects.runs().map(weigh).collect()
     }
 
-    /// Returns what is known of a lost run. After its lease has expired its age is unknown, and it may
-    /// have been exposed to all recent losses.
+    /// Returns what is known of a lost run. After its lease has expired its age is unknown, and it
+    /// may have been exposed to all recent losses.
     fn lost_run(&self, at: LossTime, task: &TaskKey, age: Option<Millis>) -> LostRun {
         let gang = self.replicated.step_spec(&task.step).filter(|s| s.gang);
         LostRun {
--- a/components/dispatch/src/losses.rs
+++ b/components/dispatch/src/losses.rs
@@ -55,8 +55,8 @@
 }
 
 impl Loss {
-    /// Returns whether the worker ran nothing of a job, and no recurring fault of another job is the
-    /// likely cause of the loss.
+    /// Returns whether the worker ran nothing of a job, and no recurring fault of another job is
+    /// the likely cause of the loss.
     pub(crate) fn is_unrelated_to(&self, job: JobId) -> bool {
         !self.fault_recurs && !self.jobs.contains(&job)
     }
--- a/components/dispatch/src/worker_view.rs
+++ b/components/dispatch/src/worker_view.rs
@@ -82,8 +82,8 @@
     pub(crate) connection_broke: bool,
     /// Whether the first failure noticed was such a broken connection.
     pub(crate) connection_broke_first: bool,
-    /// Whether a recurring fault is the likely cause of the silence: as it began, a run had reached
-    /// about the age at which an earlier loss counted against its task.
+    /// Whether a recurring fault is the likely cause of the silence: when it began, one of the runs
+    /// had about the age at which an earlier loss counted against its task.
     pub(crate) fault_recurs: bool,
     /// When everything on the worker has certainly lapsed, by the leader's clock.
     pub(crate) lapses_at: Millis,
