The age of a run is known after its lease has expired: a faulty task is not excused for a silent worker

Cause: as a lease expires the orders are dropped, and with them the ages of the runs; an unknown age stands for five seconds of exposure. Trace: E975 with age_ms=0 for each of these losses. Change: the view keeps when such runs were ordered.

--- a/components/dispatch/src/loss_weighing.rs
+++ b/components/dispatch/src/loss_weighing.rs
@@ -102,7 +102,7 @@
             let unrelated = unrelated
                 .entry(job)
                 .or_insert_with(|| self.unrelated_losses(id, &worker.info.service, at, job, fleet));
-            let age = view.orders.get(task).map(|o| at.silent_since.since(o.since));
+            let age = view.ordered_at(task).map(|t| at.silent_since.since(t));
             let weight = self.lost_run(at, task, age).weight(unrelated);
             let loss = UncertainLoss { task: self.replicated.suspect_key(task), run: *run, weight };
             WeighedLoss { loss, age }
@@ -110,8 +110,8 @@
         crash_suspects.runs().map(weigh).collect()
     }
 
-    /// Returns what is known of a lost run. After its lease has expired its age is unknown, and it
-    /// may have been exposed to all recent losses.
+    /// Returns what is known of a lost run. If its lease expired under an earlier leader, its age is
+    /// unknown, and it may have been exposed to all recent losses.
     fn lost_run(&self, at: LossTime, task: &TaskKey, age: Option<Millis>) -> LostRun {
         let gang = self.replicated.step_spec(&task.step).filter(|s| s.gang);
         LostRun {
--- a/components/dispatch/src/worker_view.rs
+++ b/components/dispatch/src/worker_view.rs
@@ -93,6 +93,8 @@
     pub(crate) answer_due: Millis,
     pub(crate) renew_at: Millis,
     pub(crate) orders: BTreeMap<TaskKey, Order>,
+    /// When the runs were first ordered whose lease has expired here.
+    pub(crate) expired_runs: BTreeMap<TaskKey, Millis>,
     /// The latest status of each run.
     pub(crate) statuses: BTreeMap<TaskKey, RunStatus>,
     /// The progress of each run.
@@ -117,6 +119,7 @@
             answer_due: now,
             renew_at: now,
             orders: BTreeMap::new(),
+            expired_runs: BTreeMap::new(),
             statuses: BTreeMap::new(),
             progress: BTreeMap::new(),
             health: WorkerHealth::default(),
@@ -178,6 +181,20 @@
         self.connection_broke |= connection_broke;
     }
 
+    /// Expires the lease of all runs.
+    pub(crate) fn expire_runs(&mut self) {
+        let expired = std::mem::take(&mut self.orders);
+        self.expired_runs = expired.into_iter().map(|(task, o)| (task, o.since)).collect();
+        self.statuses.clear();
+        self.in_contact = false;
+    }
+
+    /// Returns when the run of a task here was first ordered, if that is known.
+    pub(crate) fn ordered_at(&self, task: &TaskKey) -> Option<Millis> {
+        let order = self.orders.get(task).map(|o| o.since);
+        order.or_else(|| self.expired_runs.get(task).copied())
+    }
+
     /// Returns when the worker was lost, if it is, and how that was detected.
     pub(crate) fn loss_time(&self, now: Millis) -> LossTime {
         let detection = match (self.clock_reading, self.connection_broke_first) {
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -217,9 +217,7 @@
         let suspected = (!view.leaving && !crash_suspects.is_empty())
             .then(|| Command::CrashSuspected { worker: id.clone(), crash_suspects });
         let command = Command::Lapsed { worker: id.clone(), saved: saved_checkpoints(view) };
-        view.orders.clear();
-        view.statuses.clear();
-        view.in_contact = false;
+        view.expire_runs();
         self.clean_up_runs_of(id);
         suspected.into_iter().for_each(|c| self.propose(c));
         self.propose(command);
