Members of the reserve get entries with the heartbeats: the leader's messages no longer grow with the instances with disks

Seen: on the whole fleet 20 of 25 control instances are in the reserve, and each gets every batch of entries at once, some hundred a second. No commit waits for them. A member in the reserve lags by a heartbeat's entries, fewer than the 16 that still count as caught up at 150 batches a second and 50 ms.

--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -71,9 +71,18 @@
         }
     }
 
+    /// Returns whether an instance is a learner in the reserve, whose copy of the log no commit waits for.
+    fn is_in_reserve(&self, id: &InstanceId) -> bool {
+        self.membership().learners.get(id).is_some_and(|l| !l.promote)
+    }
+
     /// Sends `id` the entries that it lacks, unless an earlier append is in flight, or a heartbeat if one is due.
+    ///
+    /// A member of the reserve gets entries only when a heartbeat is due. A cell has as many of them as instances with
+    /// disks, and sending each of twenty every batch of entries at once took much of the leader's time.
     fn replicate_to(&mut self, id: &InstanceId) {
         let heartbeat = self.cfg.timing.heartbeat;
+        let in_reserve = self.is_in_reserve(id);
         let initial = Progress::new(self.log.last_index() + 1);
         let (now, last) = (self.now, self.log.last_index());
         let p = self.progress.entry(id.clone()).or_insert(initial);
@@ -81,8 +90,9 @@
         let overdue = Millis(heartbeat.0 * RESEND_HEARTBEATS);
         let busy = p.pending_since.is_some_and(|t| now.since(t) < overdue);
         let lacks = p.next <= last || p.snapshot.is_some();
+        let may_wait = in_reserve && !due && p.snapshot.is_none();
         let lacks_more = p.pending_last > 0 && p.pending_last < last && p.snapshot.is_none();
-        if lacks && !busy {
+        if lacks && !busy && !may_wait {
             p.pending_since = Some(now);
             p.heartbeat_sent_at = Some(now);
             self.send_next(id);
@@ -92,7 +102,7 @@
             p.heartbeat_sent_at = Some(now);
         }
         // A follower with a slow sync then has the newest entries available for its next one.
-        let sent_more = lacks_more && self.send_more(id);
+        let sent_more = lacks_more && !may_wait && self.send_more(id);
         if due && !sent_more {
             self.send_heartbeat(id);
         }
