Workers' announcements go to the leader together, with each tick

Seen: 6,000 workers announce themselves each 2 s, and each announcement was a message of its own to the leader: 3,000 a second. All control instances have to be updated together, since earlier ones do not read the new message.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use clock::{Clock, Millis, SystemClock, wall_now};
-use dispatch::{Input, Moment};
+use dispatch::{Input, Moment, WorkerAnnouncement};
 use errors::{Error, Result};
 use events::{kinds, log_decision};
 use metrics::Registry;
@@ -33,6 +33,9 @@
 
 /// How often a leader sets its gauges and logs its load.
 const LOAD_REPORT_INTERVAL: Millis = Millis(1_000);
+/// The maximum number of workers' announcements in a message, so that a new leader that gets those
+/// of all workers handles other messages in between.
+const MAX_ANNOUNCEMENTS_PER_MESSAGE: usize = 200;
 /// How long a control instance continues to serve after it was asked to stop. If it exits sooner, another
 /// one may not lead yet, and calls that it has accepted remain unanswered.
 const STOP_DELAY: Millis = Millis(1_500);
@@ -173,14 +176,27 @@
         }
     }
 
-    fn on_announcement(&mut self, announcement: dispatch::WorkerAnnouncement, direct: bool) {
+    fn on_announcement(&mut self, announcement: WorkerAnnouncement, direct: bool) {
         if direct {
             self.recent_announcements.add(self.clock.now(), announcement.clone());
-            self.send_to_leader(Message::Announcement(announcement.clone()));
+            // A worker that is leaving waits for the leader's acknowledgement.
+            if announcement.leaving {
+                self.send_to_leader(Message::Announcement(announcement.clone()));
+            }
         }
         self.handle_input(Input::Announcement(announcement));
     }
 
+    /// Handles an announcement that a worker sent to another instance.
+    fn on_forwarded_announcement(&mut self, from: &InstanceId, announcement: WorkerAnnouncement) {
+        let (worker, number) = (announcement.info.id.clone(), announcement.number);
+        let leaving = announcement.leaving;
+        self.on_announcement(announcement, false);
+        if leaving && self.leader_term.is_some() {
+            self.links.send(from, 0, Message::LeavingAcknowledged { worker, number });
+        }
+    }
+
     fn send_to_leader(&self, message: Message) {
         if let Some(leader) = self.peers.leader(self.clock.now())
             && *leader != self.settings.id()
@@ -233,8 +249,13 @@
 
     /// Sends the recent announcements of workers to a new leader.
     fn resend_announcements(&self) {
-        for announcement in self.recent_announcements.recent(self.clock.now()) {
-            self.send_to_leader(Message::Announcement(announcement));
+        self.send_announcements(self.recent_announcements.recent(self.clock.now()));
+    }
+
+    /// Sends announcements of workers to the leader, unless this instance leads.
+    fn send_announcements(&self, announcements: Vec<WorkerAnnouncement>) {
+        for part in announcements.chunks(MAX_ANNOUNCEMENTS_PER_MESSAGE) {
+            self.send_to_leader(Message::Announcements(part.to_vec()));
         }
     }
 
@@ -285,11 +306,11 @@
                 self.perform(action.into_iter().collect());
             }
             Message::Announcement(announcement) => {
-                let (worker, number) = (announcement.info.id.clone(), announcement.number);
-                let leaving = announcement.leaving;
-                self.on_announcement(announcement, false);
-                if leaving && self.leader_term.is_some() {
-                    self.links.send(&from, 0, Message::LeavingAcknowledged { worker, number });
+                self.on_forwarded_announcement(&from, announcement);
+            }
+            Message::Announcements(announcements) => {
+                for announcement in announcements {
+                    self.on_forwarded_announcement(&from, announcement);
                 }
             }
             Message::LeavingAcknowledged { worker, number } => {
@@ -316,6 +337,8 @@
             self.peers.confirm_leader(now);
         }
         sync_links(&self.links, &mut self.peers, now);
+        let unsent = self.recent_announcements.take_unsent();
+        self.send_announcements(unsent);
         self.recent_announcements.remove_old(now);
         self.leaving_acknowledgements.remove_closed();
         for (to, hello) in self.peers.due_hellos(now) {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -196,6 +196,7 @@
             | Message::Hello { .. }
             | Message::Call { .. }
             | Message::Announcement(_)
+            | Message::Announcements(_)
             | Message::LeavingAcknowledged { .. }
             | Message::Left(_)
             | Message::Advised { .. } => {}
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -75,4 +75,6 @@
         /// The allowed workers with their tickets; `None` if the advice service did not answer.
         allowed: Option<Vec<(WorkerId, Name)>>,
     },
+    /// Workers sent announcements to the sender since its last message of this kind.
+    Announcements(Vec<WorkerAnnouncement>),
 }
--- a/components/node/src/recent_announcements.rs
+++ b/components/node/src/recent_announcements.rs
@@ -1,6 +1,6 @@
 //! The recent announcements of workers at this instance, kept to be sent to a new leader.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use clock::Millis;
 use dispatch::WorkerAnnouncement;
@@ -14,6 +14,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct RecentAnnouncements {
     by_worker: BTreeMap<WorkerId, (Millis, WorkerAnnouncement)>,
+    /// The workers whose last announcement has not been sent to the leader.
+    unsent: BTreeSet<WorkerId>,
 }
 
 impl RecentAnnouncements {
@@ -23,9 +25,18 @@
         if known.is_some_and(|(_, known)| known.number > announcement.number) {
             return;
         }
+        self.unsent.insert(announcement.info.id.clone());
         self.by_worker.insert(announcement.info.id.clone(), (now, announcement));
     }
 
+    /// Returns the announcements that were added since the last call. They are sent to the leader
+    /// together, since a message for each of thousands of workers takes much of its time.
+    pub(crate) fn take_unsent(&mut self) -> Vec<WorkerAnnouncement> {
+        let unsent = std::mem::take(&mut self.unsent);
+        let added = unsent.iter().filter_map(|id| self.by_worker.get(id));
+        added.map(|(_, announcement)| announcement.clone()).collect()
+    }
+
     /// Removes the announcement of a worker that has left. If `worker` names no incarnation, the announcements of
     /// all its incarnations that are leaving are removed.
     pub(crate) fn remove(&mut self, worker: &WorkerId) {
