--- a/components/dispatch/src/loss_weighing.rs
+++ b/components/dispatch/src/loss_weighing.rs
@@ -6,7 +6,8 @@
 use events::kinds;
 use model::Name;
 use workload::{
-    COUNTED_WEIGHT, Command, CrashSuspects, JobId, MAX_CRASHES, TaskKey, UncertainLoss, Worker, WorkerId,
+    COUNTED_WEIGHT, Command, CrashSuspects, JobId, MAX_CRASHES, TaskKey, UncertainLoss, Worker,
+    WorkerId,
 };
 
 use crate::dispatcher::Dispatcher;
@@ -57,8 +58,7 @@
         for WeighedLoss { loss, age } in weighed {
             // Coincidences excuse further losses only of a task that may be healthy. Otherwise a
             // faulty one would crash more workers for each coincidence.
-            let is_strong_suspect =
-                self.replicated.crashes().crashes(&loss.task) >= MAX_CRASHES;
+            let is_strong_suspect = self.replicated.crashes().crashes(&loss.task) >= MAX_CRASHES;
             let counted = is_strong_suspect || self.replicated.uncertain_losses().counts(loss);
             if !counted {
                 excused.insert((loss.task, loss.run));
