A call for advice examines as many workers as it can choose from, not the whole fleet

Change: the search begins where the last one ended and stops once 400 workers with capacity are found, four times as many as a call can name; workers known to be allowed come first wherever they are. With a backlog, no more full workers are looked into than a call can name. An index by free capacity was tried earlier and collapsed (docs/design/size.md): it preferred the emptiest by processor; this search has no order. Tests: dispatch/tests/advice_load.rs, 400 of 1,000 and of 2,000 idle workers examined; the only worker with capacity found; others each time; allowed first.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -176,6 +176,8 @@
     ahead: BTreeMap<StepKey, (Millis, OpenStep)>,
 }
 
+static NO_WORKERS: BTreeSet<WorkerId> = BTreeSet::new();
+
 /// The distance between the first call numbers of two consecutive terms. No term makes as many
 /// calls.
 const CALL_IDS_PER_TERM: u64 = 1 << 32;
@@ -265,8 +267,8 @@
     }
 
     /// Returns the workers that are known not to be allowed.
-    pub(crate) fn disallowed(&self, step: &StepKey) -> Option<&BTreeSet<WorkerId>> {
-        self.steps.get(step).map(|s| &s.disallowed)
+    pub(crate) fn disallowed(&self, step: &StepKey) -> &BTreeSet<WorkerId> {
+        self.steps.get(step).map_or(&NO_WORKERS, |s| &s.disallowed)
     }
 
     /// Returns whether a worker is known to be allowed, with or without a ticket.
@@ -275,8 +277,8 @@
     }
 
     /// Returns the workers that are known to be allowed, with or without a ticket.
-    pub(crate) fn allowed(&self, step: &StepKey) -> impl Iterator<Item = &WorkerId> {
-        self.steps.get(step).into_iter().flat_map(|s| &s.allowed)
+    pub(crate) fn allowed(&self, step: &StepKey) -> &BTreeSet<WorkerId> {
+        self.steps.get(step).map_or(&NO_WORKERS, |s| &s.allowed)
     }
 
     /// Drops a ticket that a worker rejected.
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -6,21 +6,24 @@
 //! thirteen instances. So calls go first to steps of which a task could start, and only then to
 //! those that wait for capacity.
 
+use std::collections::btree_map::Range;
+use std::ops::Bound::{Excluded, Included, Unbounded};
 use std::sync::Arc;
 
 use clock::Millis;
 use events::kinds;
 use model::Name;
-use workload::{AdvicePolicy, JobSpec, OpenStep, StepKey, StepSpec, Worker};
+use workload::{AdvicePolicy, JobSpec, OpenStep, StepKey, StepSpec, Worker, WorkerId};
 
 use crate::action::Action;
 use crate::advice::{AdviceCandidate, AdviceNeed, AdvicePriority, AdviceSelection, cost_ms};
 use crate::candidates::{fits, max_additional_tasks};
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::MAX_WORKER_SCANS;
+use crate::limits::{ADVICE_CANDIDATES_WITH_CAPACITY, ADVICE_MAX_WORKERS, MAX_WORKER_SCANS};
 use crate::planning::PlanPass;
 use crate::worker_health::WorkerTier;
+use crate::worker_view::WorkerView;
 
 /// The part of a ticket's validity by which advice on a step may arrive before the step is likely
 /// to open. Declared run times are often too long. Advice that arrives too early costs another
@@ -140,7 +143,7 @@
         self.advice_scheduler.record_capacity(m.now, &need.as_need(), choice.has_capacity);
         // Capacity for an overdue task is reserved on workers that are known to allow it.
         let lacks_allowed_worker = need.advice_priority == AdvicePriority::Overdue
-            && self.advice_scheduler.allowed(&need.key).next().is_none();
+            && self.advice_scheduler.allowed(&need.key).is_empty();
         match choice.has_capacity || lacks_allowed_worker {
             true => self.call(m, &need, choice),
             false => self.plan_state.deferred.push((need, Some(choice))),
@@ -186,25 +189,71 @@
         self.act(Action::RequestAdvice(call));
     }
 
-    /// Returns the workers that a call may name. Iterates over both maps in parallel: looking up
-    /// each of 1,100 workers in them, 250 times a second, took most of a plan's time.
-    fn advice_candidates(&self, m: Moment, need: &StepNeedingAdvice) -> Vec<AdviceCandidate> {
+    /// Returns workers that a call may name: those known to be allowed, and others until enough of
+    /// them have capacity. A fleet with much free capacity has far more candidates than a call can
+    /// name, and examining each of 6,000 workers for every call took most of the leader's time. The
+    /// next examination goes on where this one ended, so that all workers get their turn.
+    fn advice_candidates(&mut self, m: Moment, need: &StepNeedingAdvice) -> Vec<AdviceCandidate> {
+        let start = std::mem::take(&mut self.advice_scan_position);
+        let (candidates, position, examined) = self.scan_candidates(m, need, start.as_ref());
+        self.advice_scan_position = position;
+        self.plan_state.workers_scanned += examined;
+        candidates
+    }
+
+    /// Returns the candidates, the last worker that was examined, and how many were examined.
+    fn scan_candidates(
+        &self,
+        m: Moment,
+        need: &StepNeedingAdvice,
+        start: Option<&WorkerId>,
+    ) -> (Vec<AdviceCandidate>, Option<WorkerId>, u64) {
         let (key, spec) = (&need.key, need.spec());
-        let Some(job) = self.replicated.job(key.job) else { return Vec::new() };
+        let Some(job) = self.replicated.job(key.job) else { return (Vec::new(), None, 0) };
+        let candidate = |worker: &Worker, view: &WorkerView| {
+            self.is_suitable(m, need.worker_tier, &job.service, spec, worker, view)
+                .then(|| self.advice_candidate(key, spec, worker))
+        };
+        let allowed = self.advice_scheduler.allowed(key);
+        let allowed_workers = allowed
+            .iter()
+            .filter_map(|id| Some((self.replicated.worker(id)?, self.worker_views.get(id)?)));
+        let mut candidates: Vec<AdviceCandidate> =
+            allowed_workers.filter_map(|(worker, view)| candidate(worker, view)).collect();
         let disallowed = self.advice_scheduler.disallowed(key);
-        let mut worker_views = self.worker_views.iter().peekable();
-        let mut matching = Vec::new();
-        for (id, worker) in self.replicated.workers() {
-            while worker_views.next_if(|(known, _)| *known < id).is_some() {}
-            let Some((_, view)) = worker_views.next_if(|(known, _)| *known == id) else { continue };
-            let may_be_allowed = disallowed.is_none_or(|b| !b.contains(id));
-            if may_be_allowed
-                && self.is_suitable(m, need.worker_tier, &job.service, spec, worker, view)
-            {
-                matching.push(self.advice_candidate(key, spec, worker));
+        let is_known = |id: &WorkerId| allowed.contains(id) || disallowed.contains(id);
+        let enough = ADVICE_CANDIDATES_WITH_CAPACITY.max(need.tasks as usize);
+        let (mut with_capacity, mut full, mut examined) = (0, 0, candidates.len() as u64);
+        for (id, worker, view) in self.workers_after(start) {
+            examined += 1;
+            let is_full = !spec.required_capacity().fits(&worker.free());
+            // No call names more full workers, and with a backlog most workers are full.
+            if (is_full && full >= ADVICE_MAX_WORKERS) || is_known(id) {
+                continue;
+            }
+            let Some(candidate) = candidate(worker, view) else { continue };
+            full += usize::from(candidate.fits == 0);
+            with_capacity += usize::from(candidate.fits > 0);
+            candidates.push(candidate);
+            if with_capacity >= enough {
+                return (candidates, Some(id.clone()), examined);
             }
         }
-        matching
+        (candidates, None, examined)
+    }
+
+    /// Iterates over all workers with the leader's views of them, beginning after `start` and
+    /// continuing from the first worker to `start`.
+    fn workers_after(
+        &self,
+        start: Option<&WorkerId>,
+    ) -> impl Iterator<Item = (&WorkerId, &Worker, &WorkerView)> {
+        let after = (start.map_or(Unbounded, Excluded), Unbounded);
+        let up_to = start.map(|s| (Unbounded, Included(s)));
+        let (workers, views) = (self.replicated.workers(), &self.worker_views);
+        let rest =
+            up_to.into_iter().flat_map(|range| joined(workers.range(range), views.range(range)));
+        joined(workers.range(after), views.range(after)).chain(rest)
     }
 
     fn advice_candidate(&self, key: &StepKey, spec: &StepSpec, worker: &Worker) -> AdviceCandidate {
@@ -213,3 +262,17 @@
         AdviceCandidate { worker: worker.info.id.clone(), fits }
     }
 }
+
+/// Joins the workers and the views of a range of ids. Iterating over both in parallel is much
+/// cheaper than looking up each worker's view.
+fn joined<'a>(
+    workers: Range<'a, WorkerId, Worker>,
+    views: Range<'a, WorkerId, WorkerView>,
+) -> impl Iterator<Item = (&'a WorkerId, &'a Worker, &'a WorkerView)> {
+    let mut views = views.peekable();
+    workers.filter_map(move |(id, worker)| {
+        while views.next_if(|(known, _)| *known < id).is_some() {}
+        let (_, view) = views.next_if(|(known, _)| *known == id)?;
+        Some((id, worker, view))
+    })
+}
--- a/components/dispatch/src/aging.rs
+++ b/components/dispatch/src/aging.rs
@@ -72,7 +72,7 @@
         let spec = &job.spec.steps[key.step as usize];
         let disallowed = self.advice_scheduler.disallowed(key);
         let can_take = |(worker, view): &(&Worker, &WorkerView)| {
-            let may_be_allowed = disallowed.is_none_or(|b| !b.contains(&worker.info.id));
+            let may_be_allowed = !disallowed.contains(&worker.info.id);
             let additional_tasks =
                 || fits(spec, &worker.free()).min(max_additional_tasks(key, spec, worker));
             let suitable =
--- a/components/dispatch/src/capacity_reservations.rs
+++ b/components/dispatch/src/capacity_reservations.rs
@@ -174,7 +174,7 @@
         // Scanning all workers for each waiting step would take a quarter of the leader's processor
         // with 350 workers, and few of them are allowed.
         let ids: Vec<&WorkerId> = match needs_advice {
-            true => self.advice_scheduler.allowed(key).collect(),
+            true => self.advice_scheduler.allowed(key).iter().collect(),
             false => self.worker_views.keys().collect(),
         };
         let mut workers = ids.iter().filter_map(|id| self.replicated.worker(id));
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -66,6 +66,9 @@
     /// The workers whose service is not configured.
     pub(crate) unconfigured_workers: UnconfiguredWorkers,
     pub(crate) advice_scheduler: AdviceScheduler,
+    /// The worker at which the last search for candidates for a call for advice ended; `None` if it
+    /// examined all workers.
+    pub(crate) advice_scan_position: Option<WorkerId>,
     /// The jobs to check for runs that are no longer wanted.
     pub(crate) jobs_to_clean_up: BTreeSet<JobId>,
     /// The workers on which a run of a task failed or made too little progress.
@@ -127,6 +130,7 @@
             restricted_workers: BTreeSet::new(),
             unconfigured_workers: UnconfiguredWorkers::default(),
             advice_scheduler: AdviceScheduler::for_term(term),
+            advice_scan_position: None,
             jobs_to_clean_up: BTreeSet::new(),
             avoided_workers: BTreeMap::new(),
             accepted: BTreeMap::new(),
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -31,6 +31,8 @@
     /// The number of steps for which the last plan scanned all workers for candidates for a call
     /// for advice.
     pub scans: u32,
+    /// How many workers these scans examined.
+    pub workers_scanned: u64,
     /// How many workers the last plan looked at before its first step.
     pub workers_checked: u64,
     /// The number of instances that can call for advice.
@@ -116,6 +118,7 @@
             capacity: in_contact.iter().map(|w| &w.info.capacity).fold(Size::ZERO, sum),
             used: in_contact.iter().map(|w| &w.used).fold(Size::ZERO, sum),
             scans: self.plan_state.scans,
+            workers_scanned: self.plan_state.workers_scanned,
             workers_checked: self.plan_state.workers_checked,
             advice_callers: self.advice_scheduler.callers() as u64,
             advice_callers_busy: self.advice_scheduler.busy_callers() as u64,
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -168,6 +168,10 @@
 pub(crate) const ADVICE_CALLER_BACKOFF: Millis = Millis(1_500);
 /// The maximum number of workers in a call for advice; the service accepts no more.
 pub(crate) const ADVICE_MAX_WORKERS: usize = 100;
+/// How many workers with free capacity are examined at least for a call for advice, if there are as
+/// many: four times as many as a call can name, so that the call can name those with the most
+/// capacity.
+pub(crate) const ADVICE_CANDIDATES_WITH_CAPACITY: usize = 4 * ADVICE_MAX_WORKERS;
 /// The maximum number of workers without free capacity that a long call for advice names. Work that
 /// waits for capacity needs its tickets when capacity is freed: a call takes a tenth of the time
 /// that a batch task runs, and the capacity would be idle meanwhile.
--- a/components/dispatch/src/plan_state.rs
+++ b/components/dispatch/src/plan_state.rs
@@ -17,6 +17,8 @@
     pub(crate) examined: u64,
     /// The number of steps for which the plan scanned all workers for some to ask about.
     pub(crate) scans: u32,
+    /// How many workers these scans examined.
+    pub(crate) workers_scanned: u64,
     /// How many workers the plan looked at before its first step.
     pub(crate) workers_checked: u64,
     /// The number of steps that needed a call for advice and found no instance free to make it.
@@ -42,6 +44,7 @@
     pub(crate) fn begin(&mut self, examined: u64) {
         self.examined = examined;
         self.scans = 0;
+        self.workers_scanned = 0;
         self.workers_checked = 0;
         self.without_caller = 0;
         self.not_examined = 0;
--- a/components/dispatch/src/wait_reasons.rs
+++ b/components/dispatch/src/wait_reasons.rs
@@ -159,7 +159,7 @@
 
     fn is_disallowed(&self, waiting: &WaitingTask<'_>, id: &WorkerId) -> bool {
         let disallowed = self.advice_scheduler.disallowed(&waiting.task.step);
-        waiting.tickets.is_some() && disallowed.is_some_and(|b| b.contains(id))
+        waiting.tickets.is_some() && disallowed.contains(id)
     }
 
     /// Returns a reason in the worker's state, whatever is to run there.
--- a/components/dispatch/src/worker_health.rs
+++ b/components/dispatch/src/worker_health.rs
@@ -394,7 +394,7 @@
         if !self.plan_state.any_deprioritised {
             return WorkerTier::Preferred;
         }
-        let disallowed = if needs_advice { self.advice_scheduler.disallowed(key) } else { None };
+        let disallowed = needs_advice.then(|| self.advice_scheduler.disallowed(key));
         let is_preferred = |(id, view): (&WorkerId, &WorkerView)| {
             let may_be_allowed = disallowed.is_none_or(|b| !b.contains(id));
             let worker = if may_be_allowed { self.replicated.worker(id) } else { None };
--- a/components/dispatch/tests/advice_load.rs
+++ b/components/dispatch/tests/advice_load.rs
@@ -5,8 +5,10 @@
 use std::collections::BTreeSet;
 
 use clock::Millis;
-use common::{Harness, spec, step};
-use dispatch::AdviceRequest;
+use common::{Harness, spec, step, worker};
+use dispatch::{AdviceRequest, CallError, Refusal};
+use model::Size;
+use rstest::rstest;
 use workload::StepSpec;
 
 const INSTANCES: usize = 16;
@@ -120,3 +122,51 @@
     assert_ne!(last.step, answered.step);
     assert!((10..=20).contains(&last.workers.len()), "{} workers", last.workers.len());
 }
+
+/// Guards against calls whose cost grows with the fleet: a leader that examined each of 6,000 idle workers for every call
+/// had no time left to read the workers' answers.
+#[rstest]
+#[case::of_a_thousand(1_000)]
+#[case::of_two_thousand(2_000)]
+fn in_a_large_idle_fleet_a_call_examines_some_workers_only(#[case] workers: usize) {
+    let mut b = fleet(workers);
+    b.submit(1, spec(vec![step(4)]));
+    assert_eq!(b.advice_requests(Some(1)).len(), 1);
+    assert_eq!(b.dispatcher.figures().workers_scanned, 400);
+}
+
+#[test]
+fn calls_on_successive_steps_name_different_workers() {
+    let mut b = fleet(1_000);
+    b.submit(1, spec(vec![step(4)]));
+    b.submit(2, spec(vec![step(4)]));
+    let named =
+        |id| -> BTreeSet<_> { b.advice_requests(Some(id)).remove(0).workers.into_iter().collect() };
+    assert!(named(1).is_disjoint(&named(2)));
+}
+
+#[test]
+fn a_call_finds_the_only_worker_with_capacity_in_a_large_fleet() {
+    let mut b = fleet(0);
+    (0..1_000).for_each(|i| b.join(&format!("small{i:03}"), 1));
+    b.join("large", 16);
+    b.submit(1, spec(vec![StepSpec { size: Size::new(4_000, 4_000, 0), ..step(1) }]));
+    assert_eq!(b.advice_requests(Some(1)).remove(0).workers[0], worker("large"));
+}
+
+#[test]
+fn a_call_names_workers_known_to_be_allowed_wherever_the_search_begins() {
+    let mut b = fleet(1_000);
+    b.submit(1, spec(vec![step(1)]));
+    let first = b.advice_requests(Some(1)).remove(0);
+    let allowed = first.workers[0].to_string();
+    b.answer_advice(&first, &[&allowed]);
+    let (worker, start) = b.starts().remove(0);
+    let refused = Err(CallError::Refused(Refusal::Ticket));
+    b.started(&worker.0, start.task, start.run, refused);
+    b.commit();
+    b.advance(Millis(100));
+    let last = b.advice_requests(Some(1)).pop().unwrap();
+    assert!(last.id > first.id);
+    assert_eq!(last.workers[0], worker);
+}
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -75,6 +75,7 @@
         self.metrics.set("heathvale_memory_megabytes_capacity", figures.capacity.memory_mb);
         self.metrics.set("heathvale_memory_megabytes_used", figures.used.memory_mb);
         self.metrics.set("heathvale_plan_scans", u64::from(figures.scans));
+        self.metrics.set("heathvale_plan_workers_scanned", figures.workers_scanned);
         self.metrics.set("heathvale_plan_workers_checked", figures.workers_checked);
         self.metrics.set("heathvale_advice_callers", figures.advice_callers);
         self.metrics.set("heathvale_advice_callers_busy", figures.advice_callers_busy);
@@ -92,7 +93,7 @@
         self.metrics.set("heathvale_connections_limit", connections.limit as u64);
         self.metrics.set("heathvale_connections_opened_total", connections.opened);
         let details = format!(
-            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} checked={} advice_callers={}/{} without_caller={} without_look={} aside={} lasting_waiting={} connections={}/{} opened={}",
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} scanned={} checked={} advice_callers={}/{} without_caller={} without_look={} aside={} lasting_waiting={} connections={}/{} opened={}",
             figures.used.cpu_milli,
             figures.capacity.cpu_milli,
             figures.used.memory_mb,
@@ -103,6 +104,7 @@
             figures.workers_in_contact,
             figures.workers,
             figures.scans,
+            figures.workers_scanned,
             figures.workers_checked,
             figures.advice_callers_busy,
             figures.advice_callers,
