Entry instances greet the seeds and the voters, not every control instance

Seen: on the whole fleet 583 entry instances greet 25 control instances five times a second, 73,000 hellos and as many answers of some 500 bytes, though only the five voters and the seeds matter to them: links, messages and bytes between zones grow with the product of both numbers. Change: an entry instance takes from a welcome the voters only, and a welcome to it lists no others. With three or five control instances nothing changes. Test: node/tests/peers.rs, an_entry_instance_greets_only_the_seeds_and_the_voters.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -259,16 +259,26 @@
         }
     }
 
-    /// Returns the answer to a hello: the leader and the members as this instance knows them.
+    /// Returns the answer to a control instance's hello: the leader and the members as this instance
+    /// knows them.
     pub(crate) fn welcome(&self) -> Message {
+        self.welcome_with(self.peers.control_instances())
+    }
+
+    /// Returns the answer to an entry instance's hello. Entry instances need no contact to control
+    /// instances that do not vote.
+    fn welcome_to_entry(&self) -> Message {
+        self.welcome_with(Vec::new())
+    }
+
+    fn welcome_with(&self, controls: Vec<InstanceId>) -> Message {
         let now = self.clock.now();
         let leader = self.peers.leader(now).cloned();
         let term = match &self.leader_term {
             Some(l) => l.term,
             None => self.peers.term(),
         };
-        let (controls, voters) = (self.peers.control_instances(), self.voters.clone());
-        Message::Welcome { leader, term, controls, voters }
+        Message::Welcome { leader, term, controls, voters: self.voters.clone() }
     }
 
     fn on_packet(&mut self, packet: Packet<Message>) {
@@ -291,7 +301,11 @@
                 if let (Some(disk), Some(_)) = (disk, &self.leader_term) {
                     self.log.send(LogInput::Admit { id: from.clone(), disk });
                 }
-                self.links.send(&from, 0, self.welcome());
+                let welcome = match disk {
+                    Some(_) => self.welcome(),
+                    None => self.welcome_to_entry(),
+                };
+                self.links.send(&from, 0, welcome);
             }
             Message::Welcome { leader, term, controls, .. } => {
                 if self.peers.on_welcome(&from, leader, term, &controls, now) {
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -172,9 +172,8 @@
     fn on_packet(&mut self, now: Millis, packet: Packet<Message>) {
         self.peers.record_contact(&packet.from, now);
         match packet.message {
-            Message::Welcome { leader, term, controls, voters } => {
-                self.peers.set_voters(term, voters);
-                if self.peers.on_welcome(&packet.from, leader, term, &controls, now) {
+            Message::Welcome { leader, term, voters, .. } => {
+                if self.peers.on_welcome_at_entry(&packet.from, leader, term, voters, now) {
                     log_leader(&packet.from, term);
                     self.relay.leader_changed(now);
                 }
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -183,6 +183,22 @@
         }
     }
 
+    /// Processes a welcome at an entry instance, which needs contact only to the seeds and to the
+    /// voters, one of which leads. Contact to every control instance would take messages and links
+    /// in proportion to the product of the numbers of entry and control instances.
+    pub fn on_welcome_at_entry(
+        &mut self,
+        from: &InstanceId,
+        leader: Option<InstanceId>,
+        term: u64,
+        voters: Vec<InstanceId>,
+        now: Millis,
+    ) -> bool {
+        let changed = self.on_welcome(from, leader, term, &voters, now);
+        self.set_voters(term, voters);
+        changed
+    }
+
     /// Updates the leader unless a later term is known. Returns whether the leader changed.
     pub fn update_leader(&mut self, leader: InstanceId, term: u64, now: Millis) -> bool {
         if self.leader.as_ref().is_some_and(|(known, _)| *known > term) {
--- a/components/node/tests/peers.rs
+++ b/components/node/tests/peers.rs
@@ -36,6 +36,21 @@
     assert!(peers.due_hellos(Millis(380)).is_empty());
 }
 
+/// Guards against messages and links in proportion to the product of the numbers of entry and control instances: of 25
+/// control instances 20 do not vote, and each was greeted by 583 entry instances five times a second.
+#[test]
+fn an_entry_instance_greets_only_the_seeds_and_the_voters() {
+    let mut peers = entry();
+    let voters = vec![id("c2"), id("c3")];
+    peers.on_welcome_at_entry(&id("c1"), Some(id("c2")), 1, voters, Millis(0));
+    let to: Vec<InstanceId> = peers.due_hellos(Millis(0)).into_iter().map(|(to, _)| to).collect();
+    assert_eq!(to, vec![id("c1"), id("c2"), id("c3")]);
+    assert_eq!(peers.reachability(Millis(100)), Reachability::Majority);
+    // A member that replaces a voter is greeted as soon as any voter names it.
+    peers.on_welcome_at_entry(&id("c2"), Some(id("c2")), 1, vec![id("c2"), id("c4")], Millis(100));
+    assert!(peers.ids().any(|known| *known == id("c4")));
+}
+
 #[test]
 fn an_older_term_does_not_bring_an_old_leader_back() {
     let mut peers = entry();
