Entry instances hold the renewals of idle workers: the leader's calls and connections follow the work, not the fleet

Cause: a renewal waits at each idle worker, 6,000 connections and 3,000 calls a second that tell nothing. Longer waits are not allowed, and without them the loss of an idle worker is not seen when it happens, which the weighing of losses rests on. Change: a worker that runs nothing is watched by an entry instance, chosen by its id; it repeats the renewal and tells the leader only what changes: ends, runs, a broken connection, and every four seconds the clocks. What starts, stops or is forgotten is decided by the leader alone. The leader renews by itself if the instance is out of contact, stops, no longer lists the worker, if a busy worker has not been heard within 2.5 s (a lease has 5), or for ten seconds after a call of its own had no answer. All instances have to be updated together.

--- a/components/dispatch/src/action.rs
+++ b/components/dispatch/src/action.rs
@@ -27,6 +27,8 @@
         address: Name,
         /// The renewal to send.
         order: RenewOrder,
+        /// Whether the worker runs nothing, so that another instance may hold the renewal.
+        runs_nothing: bool,
     },
     /// Starts a run.
     Start {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -213,6 +213,10 @@
             Input::Renewed { worker, sent_at, result } => {
                 self.on_renewed(m, &worker, sent_at, result);
             }
+            Input::WatchEnded { worker, sent_at, broke, result } => {
+                self.on_watch_ended(m, &worker, sent_at, broke, result);
+            }
+            Input::WorkerClocks(clocks) => self.on_worker_clocks(m, clocks),
             Input::Started { worker, task, run, result } => {
                 self.on_started(m, &worker, &task, run, result);
             }
--- a/components/dispatch/src/input.rs
+++ b/components/dispatch/src/input.rs
@@ -50,6 +50,19 @@
         /// The worker's report, or why there is none.
         result: Result<Report, CallError>,
     },
+    /// The result of a renewal that another instance held.
+    WatchEnded {
+        /// The worker.
+        worker: WorkerId,
+        /// When the renewal was first sent.
+        sent_at: Millis,
+        /// Whether it failed before its answer was due, because the connection broke.
+        broke: bool,
+        /// The worker's report, or why there is none.
+        result: Result<Report, CallError>,
+    },
+    /// The clocks of workers at which other instances hold renewals.
+    WorkerClocks(Vec<(WorkerId, Millis)>),
     /// The result of a start.
     Started {
         /// The worker.
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -37,7 +37,7 @@
         view.renewal_in_flight = true;
         view.answer_due = m.now + wait + answer_timeout;
         let order = RenewOrder { fence, seen, deadline, wait, answer_timeout };
-        self.act(Action::Renew { worker: id.clone(), address, order });
+        self.act(Action::Renew { worker: id.clone(), address, order, runs_nothing: idle });
     }
 
     /// Handles the result of a renewal.
@@ -119,6 +119,32 @@
         }
     }
 
+    /// Handles the result of a renewal that another instance held. `broke` tells whether it failed
+    /// because the connection broke.
+    pub(crate) fn on_watch_ended(
+        &mut self,
+        m: Moment,
+        id: &WorkerId,
+        sent_at: Millis,
+        broke: bool,
+        result: Result<Report, CallError>,
+    ) {
+        if let Some(view) = self.worker_views.get_mut(id) {
+            // The renewal was repeated since it was first sent.
+            view.answer_due = if broke { m.now + Millis(1) } else { m.now };
+        }
+        self.on_renewed(m, id, sent_at, result);
+    }
+
+    /// Handles the clocks of workers at which other instances hold renewals.
+    pub(crate) fn on_worker_clocks(&mut self, m: Moment, clocks: Vec<(WorkerId, Millis)>) {
+        for (id, clock) in clocks {
+            if let Some(view) = self.worker_views.get_mut(&id) {
+                view.refresh_clock(m.now, clock);
+            }
+        }
+    }
+
     /// Proposes the run ends that are new; returns whether there were any.
     fn propose_ends(&mut self, m: Moment, id: &WorkerId, ends: Vec<End>) -> bool {
         let seen = self.replicated.worker(id).map_or(0, |w| w.last_end);
--- a/components/dispatch/src/worker_messages.rs
+++ b/components/dispatch/src/worker_messages.rs
@@ -55,7 +55,7 @@
 }
 
 /// An order that renews the lease of everything that runs on a worker and requests a report.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RenewOrder {
     /// The leader's term, which is the fencing token.
     pub fence: u64,
@@ -70,7 +70,7 @@
 }
 
 /// The status of a run in a worker's report.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RunStatus {
     /// The task.
     pub task: TaskKey,
@@ -86,7 +86,7 @@
 }
 
 /// A worker's answer to a [`RenewOrder`].
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// The worker's clock.
     pub clock: Millis,
@@ -97,7 +97,7 @@
 }
 
 /// Why a worker refused an order. It has not carried out any of it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker has seen a higher fencing token.
     Fence,
@@ -118,7 +118,7 @@
 }
 
 /// Why an order failed, or may have failed.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum CallError {
     /// The worker refused.
     Refused(Refusal),
--- a/components/dispatch/src/worker_view.rs
+++ b/components/dispatch/src/worker_view.rs
@@ -167,6 +167,14 @@
         self.connection_broke = false;
     }
 
+    /// Updates the reading of an idle worker's clock by an estimate of another instance. For a
+    /// worker that runs something a reading also tells when the worker was last alive.
+    pub(crate) fn refresh_clock(&mut self, now: Millis, clock: Millis) {
+        if self.is_usable() && self.clock_reading.is_some() && self.orders.is_empty() {
+            self.clock_reading = Some(ClockReading { at: now, clock });
+        }
+    }
+
     /// Records that an order or renewal got no answer; `due` is when the answer was due at the
     /// latest, and `recurs` returns whether a fault of a task recurs at an age of its run.
     pub(crate) fn record_silence(
--- a/components/dispatch/tests/common/random_simulation.rs
+++ b/components/dispatch/tests/common/random_simulation.rs
@@ -334,6 +334,7 @@
                     wait: Millis::ZERO,
                     answer_timeout: Millis(400),
                 },
+                runs_nothing: false,
             };
             if !self.workers[&name].silent {
                 let result = self.carry_out(&report);
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -63,6 +63,10 @@
     pub(crate) stop_at: Option<Millis>,
     pub(crate) next_tick_at: Millis,
     pub(crate) next_load_report_at: Millis,
+    /// The entry instances that may hold renewals for this leader, as of the last tick.
+    pub(crate) renewal_holders: Vec<InstanceId>,
+    /// When the delegated renewals are checked next.
+    pub(crate) next_delegation_check_at: Millis,
     /// When the settings file is read next.
     pub(crate) next_settings_read_at: Millis,
     pub(crate) failed: Option<Error>,
@@ -121,6 +125,7 @@
             ControlEvent::Called { term, input } => {
                 // A later term handles the unfinished calls of an earlier one by itself.
                 if self.leader_term.as_ref().is_some_and(|l| l.term == term) {
+                    self.take_back_if_unanswered(&input);
                     self.handle_input(input);
                 }
             }
@@ -342,6 +347,13 @@
             Message::Advised { id, valid, allowed } => {
                 self.handle_input(Input::Advised { id, valid, allowed });
             }
+            Message::WatchEnded { term, id, worker, broke, result } => {
+                self.on_watch_ended(term, (id, worker), broke, result);
+            }
+            Message::Watching { term, held } => self.on_watching(now, term, held),
+            Message::WatchesReturned { term, held } => self.on_watches_returned(term, held),
+            // Only entry instances hold renewals.
+            Message::Watch { .. } => {}
         }
     }
 
@@ -366,6 +378,7 @@
             self.next_load_report_at = now + LOAD_REPORT_INTERVAL;
             self.report_load();
         }
+        self.take_back_overdue(now);
         let mut advice_callers = self.peers.advice_callers(now);
         advice_callers.insert(self.settings.id());
         self.handle_input(Input::AdviceCallers(advice_callers));
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -13,6 +13,7 @@
 use transport::{Links, Packet};
 
 use crate::advice_calls::{AdviceCall, spawn_advice_call};
+use crate::held_renewals::HeldRenewals;
 use crate::message::Message;
 use crate::node_handle::{InboundEvent, NodeHandle, Signal};
 use crate::peers::{Peers, PeersConfig, Reachability};
@@ -34,7 +35,15 @@
 enum Event {
     Packet(Result<Packet<Message>>),
     Inbound(InboundEvent),
-    Advised { to: InstanceId, message: Message },
+    Advised {
+        to: InstanceId,
+        message: Message,
+    },
+    /// A renewal that this instance held has ended.
+    WatchEnded {
+        to: InstanceId,
+        message: Message,
+    },
 }
 
 struct EntryInstance {
@@ -44,6 +53,7 @@
     links: Arc<Links>,
     peers: Peers,
     relay: Relay,
+    held_renewals: HeldRenewals,
     pending_calls: PendingCalls,
     ports: Ports,
     handle: NodeHandle,
@@ -83,6 +93,7 @@
     let entry = EntryInstance {
         peers: Peers::new(cfg, settings.seeds.clone(), clock.now()),
         relay: Relay::new(u64::from(rand::random::<u32>())),
+        held_renewals: HeldRenewals::default(),
         pending_calls: PendingCalls::new(metrics),
         stall_detector: StallDetector::new(clock.now(), clock.suspended()),
         clock,
@@ -147,6 +158,12 @@
                 | InboundEvent::Left(_),
             ) => {}
             Event::Advised { to, message } => self.links.send(&to, 0, message),
+            Event::WatchEnded { to, message } => {
+                if let Message::WatchEnded { term, id, .. } = &message {
+                    self.held_renewals.ended(*term, *id);
+                }
+                self.links.send(&to, 0, message);
+            }
         }
     }
 
@@ -155,6 +172,10 @@
             Signal::Reload => self.read_settings(now),
             Signal::Stop => {
                 begin_stop(&self.settings, &self.handle);
+                self.peers.stop_calling();
+                if let Some((to, message)) = self.held_renewals.return_all() {
+                    self.links.send(&to, 0, message);
+                }
                 let ends_at = now + self.settings.grace.since(STOP_MARGIN);
                 self.stop_at.get_or_insert(ends_at);
             }
@@ -190,6 +211,14 @@
                     move |to, message| drop(events.send(Event::Advised { to, message }));
                 spawn_advice_call(&self.ports, call, on_response);
             }
+            Message::Watch { term, watches } => {
+                let events = self.events.clone();
+                // The send fails only if the process is about to exit.
+                let on_end =
+                    move |to, message| drop(events.send(Event::WatchEnded { to, message }));
+                let with = (&self.ports, &self.clock);
+                self.held_renewals.hold((&packet.from, term), watches, with, on_end);
+            }
             // Only control instances receive these.
             Message::Log(_)
             | Message::Hello { .. }
@@ -197,6 +226,9 @@
             | Message::Announcement(_)
             | Message::Announcements(_)
             | Message::LeavingAcknowledged { .. }
+            | Message::WatchEnded { .. }
+            | Message::Watching { .. }
+            | Message::WatchesReturned { .. }
             | Message::Left(_)
             | Message::Advised { .. } => {}
         }
@@ -211,6 +243,10 @@
         for (to, hello) in self.peers.due_hellos(now) {
             self.links.send(&to, 0, hello);
         }
+        self.held_renewals.observe_term(self.peers.term());
+        if let Some((to, message)) = self.held_renewals.due_list(now) {
+            self.links.send(&to, 0, message);
+        }
         let reachability = self.peers.reachability(now);
         let connected = self.peers.is_connected(now) && reachability == Reachability::Majority;
         if connected != self.connected {
--- a/components/node/src/leader_term.rs
+++ b/components/node/src/leader_term.rs
@@ -6,6 +6,8 @@
 use dispatch::Dispatcher;
 use model::InstanceId;
 
+use crate::delegated_renewals::DelegatedRenewals;
+
 /// The origin of a call at the leader, which gets the answer.
 pub(crate) enum CallOrigin {
     Peer { id: InstanceId, token: u64 },
@@ -19,6 +21,8 @@
     pub(crate) dispatcher: Dispatcher,
     call_origins: BTreeMap<u64, CallOrigin>,
     last_token: u64,
+    /// The renewals that entry instances hold for this leader.
+    pub(crate) delegated_renewals: DelegatedRenewals,
     /// The proposed batches that are not committed, with the time of their proposal.
     proposed_at: VecDeque<(u64, Millis)>,
 }
@@ -29,6 +33,7 @@
             term,
             dispatcher,
             call_origins: BTreeMap::new(),
+            delegated_renewals: DelegatedRenewals::default(),
             last_token: 0,
             proposed_at: VecDeque::new(),
         }
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -179,6 +179,7 @@
         for action in actions {
             self.execute(action);
         }
+        self.send_watches();
     }
 
     fn execute(&mut self, action: Action) {
@@ -189,7 +190,10 @@
                     self.answer(origin, answer);
                 }
             }
-            Action::Renew { worker, address, order } => {
+            Action::Renew { worker, address, order, runs_nothing } => {
+                if runs_nothing && self.delegate_renewal(&worker, &address, &order) {
+                    return;
+                }
                 let call = self.ports.workers.renew(&worker, &address, order);
                 let sent_at = self.clock.now();
                 self.spawn_call(call, move |result| Input::Renewed { worker, sent_at, result });
@@ -228,7 +232,7 @@
     }
 
     /// Runs a call in the background and sends its result as an event of the current term.
-    fn spawn_call<T: 'static>(
+    pub(crate) fn spawn_call<T: 'static>(
         &self,
         call: LocalFuture<T>,
         wrap: impl FnOnce(T) -> Input + 'static,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -8,8 +8,11 @@
 mod advice_calls;
 mod control;
 mod control_event;
+mod delegated_renewals;
+mod delegation;
 mod descriptors;
 mod entry;
+mod held_renewals;
 mod leader_term;
 mod leadership;
 mod leaving_workers;
@@ -28,6 +31,7 @@
 mod start_control;
 mod timing;
 
+pub use delegated_renewals::{DelegatedRenewals, Watch};
 pub use descriptors::{Descriptors, parse_open_file_limit};
 pub use entry::run_entry;
 pub use message::Message;
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -2,11 +2,13 @@
 
 use clock::Millis;
 use consensus::Envelope;
-use dispatch::{Answer, Call, WorkerAnnouncement};
+use dispatch::{Answer, Call, CallError, Report, WorkerAnnouncement};
 use model::{Incarnation, InstanceId, Name};
 use serde::{Deserialize, Serialize};
 use workload::{StepKey, WorkerId};
 
+use crate::delegated_renewals::Watch;
+
 /// A message from one instance of a cell to another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -77,4 +79,39 @@
     },
     /// Workers sent announcements to the sender since its last message of this kind.
     Announcements(Vec<WorkerAnnouncement>),
+    /// The leader of a term asks the receiver to hold renewals until something changes at their
+    /// workers.
+    Watch {
+        /// The term.
+        term: u64,
+        /// The renewals.
+        watches: Vec<Watch>,
+    },
+    /// Something changed at a worker at which the sender held a renewal.
+    WatchEnded {
+        /// The term of the leader that delegated the renewal.
+        term: u64,
+        /// The id of the renewal.
+        id: u64,
+        /// The worker.
+        worker: WorkerId,
+        /// Whether the renewal failed before its answer was due, because the connection broke.
+        broke: bool,
+        /// The worker's report, or why there is none.
+        result: Result<Report, CallError>,
+    },
+    /// The sender still holds these renewals. Sent periodically.
+    Watching {
+        /// The term of the leader that delegated them.
+        term: u64,
+        /// Their ids and workers, and the workers' clocks where they were read.
+        held: Vec<(u64, WorkerId, Option<Millis>)>,
+    },
+    /// The sender stops and holds these renewals no longer.
+    WatchesReturned {
+        /// The term of the leader that delegated them.
+        term: u64,
+        /// Their ids and workers.
+        held: Vec<(u64, WorkerId)>,
+    },
 }
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -44,7 +44,7 @@
     pub id: InstanceId,
     /// The incarnation of its disk if it is a control instance.
     pub disk: Option<Incarnation>,
-    /// Whether it can call the advice service.
+    /// Whether it can call the advice service, and workers, on behalf of the leader.
     pub calls_advice: bool,
 }
 
@@ -276,6 +276,20 @@
             .collect()
     }
 
+    /// Makes the next hellos say that this instance calls no outside services any more.
+    pub fn stop_calling(&mut self) {
+        self.cfg.calls_advice = false;
+    }
+
+    /// Returns the entry instances in contact that can call outside services for the leader.
+    pub fn entry_instances(&self, now: Millis) -> Vec<InstanceId> {
+        let in_contact =
+            |p: &Peer| p.last_contact_at.is_some_and(|t| now.since(t) < ADVICE_CALLER_TIMEOUT);
+        let can_call = |p: &Peer| p.entry && p.calls_advice && in_contact(p);
+        let entries = self.peers.iter().filter(|(_, p)| can_call(p));
+        entries.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Returns every instance that needs a link.
     pub fn ids(&self) -> impl Iterator<Item = &InstanceId> {
         self.peers.keys()
--- a/components/node/src/start_control.rs
+++ b/components/node/src/start_control.rs
@@ -76,6 +76,8 @@
         stop_at: None,
         next_tick_at: Millis::ZERO,
         next_load_report_at: Millis::ZERO,
+        renewal_holders: Vec::new(),
+        next_delegation_check_at: Millis::ZERO,
         next_settings_read_at: Millis::ZERO,
         failed: None,
         reload,
