An operator drains an availability zone: nothing new is started there until it is restored

No worker of such a zone is chosen, no committed start is sent there, none is sent again (it is stopped instead), no run is probed by a start, no call for advice names its workers.

--- a/components/dispatch/src/call.rs
+++ b/components/dispatch/src/call.rs
@@ -51,6 +51,13 @@
         /// The credential shown with the call.
         credential: Credential,
     },
+    /// An operator drains an availability zone or ends that.
+    DrainZone {
+        /// The zone.
+        zone: Name,
+        /// Whether it is to be drained.
+        drained: bool,
+    },
 }
 
 impl Call {
@@ -71,7 +78,7 @@
     pub fn verb(&self) -> Option<(&Name, &Verb)> {
         match self {
             Call::Job { path, verb, .. } | Call::KeyedJob { path, verb, .. } => Some((path, verb)),
-            Call::Publish(_) | Call::Read => None,
+            Call::Publish(_) | Call::Read | Call::DrainZone { .. } => None,
         }
     }
 
@@ -116,4 +123,6 @@
     },
     /// The call shows no key of an organisation and the queue is not public. Nothing was done.
     NoKey,
+    /// The availability zone is drained, or no longer is, as requested.
+    ZoneUpdated,
 }
--- a/components/dispatch/src/long_running_waits.rs
+++ b/components/dispatch/src/long_running_waits.rs
@@ -85,7 +85,8 @@
             | Command::Resized { .. }
             | Command::SuspectsCleared { .. }
             | Command::AssignOwner { .. }
-            | Command::LossesUncertain { .. } => {}
+            | Command::LossesUncertain { .. }
+            | Command::DrainZone { .. } => {}
         }
     }
 
--- a/components/dispatch/src/order_delivery.rs
+++ b/components/dispatch/src/order_delivery.rs
@@ -36,7 +36,7 @@
 
     pub(crate) fn resend_orders(&mut self, m: Moment, id: &WorkerId) {
         let Some(view) = self.worker_views.get(id).filter(|v| v.in_contact) else { return };
-        let leaving = view.leaving;
+        let may_take_work = !view.leaving && !self.replicated.is_drained(id);
         let due = |o: &Order| o.retry_at.is_some_and(|t| m.now >= t);
         let again: Vec<(TaskKey, u32, Stage, u32)> = view
             .orders
@@ -46,14 +46,15 @@
             .collect();
         for (task, run, stage, attempts) in again {
             let starting = stage == Stage::Starting;
-            let may_start = !leaving && !self.is_over_limit(task.step.job);
+            let may_start = may_take_work && !self.is_over_limit(task.step.job);
             if starting && !self.replicated.is_wanted(&task, run) {
                 self.stop_unwanted_start(id, &task, run);
             } else if starting && attempts < MAX_START_ATTEMPTS && may_start {
                 self.start_run(m, id, &task, run);
             } else {
-                // A leaving worker must not be told to start anything, not even by a retry. An
-                // organisation whose limit was lowered must not start anything above it.
+                // A worker that is leaving or whose zone is drained must not be told to start
+                // anything, not even by a retry. An organisation whose limit was lowered must not
+                // start anything above it.
                 self.send_stop(id, &task, run);
             }
         }
@@ -91,17 +92,19 @@
         let wanted = self.replicated.is_wanted(task, run);
         let overcommitted = self.replicated.worker(id).is_some_and(Worker::is_overcommitted);
         let over_limit = self.is_over_limit(task.step.job);
+        let drained = self.replicated.is_drained(id);
         let Some(view) = self.worker_views.get_mut(id) else { return };
         let usable = view.in_contact && !view.leaving && view.clock_reading.is_some();
         let Some(order) = view.orders.get(task).filter(|o| o.run == run) else { return };
         if order.stage != Stage::Held {
             return;
         }
-        if !wanted || !usable || overcommitted || over_limit {
+        if !wanted || !usable || overcommitted || over_limit || drained {
             view.orders.remove(task);
             let why = match (wanted, overcommitted) {
                 (false, _) => "not wanted any more",
                 (true, true) => "the worker has shrunk",
+                (true, false) if drained => "the zone is drained",
                 (true, false) if over_limit => "the organisation's limit was lowered",
                 (true, false) => "the worker is not usable",
             };
--- a/components/dispatch/src/start_confirmation.rs
+++ b/components/dispatch/src/start_confirmation.rs
@@ -35,7 +35,11 @@
         let placed = (0..).zip(&step.tasks).filter_map(|(i, t)| Some((i, t.at.as_ref()?, t.run)));
         let runs = placed.map(|(index, worker, run)| (worker, TaskKey { step: *key, index }, run));
         let unanswered = runs.filter(|(worker, task, run)| {
-            let Some(view) = self.worker_views.get(*worker) else { return false };
+            let view = self.worker_views.get(*worker);
+            // No start is sent to a drained zone, not even for a run that is there.
+            let Some(view) = view.filter(|_| !self.replicated.is_drained(worker)) else {
+                return false;
+            };
             let order = view.orders.get(task).filter(|o| o.run == *run);
             order.is_some_and(|o| needs_probe(m, view, o))
         });
--- a/components/dispatch/src/wait_reasons.rs
+++ b/components/dispatch/src/wait_reasons.rs
@@ -27,6 +27,8 @@
     TooSmall,
     /// The worker has announced that it is leaving.
     Leaving,
+    /// The worker's availability zone is drained.
+    ZoneDrained,
     /// The worker does not answer, or its zone has just fallen silent.
     Silent,
     /// The worker is in backoff: it has just refused a start, or nothing could be sent there.
@@ -56,6 +58,7 @@
             WaitReason::NotAllowed => "not_allowed",
             WaitReason::TooSmall => "too_small",
             WaitReason::Leaving => "leaving",
+            WaitReason::ZoneDrained => "zone_drained",
             WaitReason::Silent => "silent",
             WaitReason::InBackoff => "resting",
             WaitReason::Incompatible => "mixed",
@@ -168,6 +171,9 @@
         if view.leaving {
             return Some(WaitReason::Leaving);
         }
+        if self.replicated.drained_zones().contains(&worker.info.zone) {
+            return Some(WaitReason::ZoneDrained);
+        }
         if is_silent || self.silent_zones.contains(&worker.info.zone) {
             return Some(WaitReason::Silent);
         }
--- a/components/dispatch/src/worker_health.rs
+++ b/components/dispatch/src/worker_health.rs
@@ -339,7 +339,8 @@
         worker: &Worker,
         view: &WorkerView,
     ) -> bool {
-        if !view.is_usable() || view.health.is_in_backoff(m.now) {
+        let is_drained = self.replicated.drained_zones().contains(&worker.info.zone);
+        if !view.is_usable() || view.health.is_in_backoff(m.now) || is_drained {
             return false;
         }
         let last_began = || view.orders.values().map(|o| o.since).max();
--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -36,6 +36,10 @@
 const ANNOUNCEMENT_INTERVAL: Millis = Millis(1_900);
 /// How long the commit of a batch takes.
 const COMMIT_TIME: Millis = Millis(10);
+/// How long an order that was sent before its worker's zone was drained may take.
+const MAX_ORDER_TIME: Millis = Millis(3 * STEP.0);
+/// The token of operators' calls; those of callers are the numbers of their jobs.
+const OPERATOR_TOKEN: u64 = u64::MAX;
 /// How long a ticket is valid. This and the cost of calls for advice follow the queues' policy.
 const TICKET_VALIDITY: Millis = Millis(2_000);
 /// The cost of a call for advice on a quick job in microseconds: the base cost, and the cost for each worker.
@@ -327,9 +331,29 @@
         }
     }
 
+    /// Sends an operator's order to drain an availability zone, or to end that.
+    pub fn drain_zone(&mut self, zone: &str, drained: bool) {
+        self.note_disturbance();
+        if self.has_leader {
+            let call = Call::DrainZone { zone: zone.into(), drained };
+            self.handle(Input::Call { token: OPERATOR_TOKEN, call });
+        }
+    }
+
+    /// Updates since when the zones of the workers are drained.
+    fn update_drained(&mut self) {
+        for host in self.hosts.values_mut() {
+            match self.harness.committed.drained_zones().contains(&host.info.zone) {
+                true => host.drained_since = host.drained_since.or(Some(self.harness.now)),
+                false => host.drained_since = None,
+            }
+        }
+    }
+
     /// Advances time by one step.
     pub fn step(&mut self) {
         self.harness.now += STEP;
+        self.update_drained();
         let present = self.present();
         let now = self.harness.now;
         self.hosts.values_mut().for_each(|h| h.advance_runs(now, &present));
@@ -437,6 +461,8 @@
         let takes = Millis(spec.estimate.0 * percent / 100);
         let Some(host) = self.hosts.get_mut(worker) else { return Ok(()) };
         let began = host.start(now, order, spec, takes).map_err(CallError::Refused)?;
+        let drained_for = host.drained_since.map_or(Millis::ZERO, |at| now.since(at));
+        assert!(drained_for <= MAX_ORDER_TIME, "{} starts on {worker}, drained", order.task);
         if began {
             job.first_start.get_or_insert(now);
             self.crashes.note_start(now, worker, &order.task, order.run);
--- a/components/dispatch/tests/common/host.rs
+++ b/components/dispatch/tests/common/host.rs
@@ -46,6 +46,8 @@
     pub replaced: bool,
     /// Whether it fails all it starts.
     pub failing: bool,
+    /// Since when its availability zone is drained, as committed.
+    pub drained_since: Option<Millis>,
     runs: BTreeMap<TaskKey, Progress>,
     pending_renewal: Option<PendingRenewal>,
 }
@@ -54,7 +56,18 @@
     pub fn new(info: WorkerInfo) -> Host {
         let (fake, runs) = (FakeWorker::default(), BTreeMap::new());
         let (leaving, crashed, replaced, failing) = (false, false, false, false);
-        Host { info, fake, leaving, crashed, replaced, failing, runs, pending_renewal: None }
+        let (drained_since, pending_renewal) = (None, None);
+        Host {
+            info,
+            fake,
+            leaving,
+            crashed,
+            replaced,
+            failing,
+            drained_since,
+            runs,
+            pending_renewal,
+        }
     }
 
     pub fn used(&self) -> Size {
@@ -67,7 +80,8 @@
 
     /// Returns whether it could start new work and make progress with it.
     pub fn is_usable(&self) -> bool {
-        !self.fake.silent && !self.leaving && !self.crashed && !self.failing
+        let present = !self.fake.silent && !self.crashed;
+        present && !self.leaving && !self.failing && self.drained_since.is_none()
     }
 
     /// Ends this incarnation and returns the tasks that ran.
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -97,6 +97,8 @@
         CONFIG_TAKEN = 921 Info "config_taken" "A configuration with a higher version was proposed.";
         CONFIG_FAULTY = 922 Warn "config_faulty" "A configuration was refused or cannot be read.";
         KEY_REFUSED = 923 Warn "key_refused" "A call showed no key of an organisation at a queue that is not public; told once a second at most, with the fingerprint of what was shown.";
+        ZONE_DRAINED = 924 Info "zone_drained" "An operator drained an availability zone: nothing new is started there.";
+        ZONE_RESTORED = 925 Info "zone_restored" "An operator ended the draining of an availability zone.";
         JOB_ACCEPTED = 931 Info "job_accepted" "A job was proposed; its caller is answered once it is committed.";
         JOB_GIVEN_UP = 932 Info "job_given_up" "A caller cancelled its job.";
         JOB_OVER = 933 Info "job_over" "A job has ended.";
--- a/components/node/src/pending_calls.rs
+++ b/components/node/src/pending_calls.rs
@@ -41,6 +41,8 @@
             }
             Call::Publish(document) => (Name::from(document.version.to_string()), "publish"),
             Call::Read => (Name::from("configuration"), "read"),
+            Call::DrainZone { zone, drained: true } => (zone.clone(), "drain_zone"),
+            Call::DrainZone { zone, drained: false } => (zone.clone(), "restore_zone"),
         };
         self.by_token.insert(token, PendingCall { subject, verb, received_at: now, tx });
     }
@@ -87,6 +89,7 @@
         Answer::Invalid(_) => "invalid",
         Answer::TooLarge => "too_large",
         Answer::Published => "published",
+        Answer::ZoneUpdated => "zone_updated",
         Answer::Document(_) => "document",
         Answer::NotDone { .. } => "not_done",
         Answer::Unsure { .. } => "unsure",
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -171,4 +171,11 @@
         /// The runs.
         losses: Vec<UncertainLoss>,
     },
+    /// Drains an availability zone, or ends that: while it is drained, nothing new is started on its workers.
+    DrainZone {
+        /// The zone.
+        zone: Name,
+        /// Whether it is drained from now on.
+        drained: bool,
+    },
 }
--- a/components/workload/src/replicated_state.rs
+++ b/components/workload/src/replicated_state.rs
@@ -5,7 +5,7 @@
 
 use clock::Millis;
 use errors::{Error, Result};
-use model::Size;
+use model::{Name, Size};
 use serde::{Deserialize, Serialize};
 
 use crate::{
@@ -43,6 +43,10 @@
     /// Encoded after `ownership`, for the same reason, and only if it is not empty.
     #[serde(skip)]
     uncertain_losses: UncertainLosses,
+    /// The availability zones that are drained. Encoded after `uncertain_losses`, for the same reason, and only if it
+    /// is not empty.
+    #[serde(skip)]
+    drained_zones: BTreeSet<Name>,
 }
 
 impl ReplicatedState {
@@ -70,8 +74,13 @@
         }
         let (ownership, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
         replicated.ownership = ownership;
+        if rest.is_empty() {
+            return Ok(replicated);
+        }
+        let (uncertain_losses, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
+        replicated.uncertain_losses = uncertain_losses;
         if !rest.is_empty() {
-            replicated.uncertain_losses = postcard::from_bytes(rest).map_err(fault)?;
+            replicated.drained_zones = postcard::from_bytes(rest).map_err(fault)?;
         }
         Ok(replicated)
     }
@@ -88,9 +97,13 @@
         let bytes = postcard::to_allocvec(self).map_err(fault)?;
         let bytes = postcard::to_extend(&self.crashes, bytes).map_err(fault)?;
         let bytes = postcard::to_extend(&self.ownership, bytes).map_err(fault)?;
-        match self.uncertain_losses.is_empty() {
+        if self.uncertain_losses.is_empty() && self.drained_zones.is_empty() {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&self.uncertain_losses, bytes).map_err(fault)?;
+        match self.drained_zones.is_empty() {
             true => Ok(bytes),
-            false => postcard::to_extend(&self.uncertain_losses, bytes).map_err(fault),
+            false => postcard::to_extend(&self.drained_zones, bytes).map_err(fault),
         }
     }
 
@@ -154,6 +167,17 @@
         self.crashes.must_wait_with(suspect, self.uncertain_losses.losses(suspect))
     }
 
+    /// Returns the availability zones that are drained.
+    pub fn drained_zones(&self) -> &BTreeSet<Name> {
+        &self.drained_zones
+    }
+
+    /// Returns whether nothing new may be started on a worker because its availability zone is drained.
+    pub fn is_drained(&self, worker: &WorkerId) -> bool {
+        !self.drained_zones.is_empty()
+            && self.workers.get(worker).is_some_and(|w| self.drained_zones.contains(&w.info.zone))
+    }
+
     /// Returns which organisation each job belongs to, and what each organisation has running.
     pub fn ownership(&self) -> &Ownership {
         &self.ownership
@@ -244,6 +268,12 @@
             Command::LossesUncertain { losses } => {
                 losses.iter().for_each(|l| self.uncertain_losses.record(l))
             }
+            Command::DrainZone { zone, drained: true } => {
+                self.drained_zones.insert(zone.clone());
+            }
+            Command::DrainZone { zone, drained: false } => {
+                self.drained_zones.remove(zone);
+            }
         }
     }
 
--- a/components/workload/tests/replicated_state.rs
+++ b/components/workload/tests/replicated_state.rs
@@ -168,6 +168,14 @@
     assert!(ReplicatedState::decode(&[7; 9]).is_err());
 }
 
+#[test]
+fn a_snapshot_holds_the_drained_zones() {
+    let drain = |zone: &str, drained| Command::DrainZone { zone: zone.into(), drained };
+    let replicated = apply_all(&[drain("a", true), drain("b", true), drain("a", false)]);
+    assert_eq!(replicated.drained_zones().iter().map(|z| &**z).collect::<Vec<_>>(), ["b"]);
+    assert_eq!(ReplicatedState::decode(&replicated.encode().unwrap()).unwrap(), replicated);
+}
+
 #[rstest]
 #[case::no_steps(vec![], 0)]
 #[case::count_of_zero(vec![step(0)], 0)]
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -312,6 +312,13 @@
         taken
     }
 
+    /// Sends an operator's order to drain an availability zone, or to end that, and returns whether it was acknowledged.
+    pub fn drain_zone(&self, zone: &str, drained: bool) -> bool {
+        let order = if drained { "Start" } else { "Finish" };
+        let line = format!("POST /Evacuations.{order}/{zone}");
+        self.control_call(&line, "").is_some_and(|(status, _)| status == 200)
+    }
+
     /// Returns whether a control instance reads back the newest accepted configuration or the one after it. The latter may be
     /// active if its publication got no clear answer.
     pub fn reads_newest(&self) -> bool {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -34,6 +34,29 @@
     assert!(cell.workers.iter().all(|w| w.overcommits() == 0));
 }
 
+/// All workers are in zone `z`.
+#[test]
+fn nothing_starts_in_a_drained_zone_also_after_the_leader_is_killed() {
+    let mut cell = Cell::start(2);
+    let (before, during) = ("00000000000003a1", "00000000000003a2");
+    cell.wait("the first job is accepted", |c| submit(c, before, &job_body(2)) == 200);
+    cell.wait("the first job is done", |c| c.state(before).as_deref() == Some("completed"));
+    cell.wait("the zone is drained", |c| c.drain_zone("z", true));
+    cell.wait("another zone is drained", |c| c.drain_zone("nowhere", true));
+    cell.wait("the second job is accepted", |c| submit(c, during, &job_body(2)) == 200);
+    let leader = cell.leader().expect("a leader");
+    cell.nodes[leader].kill();
+    cell.wait("another instance leads", |c| c.leader().is_some_and(|l| l != leader));
+    cell.nodes[leader].start();
+    cell.wait("the order is acknowledged again", |c| c.drain_zone("z", true));
+    assert_eq!(cell.state(during).as_deref(), Some("queued"));
+    let started = cell.runs.runs().iter().filter(|r| r.task.starts_with(during)).count();
+    assert_eq!(started, 0, "{}", cell.lines_about(during));
+    cell.wait("the zone is restored", |c| c.drain_zone("z", false));
+    cell.wait("the second job is done", |c| c.state(during).as_deref() == Some("completed"));
+    assert_eq!(cell.runs.violations(), Vec::<String>::new());
+}
+
 #[test]
 fn callers_get_the_codes_that_the_pages_name() {
     let mut cell = Cell::start(1);
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -18,12 +18,18 @@
 use crate::cell::{Cell, faulty_job_body, job_body, job_call};
 
 /// The seeds that CI runs besides [`REGRESSIONS`].
-const SHORT: [u64; 4] = [1, 2, FIRST_SEED_WITH_CRASHES, FIRST_SEED_WITH_RESTARTS];
+const SHORT: [u64; 5] =
+    [1, 2, FIRST_SEED_WITH_CRASHES, FIRST_SEED_WITH_RESTARTS, FIRST_SEED_WITH_DRAINS];
 /// The first seed with jobs that have a task which crashes each worker that runs it.
 const FIRST_SEED_WITH_CRASHES: u64 = 1_000;
 /// The first seed with workers that restart under their ids, repeatedly and beside all other faults. These seeds have no
 /// jobs that crash workers, as the tasks of a worker that restarts are crash suspects themselves.
 const FIRST_SEED_WITH_RESTARTS: u64 = 2_000;
+/// The first seed in which the zone of all workers is drained and restored beside all other faults. These seeds have
+/// restarts, too.
+const FIRST_SEED_WITH_DRAINS: u64 = 3_000;
+/// How likely the zone is drained after a fault; otherwise it is restored.
+const DRAIN_PROBABILITY: f64 = 0.3;
 /// The maximum time between two rounds of worker restarts, in milliseconds.
 const MAX_UPTIME_MS: u64 = 4_000;
 /// The maximum downtime of a worker that restarts, in milliseconds.
@@ -208,12 +214,18 @@
         if rng.random_bool(0.5) {
             cell.publish();
         }
+        if seed >= FIRST_SEED_WITH_DRAINS {
+            cell.drain_zone("z", rng.random_bool(DRAIN_PROBABILITY));
+        }
         thread::sleep(Duration::from_millis(rng.random_range(100..1_200)));
     }
     if down_control.is_some() {
         faults.push(inject_fault(&mut cell, &mut rng, &mut down_control));
     }
     cell.workers.iter().for_each(|w| w.proxy().spoil(Spoil::Nothing));
+    if seed >= FIRST_SEED_WITH_DRAINS {
+        cell.wait("the zone is restored", |c| c.drain_zone("z", false));
+    }
     stop.store(true, Ordering::SeqCst);
     sender.join().expect("the sender thread ends");
     restarter.join().expect("the restarting thread ends");
