A run placed on a worker that was idle for long has no expired lease

Cause: a renewal that is answered every two seconds kept the last lease of an idle worker in the future; held renewals are not answered, so a tick between the placement of a run and its start took the old lease for that of the run. Change: only runs whose start was sent have a lease that can expire.

--- a/components/dispatch/src/worker_view.rs
+++ b/components/dispatch/src/worker_view.rs
@@ -141,7 +141,13 @@
     pub(crate) fn needs_service(&self, now: Millis) -> bool {
         let renewal_due = !self.renewal_in_flight && now >= self.renew_at;
         let order_due = |o: &Order| o.retry_at.is_some_and(|t| now >= t);
-        renewal_due || now >= self.lapses_at || self.orders.values().any(order_due)
+        renewal_due || self.has_lapsed(now) || self.orders.values().any(order_due)
+    }
+
+    /// Returns whether the lease of runs here has expired. A run whose start was not sent yet has no
+    /// lease, and an idle worker's last one may have expired long ago.
+    pub(crate) fn has_lapsed(&self, now: Millis) -> bool {
+        now >= self.lapses_at && self.orders.values().any(|o| o.stage != Stage::Held)
     }
 
     /// Resets the calls in flight and everything read from the worker, so that its next report
--- a/components/dispatch/src/workers.rs
+++ b/components/dispatch/src/workers.rs
@@ -195,7 +195,7 @@
     fn service_worker(&mut self, m: Moment, id: &WorkerId) {
         let runs = self.replicated.worker(id).is_some_and(|w| !w.runs.is_empty());
         let Some(view) = self.worker_views.get(id) else { return };
-        if runs && m.now >= view.lapses_at {
+        if runs && view.has_lapsed(m.now) {
             self.expire_lease(id);
         }
         let Some(view) = self.worker_views.get(id) else { return };
