--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -24,7 +24,7 @@
 use self::crash::Crashes;
 use self::fail::Failures;
 use super::downtime_checker::DowntimeChecker;
-use super::host::Host;
+use super::host::{Host, RenewalAnswer};
 use super::wait_checker::WaitChecker;
 use super::{Harness, NO_ANSWER};
 
@@ -126,6 +126,8 @@
     /// Orders that get no answer, and when they time out.
     unanswered: Vec<(Millis, Action)>,
     has_leader: bool,
+    /// Whether entry instances hold the renewals of idle workers.
+    holds_renewals: bool,
     term: u64,
     /// The incarnations of workers that announced none before, by their earlier ids.
     incarnations: BTreeMap<WorkerId, WorkerId>,
@@ -162,6 +164,7 @@
             orders: Vec::new(),
             unanswered: Vec::new(),
             has_leader: true,
+            holds_renewals: seed.is_multiple_of(2),
             term: 1,
             incarnations: BTreeMap::new(),
             disturbed_at: Millis::ZERO,
@@ -418,10 +421,11 @@
                 Action::Renew { worker, .. } if self.incarnations.contains_key(worker) => {
                     self.answer_with_incarnation(worker);
                 }
-                Action::Renew { worker, order, .. } => {
+                Action::Renew { worker, order, runs_nothing, .. } => {
                     let now = self.harness.now;
+                    let held = *runs_nothing && self.holds_renewals;
                     let Some(host) = self.hosts.get_mut(worker) else { continue };
-                    if let Err(why) = host.renew(now, now.since(STEP), order) {
+                    if let Err(why) = host.renew(now, now.since(STEP), order, held) {
                         self.renewed(worker, now.since(STEP), Err(CallError::Refused(why)));
                     }
                 }
@@ -503,8 +507,11 @@
         let now = self.harness.now;
         let answers =
             self.hosts.iter_mut().filter_map(|(id, h)| Some((id.clone(), h.answer(now)?)));
-        for (id, (sent_at, result)) in answers.collect::<Vec<_>>() {
-            self.renewed(&id, sent_at, result);
+        for (worker, RenewalAnswer { sent_at, result, held_broke }) in answers.collect::<Vec<_>>() {
+            match held_broke {
+                Some(broke) => self.handle(Input::WatchEnded { worker, sent_at, broke, result }),
+                None => self.renewed(&worker, sent_at, result),
+            }
         }
     }
 
--- a/components/dispatch/tests/common/host.rs
+++ b/components/dispatch/tests/common/host.rs
@@ -31,7 +31,18 @@
 struct PendingRenewal {
     sent_at: Millis,
     answer_at: Millis,
+    wait: Millis,
     answer_timeout: Millis,
+    /// Whether an entry instance holds it, which repeats it until something changes.
+    held: bool,
+}
+
+/// The answer to a renewal.
+pub struct RenewalAnswer {
+    pub sent_at: Millis,
+    pub result: Result<Report, CallError>,
+    /// For a renewal that was held, whether the connection broke.
+    pub held_broke: Option<bool>,
 }
 
 /// A simulated worker, around the [`FakeWorker`] that follows the protocol.
@@ -192,48 +203,55 @@
         now: Millis,
         sent_at: Millis,
         order: &RenewOrder,
+        held: bool,
     ) -> Result<(), Refusal> {
         self.check_not_replaced()?;
         if !self.fake.silent {
             self.fake.renew(order)?;
         }
-        let (answer_at, answer_timeout) = (now + order.wait, order.answer_timeout);
-        self.pending_renewal = Some(PendingRenewal { sent_at, answer_at, answer_timeout });
+        let (wait, answer_timeout) = (order.wait, order.answer_timeout);
+        let (answer_at, held) = (now + wait, held && wait > Millis::ZERO);
+        self.pending_renewal =
+            Some(PendingRenewal { sent_at, answer_at, wait, answer_timeout, held });
         Ok(())
     }
 
-    /// Returns the answer to the pending renewal, and when the renewal was sent.
-    pub fn answer(&mut self, now: Millis) -> Option<(Millis, Result<Report, CallError>)> {
-        let pending_renewal = self.pending_renewal.as_ref()?;
-        let sent_at = pending_renewal.sent_at;
+    /// Returns the answer to the pending renewal.
+    pub fn answer(&mut self, now: Millis) -> Option<RenewalAnswer> {
+        let pending_renewal = self.pending_renewal.as_mut()?;
         if self.replaced {
             // The renewal was sent to the previous incarnation.
-            return Some(self.answered(sent_at, Err(CallError::Refused(Refusal::OtherLife))));
+            return self.answered(false, Err(CallError::Refused(Refusal::OtherLife)));
         }
         if self.fake.silent {
-            let given_up =
-                self.crashed || now >= pending_renewal.answer_at + pending_renewal.answer_timeout;
-            return given_up.then(|| self.answered(sent_at, Err(super::NO_ANSWER())));
+            let due = pending_renewal.answer_at + pending_renewal.answer_timeout;
+            let (broke, given_up) = (now < due, self.crashed || now >= due);
+            return given_up.then(|| self.answered(broke, Err(super::NO_ANSWER()))).flatten();
         }
         if self.fake.ends.is_empty() && now < pending_renewal.answer_at {
             return None;
         }
+        let uneventful = self.fake.ends.is_empty() && self.fake.running.is_empty();
+        if pending_renewal.held && uneventful {
+            pending_renewal.answer_at = now + pending_renewal.wait;
+            return None;
+        }
         let mut report = self.fake.report(now);
         for row in &mut report.running {
             let percent = self.runs.get(&row.task).map_or(0, |p| p.percent(now));
             row.percent = percent as u32;
             row.checkpoint = self.saved(now, &row.task).as_str().into();
         }
-        Some(self.answered(sent_at, Ok(report)))
+        self.answered(false, Ok(report))
     }
 
     fn answered(
         &mut self,
-        sent_at: Millis,
+        broke: bool,
         result: Result<Report, CallError>,
-    ) -> (Millis, Result<Report, CallError>) {
-        self.pending_renewal = None;
-        (sent_at, result)
+    ) -> Option<RenewalAnswer> {
+        let PendingRenewal { sent_at, held, .. } = self.pending_renewal.take()?;
+        Some(RenewalAnswer { sent_at, result, held_broke: held.then_some(broke) })
     }
 
     /// Drops the pending renewal of a leader that is gone.
--- a/components/dispatch/tests/idle_workers.rs
+++ b/components/dispatch/tests/idle_workers.rs
@@ -54,7 +54,7 @@
 fn clocks_that_others_read_are_used_for_leases_of_idle_workers_only() {
     let mut b = idle_worker();
     let clocks = vec![(worker("w"), b.now + Millis(700))];
-    b.feed(Input::WorkerClocks(clocks.clone()));
+    b.feed(Input::WorkerClocks(clocks));
     b.submit(1, spec(vec![step(1)]));
     b.commit();
     assert_eq!(b.starts()[0].1.deadline, b.now + Millis(5_700));
