--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -88,12 +88,14 @@
         let waiting = services.iter().map(|(service, f)| (service.clone(), f.long_running_waiting));
         self.metrics.set_by_service(LONG_RUNNING_WAITING, waiting.collect());
         self.record_organisation_gauges(&leader_term.dispatcher.organisation_figures());
+        let delegated = leader_term.delegated_renewals.count();
+        self.metrics.set("heathvale_renewals_delegated", delegated as u64);
         let connections = self.ports.workers.connections();
         self.metrics.set("heathvale_connections_open", connections.open as u64);
         self.metrics.set("heathvale_connections_limit", connections.limit as u64);
         self.metrics.set("heathvale_connections_opened_total", connections.opened);
         let details = format!(
-            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} scanned={} checked={} advice_callers={}/{} without_caller={} without_look={} aside={} lasting_waiting={} connections={}/{} opened={}",
+            "cpu_milli={}/{} memory_mb={}/{} runs={} open_steps={} unsettled={} workers={}/{} scans={} scanned={} checked={} advice_callers={}/{} without_caller={} without_look={} aside={} lasting_waiting={} delegated={delegated} connections={}/{} opened={}",
             figures.used.cpu_milli,
             figures.capacity.cpu_milli,
             figures.used.memory_mb,
