--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -164,7 +164,7 @@
             orders: Vec::new(),
             unanswered: Vec::new(),
             has_leader: true,
-            holds_renewals: seed.is_multiple_of(2),
+            holds_renewals: false,
             term: 1,
             incarnations: BTreeMap::new(),
             disturbed_at: Millis::ZERO,
@@ -175,6 +175,11 @@
         fleet
     }
 
+    /// Makes entry instances hold the renewals of idle workers from now on.
+    pub fn hold_renewals(&mut self) {
+        self.holds_renewals = true;
+    }
+
     /// Records that the test has just disturbed the fleet or ended a disturbance.
     pub(super) fn note_disturbance(&mut self) {
         self.disturbed_at = self.harness.now;
--- a/components/dispatch/tests/crash_schedules.rs
+++ b/components/dispatch/tests/crash_schedules.rs
@@ -84,7 +84,17 @@
 
 /// Runs a schedule among a number of healthy long-running jobs.
 fn drive_with_long_running(seed: u64, long_running_jobs: usize) {
+    drive_in(Fleet::new(seed, 12), seed, long_running_jobs);
+}
+
+/// Runs a schedule in which entry instances hold the renewals of idle workers.
+fn drive_with_held_renewals(seed: u64) {
     let mut f = Fleet::new(seed, 12);
+    f.hold_renewals();
+    drive_in(f, seed, 0);
+}
+
+fn drive_in(mut f: Fleet, seed: u64, long_running_jobs: usize) {
     f.crashes.down_for = Millis(1_000 + f.random_below(6_000));
     f.join("w", 40, Size::new(8_000, 16_000, 0));
     f.advance(Millis(500));
@@ -133,17 +143,26 @@
     }
 }
 
+/// Returns the first and the last seed requested in the environment.
+fn requested_seeds() -> Option<(u64, u64)> {
+    let requested = std::env::var("HEATHVALE_CRASH_SEEDS").unwrap_or_default();
+    requested.split_once('-').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)))
+}
+
 #[test]
 fn crashes_stay_bounded_on_random_schedules() {
-    let requested = std::env::var("HEATHVALE_CRASH_SEEDS").unwrap_or_default();
-    let range =
-        requested.split_once('-').and_then(|(a, b)| Some((a.parse().ok()?, b.parse().ok()?)));
-    match range {
+    match requested_seeds() {
         Some((from, to)) => (from..=to).filter(|seed| *seed != 89).for_each(drive),
         None => SEEDS.chain(REGRESSIONS).for_each(drive),
     }
 }
 
+#[test]
+fn crashes_stay_bounded_with_held_renewals() {
+    let (from, to) = requested_seeds().unwrap_or((*SEEDS.start(), *SEEDS.end()));
+    (from..=to).filter(|seed| *seed != 89).for_each(drive_with_held_renewals);
+}
+
 /// The fleet checks at each step that long-running tasks soon run again, and here some of them are healthy.
 #[test]
 fn tasks_that_last_are_at_work_again_among_crashes() {
--- a/components/dispatch/tests/drained_zones.rs
+++ b/components/dispatch/tests/drained_zones.rs
@@ -143,6 +143,9 @@
 fn nothing_starts_in_drained_zones_on_random_schedules() {
     for seed in 1..=6 {
         let mut f = Fleet::new(seed, 12);
+        if seed > 3 {
+            f.hold_renewals();
+        }
         f.join("w", 36, Size::new(8_000, 16_000, 0));
         f.advance(Millis(500));
         (0..4).for_each(|_| mix::long_running_job(&mut f, None));
