--- a/components/consensus/src/replication.rs
+++ b/components/consensus/src/replication.rs
@@ -78,8 +78,8 @@
 
     /// Sends `id` the entries that it lacks, unless an earlier append is in flight, or a heartbeat if one is due.
     ///
-    /// A member of the reserve gets entries only when a heartbeat is due. A cell has as many of them as instances with
-    /// disks, and sending each of twenty every batch of entries at once took much of the leader's time.
+    /// A member of the reserve gets entries only when a heartbeat is due, since a cell may have many of them and no
+    /// commit waits for their copies.
     fn replicate_to(&mut self, id: &InstanceId) {
         let heartbeat = self.cfg.timing.heartbeat;
         let in_reserve = self.is_in_reserve(id);
--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -176,6 +176,7 @@
     ahead: BTreeMap<StepKey, (Millis, OpenStep)>,
 }
 
+/// What is known of a step on which no advice was requested yet.
 static NO_WORKERS: BTreeSet<WorkerId> = BTreeSet::new();
 
 /// The distance between the first call numbers of two consecutive terms. No term makes as many
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -191,8 +191,7 @@
 
     /// Returns workers that a call may name: those known to be allowed, and others until enough of
     /// them have capacity. A fleet with much free capacity has far more candidates than a call can
-    /// name, and examining each of 6,000 workers for every call took most of the leader's time. The
-    /// next examination goes on where this one ended, so that all workers get their turn.
+    /// name. The next examination goes on where this one ended, so that all workers get their turn.
     fn advice_candidates(&mut self, m: Moment, need: &StepNeedingAdvice) -> Vec<AdviceCandidate> {
         let start = std::mem::take(&mut self.advice_scan_position);
         let (candidates, position, examined) = self.scan_candidates(m, need, start.as_ref());
--- a/components/node/src/recent_announcements.rs
+++ b/components/node/src/recent_announcements.rs
@@ -29,8 +29,8 @@
         self.by_worker.insert(announcement.info.id.clone(), (now, announcement));
     }
 
-    /// Returns the announcements that were added since the last call. They are sent to the leader
-    /// together, since a message for each of thousands of workers takes much of its time.
+    /// Returns the announcements that were added since the last call, to be sent to the leader in
+    /// one message.
     pub(crate) fn take_unsent(&mut self) -> Vec<WorkerAnnouncement> {
         let unsent = std::mem::take(&mut self.unsent);
         let added = unsent.iter().filter_map(|id| self.by_worker.get(id));
