--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -405,12 +405,15 @@
         self.steps.entry(need.step).or_default().capacity_wait = (!has_capacity).then_some(wait);
     }
 
-    /// Chooses the workers that a call on a step is to name, if one is worth it.
+    /// Chooses the workers that a call on a step is to name, if one is worth it. Where
+    /// capacity is scarce, each worker is expected to have room for `expected_fits` tasks while a
+    /// ticket is valid.
     pub(crate) fn choose(
         &mut self,
         now: Millis,
         need: &AdviceNeed<'_>,
         candidates: Vec<AdviceCandidate>,
+        expected_fits: Option<f64>,
     ) -> AdviceSelection {
         let advice = self.steps.entry(need.step).or_default();
         let fits = |c: &AdviceCandidate| c.fits.min(need.tasks);
@@ -420,14 +423,20 @@
             Millis(cost_ms(&need.policy, advice.allowed.len()) as u64) + MIN_TICKET_VALIDITY;
         let fresh =
             |w: &WorkerId| advice.tickets.get(w).is_some_and(|t| t.until > now + renewal_lead);
+        // A step that waits for capacity on the workers that it holds tickets for needs no others.
+        let held = candidates.iter().filter(|c| fresh(&c.worker)).count() as f64;
+        let holds_enough = expected_fits.is_some_and(|fits| held * fits >= need.tasks as f64);
         let askable: Vec<AdviceCandidate> = candidates
             .into_iter()
-            .filter(|c| !advice.disallowed.contains(&c.worker) && !fresh(&c.worker))
+            .filter(|c| {
+                !holds_enough && !advice.disallowed.contains(&c.worker) && !fresh(&c.worker)
+            })
             .collect();
         let rate = self.rates.get(need.queue).map_or(0.5, |r| (r.allowed / r.asked).max(0.1));
         let any_free = askable.iter().any(|c| c.fits > 0);
         let has_capacity = any_free && (!need.gang || capacity >= need.tasks);
-        let workers = select_workers(need, askable, (&advice.allowed, rate), self.lacked_callers);
+        let known = (&advice.allowed, rate);
+        let workers = select_workers(need, askable, known, expected_fits, self.lacked_callers);
         if workers.is_empty() {
             advice.next_call_at = advice.next_examination(now, renewal_lead);
         }
@@ -541,6 +550,7 @@
     need: &AdviceNeed<'_>,
     mut askable: Vec<AdviceCandidate>,
     (allowed, rate): (&BTreeSet<WorkerId>, f64),
+    expected_fits: Option<f64>,
     lacked_callers: bool,
 ) -> Vec<WorkerId> {
     // Caching the key avoids looking up who is allowed at each comparison, which would cost more
@@ -568,10 +578,14 @@
             break;
         }
         full_named += usize::from(c.fits == 0);
-        if full_named > max_full {
+        // Where runs end often, a step finds its capacity on many workers that are full now.
+        let is_due_soon = expected_fits.is_some() && expected < needed;
+        if full_named > max_full && !is_due_soon {
             break;
         }
-        expected += c.fits.min(need.tasks) as f64 * if is_known { 1.0 } else { rate };
+        // What is free now is taken by other steps until the answer arrives.
+        let fits = expected_fits.unwrap_or(c.fits.min(need.tasks) as f64);
+        expected += fits * if is_known { 1.0 } else { rate };
         workers.push(c.worker);
     }
     workers
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -103,7 +103,7 @@
             worker_tier,
             advice_priority,
         };
-        if !self.may_scan(m, &need) {
+        if !self.may_scan(m, &need) || !self.claim_for(m, &need) {
             return;
         }
         let choice = self.choose(m, &need);
@@ -122,6 +122,9 @@
     /// Otherwise defers the step: steps that wait for capacity would use up all available calls,
     /// however many workers are free for the steps behind them.
     pub(crate) fn request_advice(&mut self, m: Moment, need: StepNeedingAdvice) {
+        if need.advice_priority == AdvicePriority::Normal && !self.claim_for(m, &need) {
+            return;
+        }
         let StepNeedingAdvice { key, policy, advice_priority, .. } = &need;
         let lacks_caller = self.advice_scheduler.lacks_caller(key, policy, *advice_priority, m.now);
         if lacks_caller {
@@ -150,6 +153,12 @@
         }
     }
 
+    /// Returns whether the steps before this one leave it capacity, and claims what it needs.
+    fn claim_for(&mut self, m: Moment, need: &StepNeedingAdvice) -> bool {
+        let (job, key, policy, tasks) = (need.job.clone(), need.key, need.policy, need.tasks);
+        self.claim_capacity(m, &key, &job.steps[key.step as usize], &policy, tasks)
+    }
+
     /// Requests tickets for steps that wait for capacity, the most urgent first, with the calls
     /// that the steps that could start have left.
     pub(crate) fn request_advice_for_waiting(&mut self, m: Moment) {
@@ -175,7 +184,8 @@
     fn choose(&mut self, m: Moment, need: &StepNeedingAdvice) -> AdviceSelection {
         self.plan_state.scans += 1;
         let advice_candidates = self.advice_candidates(m, need);
-        self.advice_scheduler.choose(m.now, &need.as_need(), advice_candidates)
+        let expected_fits = self.expected_fits(m, &need.key, need.spec(), &need.policy);
+        self.advice_scheduler.choose(m.now, &need.as_need(), advice_candidates, expected_fits)
     }
 
     fn call(&mut self, m: Moment, need: &StepNeedingAdvice, choice: AdviceSelection) {
--- a/components/dispatch/src/capacity_reservations.rs
+++ b/components/dispatch/src/capacity_reservations.rs
@@ -30,6 +30,18 @@
     label: Option<Name>,
 }
 
+impl WorkerSelector {
+    pub(crate) fn service(&self) -> &Name {
+        &self.service
+    }
+
+    /// Returns whether a worker is eligible, whatever its state.
+    pub(crate) fn admits(&self, info: &WorkerInfo) -> bool {
+        let has_label = self.label.as_ref().is_none_or(|l| info.labels.contains(l));
+        info.service == self.service && has_label
+    }
+}
+
 /// What a plan reserves on the workers that are eligible for the same steps.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct ReservedCapacity {
@@ -60,6 +72,7 @@
 /// A worker that tasks of a step may wait for.
 struct ReservationCandidate {
     worker: WorkerId,
+    capacity: Size,
     /// What is free, or will be once runs that are being stopped have ended, less what is reserved.
     free: Size,
     /// The part of that which is free now.
@@ -70,6 +83,8 @@
     ending: Size,
     /// How many more tasks of the step the worker may run.
     max_tasks: u64,
+    /// What the tasks need that wait for the ends of runs here.
+    required: Size,
     /// The number of tasks of the step for which capacity is reserved here.
     reserved_tasks: u64,
     /// The runs to preempt for them.
@@ -83,8 +98,8 @@
     None,
     /// This many runs have to be preempted.
     Preemptions(usize),
-    /// Runs that take so many accelerators and so much processor time have to end by themselves.
-    RunEnds(u64, u64),
+    /// Runs have to end by themselves until so many thousandths of the worker's capacity are freed.
+    RunEnds(u64),
 }
 
 /// Returns whether a task takes so much of a worker that it does not fit into what the end of any
@@ -103,7 +118,8 @@
         if self.reserved_tasks >= self.max_tasks {
             return None;
         }
-        let mut available = self.free;
+        // While tasks wait for the ends of runs here, nothing is left for another one before that.
+        let mut available = if self.required == Size::ZERO { self.free } else { Size::ZERO };
         for preemptions in 0..=self.victims.len() {
             if size.fits(&available) {
                 return Some(if preemptions == 0 {
@@ -115,8 +131,18 @@
             available =
                 self.victims.get(preemptions).map_or(available, |v| available.plus(&v.size));
         }
-        let fits = size.fits(&available.plus(&self.ending));
-        fits.then_some(RequiredWait::RunEnds(self.ending.accelerators, self.ending.cpu_milli))
+        let (required, available) = (self.required.plus(size), self.free);
+        let fits = required.fits(&available.plus(&self.ending));
+        fits.then(|| RequiredWait::RunEnds(self.shortfall(&required, &available)))
+    }
+
+    /// Returns how much of what is required is not available, in thousandths of the worker's capacity. Runs free
+    /// capacity on all workers at about the same rate, so a step starts soonest where it lacks the least: a gang that
+    /// waited for a few workers to be empty held their capacity idle until the last run there had ended.
+    fn shortfall(&self, required: &Size, available: &Size) -> u64 {
+        let lacking = required.minus(available);
+        let share = |d: &Dimension| lacking.get(*d) * 1_000 / self.capacity.get(*d).max(1);
+        Dimension::ALL.iter().map(share).max().unwrap_or(0)
     }
 
     /// Reserves capacity for one more task.
@@ -127,11 +153,11 @@
                 self.to_preempt.push(victim);
             }
         }
-        if matches!(wait, RequiredWait::RunEnds(..)) {
-            self.free = self.free.plus(&self.ending);
-            self.ending = Size::ZERO;
+        // What has to be freed for the tasks so far is due before anything is left for the next one.
+        match wait {
+            RequiredWait::RunEnds(_) => self.required = self.required.plus(size),
+            _ => self.free = self.free.minus(size),
         }
-        self.free = self.free.minus(size);
         self.reserved_tasks += 1;
     }
 
@@ -236,10 +262,8 @@
 
     /// Returns the total capacity of the workers that are eligible for some steps.
     fn selected_capacity(&self, selector: &WorkerSelector) -> Size {
-        let WorkerSelector { service, label } = selector;
         let infos = self.replicated.workers().values().map(|w| &w.info);
-        let labelled = |i: &WorkerInfo| label.as_ref().is_none_or(|l| i.labels.contains(l));
-        let selected = infos.filter(|i| i.service == *service && labelled(i));
+        let selected = infos.filter(|i| selector.admits(i));
         selected.fold(Size::ZERO, |a, i| a.plus(&i.capacity))
     }
 
@@ -249,7 +273,7 @@
     }
 
     /// Returns which workers are eligible for a step.
-    fn worker_selector(&self, key: &StepKey, spec: &StepSpec) -> Option<WorkerSelector> {
+    pub(crate) fn worker_selector(&self, key: &StepKey, spec: &StepSpec) -> Option<WorkerSelector> {
         let service = self.replicated.job(key.job)?.service.clone();
         Some(WorkerSelector { service, label: spec.constraint.clone() })
     }
@@ -286,6 +310,8 @@
             victims,
             ending,
             max_tasks: max_additional_tasks(key, spec, worker),
+            required: Size::ZERO,
+            capacity: worker.info.capacity,
             reserved_tasks: 0,
             to_preempt: Vec::new(),
         })
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -13,6 +13,7 @@
 
 use crate::action::Action;
 use crate::advice::AdviceScheduler;
+use crate::advice_pacing::ReleaseRates;
 use crate::answer_times::AnswerTimes;
 use crate::call::Answer;
 use crate::input::{Input, Moment, Token};
@@ -22,6 +23,7 @@
 use crate::long_running_waits::LongRunningWaits;
 use crate::losses::{LossAges, RecentLosses};
 use crate::plan_state::PlanState;
+use crate::service_order::ServiceOrder;
 use crate::speed::StepSpeeds;
 use crate::step_selection::StepSelector;
 use crate::unconfigured_workers::UnconfiguredWorkers;
@@ -106,6 +108,10 @@
     /// The working state of the current or last plan: its cost so far and the capacity it has
     /// reserved.
     pub(crate) plan_state: PlanState,
+    /// The rate at which the ends of runs free capacity.
+    pub(crate) release_rates: ReleaseRates,
+    /// The open steps in the order of service, as of the start of the last plan.
+    pub(crate) service_order: ServiceOrder,
     /// Selects the open steps that a plan examines.
     pub(crate) step_selector: StepSelector,
     /// How long long-running tasks have waited, as of the start of the last plan.
@@ -151,6 +157,8 @@
             plan_due: true,
             plan_at: m.now,
             plan_state: PlanState::default(),
+            release_rates: ReleaseRates::default(),
+            service_order: ServiceOrder::default(),
             step_selector: StepSelector::default(),
             long_running_waits: LongRunningWaits::default(),
             wait_logger: WaitLogger::default(),
@@ -272,6 +280,7 @@
     pub(crate) fn propose(&mut self, command: Command) {
         self.plan_due = true;
         self.long_running_waits.record_change(&command, &self.replicated);
+        self.record_released(self.last_input.now, &command);
         self.replicated.apply(&command);
         self.batch.push(command);
     }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod action;
 mod advice;
+mod advice_pacing;
 mod advice_requests;
 mod advice_reserve;
 mod aging;
@@ -31,6 +32,7 @@
 mod plan_state;
 mod planning;
 mod renewals;
+mod service_order;
 mod silent_zones;
 mod slack;
 mod speed;
--- a/components/dispatch/src/plan_state.rs
+++ b/components/dispatch/src/plan_state.rs
@@ -6,6 +6,7 @@
 use workload::WorkerId;
 
 use crate::advice::AdviceSelection;
+use crate::advice_pacing::PacedCapacity;
 use crate::advice_requests::StepNeedingAdvice;
 use crate::capacity_reservations::{ReservedCapacity, WorkerSelector};
 use crate::suspects::YoungSuspects;
@@ -29,6 +30,8 @@
     pub(crate) reserved_capacity: BTreeMap<WorkerId, Size>,
     /// The total reserved capacity, by the set of eligible workers.
     pub(crate) reservations: BTreeMap<WorkerSelector, ReservedCapacity>,
+    /// The capacity for which calls for advice are made, by the set of eligible workers.
+    pub(crate) paced: BTreeMap<WorkerSelector, PacedCapacity>,
     /// The steps that need advice and wait for capacity, the most urgent first, with the workers
     /// that a call would name if these were determined.
     pub(crate) deferred: Vec<(StepNeedingAdvice, Option<AdviceSelection>)>,
@@ -50,6 +53,7 @@
         self.not_examined = 0;
         self.reserved_capacity.clear();
         self.reservations.clear();
+        self.paced.clear();
         self.deferred.clear();
     }
 }
--- a/components/dispatch/src/planning.rs
+++ b/components/dispatch/src/planning.rs
@@ -6,7 +6,7 @@
 use clock::Millis;
 use events::kinds;
 use model::{Name, Size};
-use workload::{Command, Job, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
+use workload::{Command, OpenStep, StepKey, StepSpec, TaskKey, Worker, WorkerId};
 
 use crate::advice::AdvicePriority;
 use crate::advice_requests::StepNeedingAdvice;
@@ -17,7 +17,7 @@
     EXAMINATIONS_PER_STEP, MAX_OVERDUE_STEPS, MAX_STARTS_IN_FLIGHT, MAX_STEPS_REEXAMINED,
     MIN_LOGGED_WAIT, OVERDUE_ROTATION_INTERVAL,
 };
-use crate::step_selection::{Readiness, SelectedSteps};
+use crate::step_selection::SelectedSteps;
 use crate::worker_health::WorkerTier;
 use crate::worker_view::{Order, Stage, WorkerView};
 
@@ -39,13 +39,12 @@
     pub(crate) fn plan(&mut self, m: Moment) -> u64 {
         self.long_running_waits.update(m, &self.replicated);
         self.wait_logger.choose(m.now, &self.long_running_waits);
-        let SelectedSteps { mut urgent, mut in_rotation, skipped } = self.select_steps(m);
+        self.update_service_order(m);
+        let SelectedSteps { urgent, mut in_rotation, skipped } = self.select_steps();
         in_rotation.extend(self.long_waiting_steps(m, &urgent, &in_rotation));
         let steps = (urgent.len() + in_rotation.len()) as u64;
         let lacked_callers = self.plan_state.without_caller > 0;
         self.plan_state.begin(skipped + steps * EXAMINATIONS_PER_STEP);
-        urgent.sort_by_cached_key(|e| self.urgency(m, e));
-        in_rotation.sort_by_cached_key(|e| self.urgency(m, e));
         self.find_young_suspects(m);
         self.find_deprioritised(m);
         self.advice_scheduler.begin_plan(m.now, lacked_callers);
@@ -97,17 +96,9 @@
     }
 
     /// Selects the open steps that a plan examines.
-    fn select_steps(&mut self, m: Moment) -> SelectedSteps {
+    fn select_steps(&mut self) -> SelectedSteps {
         let mut selector = std::mem::take(&mut self.step_selector);
-        let readiness = |key: &StepKey| {
-            let is_due = |j: &Job| m.wall >= j.spec.due(key.round);
-            match self.replicated.job(key.job).is_some_and(is_due) {
-                false => Readiness::NotDue,
-                true if self.is_at_limit(key) => Readiness::AtLimit,
-                true => Readiness::MayStart,
-            }
-        };
-        let selected = selector.next(self.replicated.open(), readiness);
+        let selected = selector.next(self.service_order.ranked(), |key| self.is_at_limit(key));
         self.step_selector = selector;
         selected
     }
--- a/components/dispatch/src/slack.rs
+++ b/components/dispatch/src/slack.rs
@@ -1,11 +1,10 @@
 //! Slack: how much time a job has left before it is late.
 
 use clock::Millis;
-use workload::{Job, OpenStep, StepKey};
+use workload::{Job, StepKey};
 
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::MAX_URGENT_SLACK;
 
 impl Dispatcher {
     /// Returns how long a job's round may make no progress and still be in time, by declared run
@@ -22,7 +21,7 @@
     /// Returns how long a round of a job could have run for. The acceptance of a job is taken by
     /// the monotonic clock: wall clocks jump by minutes, after which every job would seem late, or
     /// none.
-    fn age(&self, m: Moment, key: &StepKey, job: &Job) -> Millis {
+    pub(crate) fn age(&self, m: Moment, key: &StepKey, job: &Job) -> Millis {
         match (job.spec.rounds, self.accepted.get(&key.job)) {
             (0, Some(at)) => m.now.since(*at),
             (0, None) => Millis::ZERO,
@@ -31,22 +30,9 @@
     }
 
     /// Returns how long a round of a job may take and be in time.
-    fn allowed_time(&self, job: &Job) -> Option<Millis> {
+    pub(crate) fn allowed_time(&self, job: &Job) -> Option<Millis> {
         let queue = self.policy.as_ref()?.queue(&job.queue)?;
         let path = job.spec.critical_path(|_| true);
         Some(Millis((path.0 as f64 * queue.stretch) as u64) + queue.target_latency)
     }
-
-    /// Returns the sort key of a waiting step, lowest first: the most urgent priority by itself,
-    /// then steps that must start soon to be in time, then the rest by priority.
-    pub(crate) fn urgency(&self, m: Moment, entry: &OpenStep) -> (u8, Millis, u64) {
-        if entry.priority == 0 || !self.limits.mechanisms.orders_by_slack {
-            return (entry.priority, Millis::ZERO, entry.order);
-        }
-        let slack = self.slack(m, &entry.key);
-        match slack > Millis::ZERO && slack < MAX_URGENT_SLACK {
-            true => (1, slack, entry.order),
-            false => (entry.priority.saturating_add(1), Millis::ZERO, entry.order),
-        }
-    }
 }
--- a/components/dispatch/src/step_selection.rs
+++ b/components/dispatch/src/step_selection.rs
@@ -5,10 +5,9 @@
 //! never reach those behind, however many workers are free for them. So each plan also examines
 //! some of the rest, in rotation.
 
-use std::collections::BTreeSet;
-use std::ops::Bound;
+use workload::{OpenStep, StepKey};
 
-use workload::{JobId, OpenStep, StepKey};
+use crate::service_order::Rank;
 
 /// The number of most urgent steps that every plan examines. It bounds the time of a plan when far
 /// more waits than can run.
@@ -17,96 +16,48 @@
 /// steps is examined every second, for a quarter of a plan's time more.
 const MAX_ROTATION_STEPS: usize = 50;
 
-/// Whether a step may start now.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum Readiness {
-    /// Only the workers may prevent it from starting.
-    MayStart,
-    /// Its round is not due, nor are the later ones of its job.
-    NotDue,
-    /// Its organisation is at its limit of running tasks.
-    AtLimit,
-}
-
 /// The position of the rotation through the steps behind the most urgent ones.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct StepSelector {
-    last_in_rotation: Option<OpenStep>,
+    last_in_rotation: Option<(Rank, OpenStep)>,
 }
 
-/// The steps that a plan examines.
+/// The steps that a plan examines, in the order of service.
 pub(crate) struct SelectedSteps {
     /// The most urgent ones.
     pub(crate) urgent: Vec<OpenStep>,
     /// The next ones in the rotation.
     pub(crate) in_rotation: Vec<OpenStep>,
-    /// The number of jobs skipped because none of their rounds is due, and of steps skipped because
-    /// their organisation is at its limit.
+    /// The number of steps skipped because their organisation is at its limit.
     pub(crate) skipped: u64,
 }
 
 impl StepSelector {
-    /// Returns the steps that the next plan examines, of those that may start.
+    /// Returns the steps that the next plan examines, of those that are due in the order of service
+    /// and whose organisation is not at its limit.
     pub(crate) fn next(
         &mut self,
-        open: &BTreeSet<OpenStep>,
-        readiness: impl Fn(&StepKey) -> Readiness,
+        ranked: &[(Rank, OpenStep)],
+        is_at_limit: impl Fn(&StepKey) -> bool,
     ) -> SelectedSteps {
-        let mut startable = StartableSteps { open, readiness, from: Bound::Unbounded, skipped: 0 };
-        let urgent: Vec<OpenStep> = startable.by_ref().take(MAX_URGENT_STEPS).collect();
-        let Some(last_urgent) = urgent.last().copied().filter(|_| urgent.len() == MAX_URGENT_STEPS)
-        else {
-            self.last_in_rotation = None;
-            return SelectedSteps { urgent, in_rotation: Vec::new(), skipped: startable.skipped };
+        let mut skipped = 0;
+        let mut may_start = |e: &&(Rank, OpenStep)| {
+            let at_limit = is_at_limit(&e.1.key);
+            skipped += u64::from(at_limit);
+            !at_limit
         };
-        let rotation_start =
-            self.last_in_rotation.filter(|t| *t > last_urgent).unwrap_or(last_urgent);
-        startable.from = Bound::Excluded(rotation_start);
-        let mut in_rotation: Vec<OpenStep> = startable.by_ref().take(MAX_ROTATION_STEPS).collect();
+        let mut remaining = ranked.iter();
+        let urgent: Vec<OpenStep> =
+            remaining.by_ref().filter(&mut may_start).take(MAX_URGENT_STEPS).map(|e| e.1).collect();
+        let behind = remaining.as_slice();
         // The rotation restarts behind the most urgent steps.
-        startable.from = Bound::Excluded(last_urgent);
-        let wrapped = startable
-            .by_ref()
-            .take_while(|e| *e <= rotation_start)
-            .take(MAX_ROTATION_STEPS - in_rotation.len());
-        in_rotation.extend(wrapped);
+        let last = self.last_in_rotation;
+        let start = last.map_or(0, |last| behind.partition_point(|e| *e <= last));
+        let rotated = behind[start..].iter().chain(&behind[..start]);
+        let in_rotation: Vec<(Rank, OpenStep)> =
+            rotated.filter(&mut may_start).take(MAX_ROTATION_STEPS).copied().collect();
         self.last_in_rotation = in_rotation.last().copied();
-        SelectedSteps { urgent, in_rotation, skipped: startable.skipped }
-    }
-}
-
-/// An iterator over the open steps that may start.
-struct StartableSteps<'a, F> {
-    open: &'a BTreeSet<OpenStep>,
-    readiness: F,
-    from: Bound<OpenStep>,
-    skipped: u64,
-}
-
-impl<F: Fn(&StepKey) -> Readiness> Iterator for StartableSteps<'_, F> {
-    type Item = OpenStep;
-
-    fn next(&mut self) -> Option<OpenStep> {
-        loop {
-            let entry = *self.open.range((self.from, Bound::Unbounded)).next()?;
-            match (self.readiness)(&entry.key) {
-                Readiness::MayStart => {
-                    self.from = Bound::Excluded(entry);
-                    return Some(entry);
-                }
-                Readiness::NotDue => {
-                    self.from = Bound::Included(before_job(entry.priority, entry.order + 1));
-                }
-                Readiness::AtLimit => self.from = Bound::Excluded(entry),
-            }
-            self.skipped += 1;
-        }
+        let in_rotation = in_rotation.into_iter().map(|e| e.1).collect();
+        SelectedSteps { urgent, in_rotation, skipped }
     }
 }
-
-/// Returns an entry that sorts before all steps of the job at a position in the order of
-/// acceptance.
-fn before_job(priority: u8, order: u64) -> OpenStep {
-    let key = StepKey { job: JobId(0), round: 0, step: 0 };
-    OpenStep { priority, order, key }
-}
--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -43,9 +43,9 @@
 /// How long a ticket is valid. This and the cost of calls for advice follow the queues' policy.
 const TICKET_VALIDITY: Millis = Millis(2_000);
 /// The cost of a call for advice on a quick job in microseconds: the base cost, and the cost for each worker.
-const SHORT_CALL_COST: (u64, u64) = (20_000, 500);
+pub const SHORT_CALL_COST: (u64, u64) = (20_000, 500);
 /// The same for other jobs.
-const LONG_CALL_COST: (u64, u64) = (400_000, 5_000);
+pub const LONG_CALL_COST: (u64, u64) = (400_000, 5_000);
 /// How many of a hundred workers the advice service allows for a step by default.
 const DEFAULT_ALLOWED_PERCENT: u64 = 70;
 
@@ -65,6 +65,8 @@
     numbers: BTreeMap<WorkerId, u64>,
     /// How many of a hundred workers it allows for a step.
     allowed_percent: u64,
+    /// The same for the jobs of some queues.
+    allowed_of: BTreeMap<JobId, u64>,
 }
 
 impl AdviceService {
@@ -74,7 +76,8 @@
     }
 
     pub fn allows(&self, step: &StepKey, number: u64) -> bool {
-        draw(self.seed, &[step.job.0, u64::from(step.step), number]) % 100 < self.allowed_percent
+        let percent = self.allowed_of.get(&step.job).copied().unwrap_or(self.allowed_percent);
+        draw(self.seed, &[step.job.0, u64::from(step.step), number]) % 100 < percent
     }
 }
 
@@ -92,7 +95,7 @@
 pub struct SubmittedJob {
     pub kind: Kind,
     path: String,
-    spec: Arc<JobSpec>,
+    pub spec: Arc<JobSpec>,
     pub at: Millis,
     accepted: bool,
     pub first_start: Option<Millis>,
@@ -106,6 +109,9 @@
 
 /// A dispatcher with its workers, its advice callers and the jobs of its callers.
 pub struct Fleet {
+    pub hard: bool,
+    pub done: BTreeMap<JobId, Millis>,
+    pub calls: BTreeMap<JobId, u32>,
     pub harness: Harness,
     pub hosts: BTreeMap<WorkerId, Host>,
     pub rng: StdRng,
@@ -142,8 +148,15 @@
 impl Fleet {
     /// Returns a fleet without workers, with a number of instances that can call for advice.
     pub fn new(seed: u64, callers: usize) -> Fleet {
+        Fleet::with_policy(seed, callers, "advice, long")
+    }
+
+    pub fn with_policy(seed: u64, callers: usize, policy: &str) -> Fleet {
         let mut fleet = Fleet {
-            harness: Harness::new("advice, long"),
+            hard: policy.contains("hard"),
+            done: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            harness: Harness::new(policy),
             hosts: BTreeMap::new(),
             rng: StdRng::seed_from_u64(seed),
             jobs: BTreeMap::new(),
@@ -156,6 +169,7 @@
                 seed,
                 numbers: BTreeMap::new(),
                 allowed_percent: DEFAULT_ALLOWED_PERCENT,
+                allowed_of: BTreeMap::new(),
             },
             callers: (0..callers).map(|i| format!("e{i:02}")).collect(),
             busy_until: BTreeMap::new(),
@@ -297,6 +311,14 @@
         let (path, spec) = (format!("/{queue}/{id}"), super::spec(steps));
         let at = self.harness.now;
         let job = SubmittedJob { kind, path, spec, at, accepted: false, first_start: None };
+        if self.hard {
+            let percent = match queue {
+                "q" => 70,
+                "mid" => 30,
+                _ => 45,
+            };
+            self.service.allowed_of.insert(id, percent);
+        }
         self.jobs.insert(id, job);
         self.send(id);
         id
@@ -377,6 +399,14 @@
             self.answer_renewals();
             self.harness.feed(Input::Tick);
             self.collect();
+            if self.hard {
+                let now = self.harness.now;
+                for (id, j) in self.harness.committed.jobs() {
+                    if j.state == JobState::Completed {
+                        self.done.entry(*id).or_insert(now);
+                    }
+                }
+            }
         }
         self.check();
     }
@@ -555,7 +585,15 @@
     /// Starts a call for advice; an instance makes its calls one after the other.
     fn start_advice_call(&mut self, request: AdviceRequest) {
         let is_quick = self.jobs.get(&request.step.job).is_some_and(|j| j.path.starts_with("/q/"));
-        let (base, each) = if is_quick { SHORT_CALL_COST } else { LONG_CALL_COST };
+        let path = self.jobs.get(&request.step.job).map_or("", |j| &j.path);
+        let (base, each) = match (is_quick, self.hard) {
+            (true, false) => SHORT_CALL_COST,
+            (false, false) => LONG_CALL_COST,
+            (true, true) => (11_700, 169),
+            (false, true) if path.starts_with("/mid") => (572_000, 8_060),
+            (false, true) => (104_000, 1_430),
+        };
+        *self.calls.entry(request.step.job).or_default() += 1;
         let takes = Millis((base + each * request.workers.len() as u64) / 1_000);
         let free_at = self.busy_until.entry(request.caller.clone()).or_default();
         let due = self.harness.now.max(*free_at) + takes;
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -67,6 +67,17 @@
             public: text.contains("public"),
             ..queue.clone()
         };
+        let (mut queue, mut mid, mut bulk) = (queue, mid, bulk);
+        if text.contains("hard") {
+            let advice = |base_ms, per_worker_ms| {
+                Some(AdvicePolicy { base_ms, per_worker_ms, valid: Millis(2_000) })
+            };
+            queue.advice = advice(11.7, 0.169);
+            (mid.advice, mid.stretch, mid.target_latency) =
+                (advice(572.0, 8.06), 2.2, Millis(1_000));
+            (bulk.advice, bulk.stretch, bulk.target_latency) =
+                (advice(104.0, 1.43), 4.0, Millis(3_000));
+        }
         let service = Service { name: "s".into(), checks_capacity: false, max_connections: 64 };
         let mut services = vec![service];
         if text.contains("other") {
