Aged steps are placed in the order in which they came to lack a call

A plan now begins with the longest wait and examines steps until four could start or its examination budget for them is used up; then the next plan goes on there. A step that is found to wait for capacity no longer counts as lacking a call, so it does not keep its place before the others.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -413,7 +413,12 @@
         has_capacity: bool,
     ) {
         let wait = CapacityWait { examined_at: now, policy: need.policy };
-        self.steps.entry(need.step).or_default().capacity_wait = (!has_capacity).then_some(wait);
+        let advice = self.steps.entry(need.step).or_default();
+        advice.capacity_wait = (!has_capacity).then_some(wait);
+        // A step that waits for capacity must not keep its place before those that lack only a call.
+        if !has_capacity {
+            advice.lacks_caller_since = None;
+        }
     }
 
     /// Records that the free capacity that a step may use has to be examined anew.
--- a/components/dispatch/src/aging.rs
+++ b/components/dispatch/src/aging.rs
@@ -14,7 +14,7 @@
 use crate::candidates::max_additional_tasks;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::{ADVICE_AGED_AFTER, MAX_AGED_STEPS, MAX_AGED_STEPS_EXAMINED};
+use crate::limits::{ADVICE_AGED_AFTER, AGED_EXAMINATION_BUDGET, MAX_AGED_STEPS};
 use crate::worker_health::WorkerTier;
 
 /// Returns whether at least half of each resource is free.
@@ -38,16 +38,19 @@
             return Vec::new();
         }
         aged.sort_unstable();
-        // The steps rotate, because those that find no capacity stay among the first.
-        let first = self.aged_rotation % aged.len();
+        let first = self.aged_position.min(aged.len());
         aged.rotate_left(first);
-        aged.truncate(MAX_AGED_STEPS_EXAMINED);
-        let mut startable = Vec::new();
-        for (_, entry) in aged {
-            // The next plan goes on with the first step that this one does not examine.
-            self.aged_rotation = self.aged_rotation.wrapping_add(1);
-            let (has_capacity, examined) = self.has_half_empty_worker(m, &entry);
-            self.plan_state.examined += examined;
+        let (mut startable, mut examined) = (Vec::new(), 0);
+        // A plan begins with the steps that have lacked a call for the longest time, unless the last
+        // one did not get through all of them.
+        self.aged_position = 0;
+        for (i, (_, entry)) in aged.into_iter().enumerate() {
+            if examined >= AGED_EXAMINATION_BUDGET {
+                self.aged_position = first + i;
+                break;
+            }
+            let (has_capacity, workers) = self.has_half_empty_worker(m, &entry);
+            examined += workers + 1;
             if has_capacity {
                 startable.push(entry);
             }
@@ -55,6 +58,7 @@
                 break;
             }
         }
+        self.plan_state.examined += examined;
         startable
     }
 
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -97,8 +97,9 @@
     clean_up_at: Millis,
     /// The earliest time for the next log line about a call without a key.
     pub(crate) next_key_log_at: Millis,
-    /// The position in the rotation of the steps that have long lacked a call for advice.
-    pub(crate) aged_rotation: usize,
+    /// The position among the steps that have long lacked a call for advice at which the next plan
+    /// goes on.
+    pub(crate) aged_position: usize,
     /// The time of the last input.
     last_input: Moment,
     /// Whether something since the last plan may let a task start.
@@ -148,7 +149,7 @@
             actions: Vec::new(),
             clean_up_at: m.now,
             next_key_log_at: m.now,
-            aged_rotation: 0,
+            aged_position: 0,
             last_input: m,
             plan_due: true,
             plan_at: m.now,
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -152,8 +152,9 @@
 pub(crate) const ADVICE_AGED_AFTER: Millis = Millis(1_000);
 /// The maximum number of such steps that a plan places first.
 pub(crate) const MAX_AGED_STEPS: usize = 4;
-/// The maximum number of such steps for which a plan examines the half-empty workers.
-pub(crate) const MAX_AGED_STEPS_EXAMINED: usize = 20;
+/// The number of examined workers and steps after which a plan looks for no more such steps: the
+/// examination budget of 20 ms.
+pub(crate) const AGED_EXAMINATION_BUDGET: u64 = EXAMINATIONS_PER_MS * 20;
 /// The divisor that limits calls for such steps: at most one in this many instances is busy with
 /// them.
 pub(crate) const AGED_CALLERS_DIVISOR: usize = 6;
