--- a/components/dispatch/src/advice_pacing.rs
+++ b/components/dispatch/src/advice_pacing.rs
@@ -9,7 +9,7 @@
 
 use clock::Millis;
 use model::{Dimension, Name, Size};
-use workload::{AdvicePolicy, Command, StepKey, StepSpec, Worker};
+use workload::{AdvicePolicy, Command, StepKey, StepSpec};
 
 use crate::advice::cost_ms;
 use crate::capacity_reservations::WorkerSelector;
@@ -177,15 +177,13 @@
         if let Some(paced) = self.plan_state.paced.get(selector) {
             return *paced;
         }
-        let mut paced = PacedCapacity::default();
-        let usable = self.worker_views.iter().filter(|(_, v)| v.is_usable());
-        let workers = usable.filter_map(|(id, _)| self.replicated.worker(id));
-        for worker in workers.filter(|w: &&Worker| selector.admits(&w.info)) {
-            paced.free = paced.free.plus(&worker.free());
-            paced.total = paced.total.plus(&worker.info.capacity);
-            paced.workers += 1;
-        }
-        self.plan_state.workers_checked += paced.workers;
+        let group = self.capacity_index.group(selector.service(), selector.label());
+        let paced = group.map_or_else(PacedCapacity::default, |g| PacedCapacity {
+            free: g.total_free(),
+            total: g.total_capacity(),
+            workers: g.len() as u64,
+            claimed: Size::ZERO,
+        });
         self.plan_state.paced.insert(selector.clone(), paced);
         paced
     }
