Part a: workers learn their machine's speed from finished steps, and placement prefers the speeds that suit a step

The leader compares the run times of a step's tasks on different machines. Quick steps and gangs prefer fast machines; steps with slack prefer slow ones. The estimate is in memory only; stragglers are handled as before.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -118,6 +118,8 @@
     pub(crate) worker: WorkerId,
     /// How many tasks of the step it has capacity for.
     pub(crate) fits: u64,
+    /// Whether its machine is too slow for the step.
+    pub(crate) is_too_slow: bool,
 }
 
 /// What a call is needed for.
@@ -546,7 +548,7 @@
     // Caching the key avoids looking up who is allowed at each comparison, which would cost more
     // than the sort.
     askable.sort_by_cached_key(|c| {
-        (c.fits == 0, !allowed.contains(&c.worker), std::cmp::Reverse(c.fits))
+        (c.fits == 0, c.is_too_slow, !allowed.contains(&c.worker), std::cmp::Reverse(c.fits))
     });
     let all_short = cost_ms(&need.policy, askable.len()) <= MAX_SHORT_ADVICE_MS;
     let needed = need.tasks as f64 * ADVICE_CAPACITY_FACTOR;
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -258,7 +258,8 @@
     fn advice_candidate(&self, key: &StepKey, spec: &StepSpec, worker: &Worker) -> AdviceCandidate {
         let fits = fits(spec, &self.free_capacity_for(spec, worker))
             .min(max_additional_tasks(key, spec, worker));
-        AdviceCandidate { worker: worker.info.id.clone(), fits }
+        let is_too_slow = self.is_too_slow(key, spec, worker);
+        AdviceCandidate { worker: worker.info.id.clone(), fits, is_too_slow }
     }
 }
 
--- a/components/dispatch/src/candidates.rs
+++ b/components/dispatch/src/candidates.rs
@@ -9,6 +9,7 @@
 use crate::input::Moment;
 use crate::suspects::{Suspicion, YoungSuspects};
 use crate::worker_health::WorkerTier;
+use crate::worker_speeds::{SLOW_SPEED, SpeedPreference};
 
 /// The cost of a worker on which a run of the task has failed: more than that of a completely
 /// filled one.
@@ -88,6 +89,8 @@
     allows_last_attempt: bool,
     /// Whether it was assigned a task in this plan.
     assigned: bool,
+    /// Its speed relative to the others of its service.
+    speed: f64,
 }
 
 /// The preferences by which candidates of a step are compared, besides their free capacity.
@@ -97,6 +100,7 @@
     packs_accelerators: bool,
     /// How strongly the task is suspected.
     suspicion: Suspicion,
+    speed: SpeedPreference,
 }
 
 impl Candidate {
@@ -141,7 +145,7 @@
         if spec.rack.is_some() && !self.near_data {
             cost += REMOTE_DATA_PENALTY;
         }
-        cost
+        cost + preferences.speed.cost(self.speed)
     }
 }
 
@@ -183,6 +187,7 @@
                 // A failed try must not end a job, unless the job has nothing else to wait for.
                 allows_last_attempt: !on_probation || worker_tier != WorkerTier::Preferred,
                 assigned: false,
+                speed: self.speed(worker),
             })
         };
         match needs_ticket {
@@ -197,6 +202,7 @@
     /// Assigns waiting tasks to their best candidates, in order, until one finds none.
     pub(crate) fn assign_each(
         &self,
+        m: Moment,
         key: &StepKey,
         spec: &StepSpec,
         waiting: &[u32],
@@ -208,9 +214,11 @@
             return placed;
         }
         let preferred_zones = self.preferred_zones(key, spec, waiting.len(), candidates);
+        let speed = self.speed_preference(m, key, spec);
         for index in waiting {
             let task = TaskKey { step: *key, index: *index };
-            let Some(candidate) = self.assign_best(&task, spec, candidates, &preferred_zones)
+            let Some(candidate) =
+                self.assign_best(&task, spec, candidates, &preferred_zones, speed)
             else {
                 break;
             };
@@ -271,6 +279,7 @@
         spec: &StepSpec,
         candidates: &'a mut [Candidate],
         preferred_zones: &BTreeSet<Name>,
+        speed: SpeedPreference,
     ) -> Option<&'a Candidate> {
         // A filler also needs its declared processor time where it is placed.
         let required = spec.size;
@@ -279,7 +288,7 @@
         let packs_accelerators = self.limits.mechanisms.packs_accelerators;
         let suspicion = self.suspicion(task);
         let last_attempt = self.is_last_attempt(task, spec);
-        let preferences = Preferences { preferred_zones, packs_accelerators, suspicion };
+        let preferences = Preferences { preferred_zones, packs_accelerators, suspicion, speed };
         let is_risky = |c: &Candidate| last_attempt && !c.allows_last_attempt;
         let is_usable =
             |c: &Candidate| c.fits(&required, spec) && c.suspects.admits(suspicion) && !is_risky(c);
@@ -299,27 +308,44 @@
         Some(best)
     }
 
-    /// Assigns all tasks of a gang or none, on one rack where that is required and possible.
+    /// Assigns all tasks of a gang or none, on one rack where that is required and possible. A gang
+    /// ends with its slowest member, so workers of similar speed are preferred: fast ones, or else
+    /// slow ones, which leaves the fast ones to others.
     pub(crate) fn assign_gang(
         &self,
+        m: Moment,
         key: &StepKey,
         spec: &StepSpec,
         waiting: &[u32],
         candidates: &mut [Candidate],
     ) -> Vec<Assignment> {
+        let is_slow = |c: &Candidate| c.speed < SLOW_SPEED;
+        let slow = candidates.iter().filter(|c| is_slow(c)).count();
+        let mut sets: Vec<Vec<Candidate>> = Vec::new();
+        if slow > 0 && slow < candidates.len() {
+            let (slow, fast) = candidates.iter().cloned().partition(is_slow);
+            sets = vec![fast, slow];
+        }
         if spec.same_rack {
             let racks: BTreeSet<Name> = candidates.iter().filter_map(|c| c.rack.clone()).collect();
-            for rack in racks {
-                let on_rack = |c: &&Candidate| c.rack.as_ref() == Some(&rack);
-                let mut rack_candidates: Vec<Candidate> =
-                    candidates.iter().filter(on_rack).cloned().collect();
-                let placed = self.assign_each(key, spec, waiting, &mut rack_candidates);
-                if placed.len() == waiting.len() {
-                    return placed;
+            for set in sets.iter().map(Vec::as_slice).chain([&*candidates]) {
+                for rack in &racks {
+                    let on_rack = |c: &&Candidate| c.rack.as_ref() == Some(rack);
+                    let mut rack_candidates: Vec<Candidate> =
+                        set.iter().filter(on_rack).cloned().collect();
+                    let placed = self.assign_each(m, key, spec, waiting, &mut rack_candidates);
+                    if placed.len() == waiting.len() {
+                        return placed;
+                    }
                 }
             }
         }
-        let placed = self.assign_each(key, spec, waiting, candidates);
-        if placed.len() == waiting.len() { placed } else { Vec::new() }
+        for set in sets.iter_mut().map(Vec::as_mut_slice).chain([candidates]) {
+            let placed = self.assign_each(m, key, spec, waiting, set);
+            if placed.len() == waiting.len() {
+                return placed;
+            }
+        }
+        Vec::new()
     }
 }
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::step_selection::StepSelector;
 use crate::unconfigured_workers::UnconfiguredWorkers;
 use crate::wait_logging::WaitLogger;
+use crate::worker_speeds::WorkerSpeeds;
 use crate::worker_view::{Order, Stage, WorkerView};
 
 /// An action that is held until a batch is committed.
@@ -81,6 +82,8 @@
     pub(crate) loss_ages: LossAges,
     /// The progress rates of the tasks of each step.
     pub(crate) step_speeds: BTreeMap<StepKey, StepSpeeds>,
+    /// The speeds of the machines.
+    pub(crate) worker_speeds: WorkerSpeeds,
     /// The estimate of how long workers take to answer.
     pub(crate) answer_times: AnswerTimes,
     /// The availability zones that have just fallen silent.
@@ -137,6 +140,7 @@
             recent_losses: RecentLosses::default(),
             loss_ages: LossAges::default(),
             step_speeds: BTreeMap::new(),
+            worker_speeds: WorkerSpeeds::default(),
             answer_times: AnswerTimes::unknown(),
             silent_zones: BTreeSet::new(),
             batch: Vec::new(),
@@ -353,6 +357,7 @@
         self.advice_scheduler.expire(m.now);
         self.maintain_workers(m);
         self.clear_suspects(m);
+        self.worker_speeds.update(m.now);
         if m.now >= self.clean_up_at {
             self.clean_up_at = m.now + CLEANUP_INTERVAL;
             self.clean_up(m);
@@ -375,5 +380,6 @@
         self.avoided_workers.retain(|k, _| is_unfinished(&k.step.job));
         self.loss_ages.retain(|k| is_unfinished(&k.step.job));
         self.step_speeds.retain(|k, _| is_unfinished(&k.job));
+        self.worker_speeds.retain_steps(|k| is_unfinished(&k.job));
     }
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -44,6 +44,7 @@
 mod worker_clock;
 mod worker_health;
 mod worker_messages;
+mod worker_speeds;
 mod worker_view;
 mod workers;
 
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -46,6 +46,8 @@
     pub prefetches_advice: bool,
     /// Places no new work in availability zones that have just fallen silent.
     pub avoids_silent_zones: bool,
+    /// Learns the speeds of machines and prefers the workers that suit a step.
+    pub prefers_suitable_speeds: bool,
 }
 
 impl Default for Mechanisms {
@@ -61,6 +63,7 @@
             adapts_answer_timeouts: true,
             prefetches_advice: true,
             avoids_silent_zones: true,
+            prefers_suitable_speeds: true,
         }
     }
 }
--- a/components/dispatch/src/planning.rs
+++ b/components/dispatch/src/planning.rs
@@ -210,8 +210,8 @@
         let mut candidates = self.candidates(m, worker_tier, &key, spec, advice.is_some());
         self.plan_state.examined += candidates.len() as u64;
         let placed = match spec.gang {
-            true => self.assign_gang(&key, spec, &waiting, &mut candidates),
-            false => self.assign_each(&key, spec, &waiting, &mut candidates),
+            true => self.assign_gang(m, &key, spec, &waiting, &mut candidates),
+            false => self.assign_each(m, &key, spec, &waiting, &mut candidates),
         };
         let (placed_count, remaining) = (placed.len(), waiting.len() - placed.len());
         if !placed.is_empty() {
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -182,15 +182,19 @@
         self.log_event(&kinds::RUN_ENDED, end.task, details);
         let Some(view) = self.worker_views.get_mut(id) else { return };
         let mut began = m.now;
-        if let Some(order) = view.orders.get(&end.task).filter(|o| o.run == end.run) {
+        let order = match view.orders.get(&end.task) {
+            Some(order) if order.run == end.run => view.orders.remove(&end.task),
+            _ => None,
+        };
+        if let Some(order) = &order {
             began = order.since;
-            view.orders.remove(&end.task);
         }
         let progress = view.progress.remove(&end.task);
         match end.kind {
             EndKind::Done => {
                 let took = progress.map(|p| p.age(m.now));
                 self.record_run_done(m, id, began);
+                self.record_run_time(m, id, end, order.as_ref());
                 if let Some(took) = took {
                     self.step_speeds.entry(end.task.step).or_default().record_done(id, took);
                 }
