--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -47,6 +47,7 @@
 mod worker_clock;
 mod worker_health;
 mod worker_messages;
+mod worker_speeds;
 mod worker_view;
 mod worker_views;
 mod workers;
