--- a/components/dispatch/src/shares.rs
+++ b/components/dispatch/src/shares.rs
@@ -71,13 +71,14 @@
 }
 
 impl Shares {
-    /// Updates the averages and ratios. `capacity` is that of the fleet.
+    /// Updates the averages and ratios. `capacity` is that of the fleet; `demands` is ordered by name.
     fn update(&mut self, now: Millis, capacity: &Size, demands: &[Demand]) {
         let elapsed = self.updated_at.map_or(Millis::ZERO, |at| now.since(at));
         self.updated_at = Some(now);
         let kept = decay(elapsed);
         let active_weight: f64 = demands.iter().filter(|d| d.is_active).map(|d| d.weight).sum();
-        self.standings.retain(|name, _| demands.iter().any(|d| d.name == *name));
+        let is_configured = |name: &Name| demands.binary_search_by(|d| d.name.cmp(name)).is_ok();
+        self.standings.retain(|name, _| is_configured(name));
         for demand in demands {
             let share = share_of(demand, active_weight);
             let entitled = amounts(capacity).map(|c| c * share);
@@ -152,7 +153,7 @@
     /// capacity, above 1 it uses more than its share. It is 1 for a job without an organisation.
     ///
     /// The ratio is infinite for an organisation of weight 0 that uses anything.
-    #[allow(dead_code)] // The service order and the admission use it.
+    #[allow(dead_code, reason = "the interface for the service order and the admission")]
     pub(crate) fn share_ratio(&self, job: JobId) -> f64 {
         self.standing(job).map_or(1.0, |s| s.ratio)
     }
@@ -221,7 +222,7 @@
         self.shares.update(now, &capacity, &demands);
     }
 
-    /// Returns the configured organisations as they are now.
+    /// Returns the configured organisations as they are now, ordered by name.
     fn demands(&self) -> Vec<Demand> {
         let ownership = self.replicated.ownership();
         let organisations = self.policy.iter().filter_map(|p| p.organisations.as_ref());
--- a/components/dispatch/tests/organisation_shares.rs
+++ b/components/dispatch/tests/organisation_shares.rs
@@ -44,15 +44,18 @@
     f
 }
 
+fn submit(f: &mut Fleet, jobs: &mut Submitted, name: &'static str, spec: StepSpec) {
+    let id = f.submit_job_as(with_key(&key(name)), Kind::Batch, "bulk", vec![spec]);
+    jobs.entry(name).or_default().push(id);
+}
+
 /// Lets each organisation submit tasks that keep some cores busy, for a span.
 fn drive(f: &mut Fleet, jobs: &mut Submitted, cores: &[(&'static str, u64)], span: Millis) {
     let until = f.harness.now + span;
     while f.harness.now < until {
         for (name, cores) in cores {
             let tasks = cores * SUBMIT_INTERVAL.0 / RUN_TIME.0;
-            let steps = vec![StepSpec { estimate: RUN_TIME, ..step(tasks as u32) }];
-            let id = f.submit_job_as(with_key(&key(name)), Kind::Batch, "bulk", steps);
-            jobs.entry(name).or_default().push(id);
+            submit(f, jobs, name, StepSpec { estimate: RUN_TIME, ..step(tasks as u32) });
         }
         f.advance(SUBMIT_INTERVAL);
     }
@@ -157,6 +160,61 @@
     }
 }
 
+/// Shares of processors alone would let an organisation whose tasks need much memory fill the fleet.
+#[test]
+fn memory_counts_as_much_as_processors() {
+    let (mut f, mut jobs) = (fleet(1, &[("a", 1), ("b", 1)]), Submitted::new());
+    let large = StepSpec { size: Size::new(250, 8_000, 0), estimate: RUN_TIME, ..step(4) };
+    let small = StepSpec { size: Size::new(250, 2_000, 0), estimate: RUN_TIME, ..step(16) };
+    // Of 320 GB, `b` needs 128 GB at a time, which is less than its share, and `a` needs 640 GB.
+    for round in 0..60 {
+        (0..5).for_each(|_| submit(&mut f, &mut jobs, "a", large.clone()));
+        if round >= 30 {
+            submit(&mut f, &mut jobs, "b", small.clone());
+        }
+        f.advance(Millis(200));
+    }
+    let waits = waits(&f, &jobs, &["b"]);
+    println!("{waits:?}");
+    assert!(*waits.last().unwrap() <= Millis(800), "{waits:?}");
+}
+
+/// Without a backlog the order of waiting steps must delay nothing, however far above its share an organisation is.
+#[rstest]
+fn organisations_change_nothing_without_a_backlog(#[values(1, 2)] seed: u64) {
+    let first_starts = |config: &str| {
+        let mut f = Fleet::with_config(seed, 0, config);
+        f.allow_all();
+        f.join("w", WORKERS, Size::new(16_000, 32_000, 0));
+        f.advance(Millis(500));
+        let mut jobs = Submitted::new();
+        drive(&mut f, &mut jobs, &[("a", 72), ("b", 16), ("c", 16)], Millis(6_000));
+        f.jobs.values().map(|j| j.first_start.unwrap()).collect::<Vec<_>>()
+    };
+    let with_organisations = first_starts(&weights(&[("a", 1), ("b", 1), ("c", 1)]));
+    assert_eq!(first_starts(""), with_organisations);
+}
+
+/// A backlog of more steps than a plan examines must not hide the steps of the others from the order. Known to fail:
+/// the selection of the steps that a plan examines does not know of shares (KNOWN-RED.txt).
+#[rstest]
+fn a_burst_of_many_small_steps_does_not_delay_the_others(#[values(1, 2)] seed: u64) {
+    let (mut f, mut jobs) = (fleet(seed, &FOUR), Submitted::new());
+    let usual = [("a", 32), ("b", 32), ("c", 32), ("d", 32)];
+    drive(&mut f, &mut jobs, &usual, Millis(3_000));
+    let mut jobs = Submitted::new();
+    for _ in 0..60 {
+        (0..30).for_each(|_| {
+            submit(&mut f, &mut jobs, "a", StepSpec { estimate: RUN_TIME, ..step(1) });
+        });
+        drive(&mut f, &mut jobs, &[("b", 32), ("c", 32), ("d", 32)], SUBMIT_INTERVAL);
+    }
+    let waits = waits(&f, &jobs, &["b", "c", "d"]);
+    let (p95, longest) = (waits[waits.len() * 95 / 100], *waits.last().unwrap());
+    println!("seed {seed}: p95 and longest {p95:?} {longest:?}");
+    assert!(p95 <= Millis(130) && longest <= Millis(530), "{p95:?} {longest:?}");
+}
+
 /// A debt that grew with the time for which idle capacity was used would lock the organisation out for as long again.
 #[rstest]
 fn use_of_idle_capacity_is_not_paid_for_later(#[values(1, 2)] seed: u64) {
