--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -34,6 +34,7 @@
 mod planning;
 mod renewals;
 mod service_order;
+mod shares;
 mod silent_zones;
 mod slack;
 mod speed;
--- a/components/dispatch/src/service_order.rs
+++ b/components/dispatch/src/service_order.rs
@@ -45,7 +45,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Rank {
     pub(crate) class: ServiceClass,
-    /// The second criterion; its meaning depends on the class.
+    /// Whether its organisation uses far more than its share, as of [`Dispatcher::share_class`].
+    share: u8,
+    /// The third criterion; its meaning depends on the class.
     by: u64,
     /// The job's position in the order of acceptance.
     order: u64,
@@ -56,6 +58,8 @@
 pub(crate) struct Timeliness {
     /// The priority of the job's queue; zero is the most urgent.
     pub(crate) priority: u8,
+    /// Whether its organisation uses far more than its share.
+    pub(crate) share: u8,
     /// The job's position in the order of acceptance.
     pub(crate) order: u64,
     /// The time of this moment.
@@ -73,8 +77,9 @@
 impl Timeliness {
     /// Returns the rank at this moment, and how long it holds unless the job makes progress.
     pub(crate) fn rank(&self) -> (Rank, Millis) {
-        let Timeliness { priority, order, now, age, allowed, remaining, remaining_work } = *self;
-        let rank = |class, by| Rank { class, by, order };
+        let Timeliness { priority, share, order, now, age, allowed, remaining, remaining_work } =
+            *self;
+        let rank = |class, by| Rank { class, share, by, order };
         // Declared run times are off by up to half. A job that is just in time by them mostly ends late.
         let margin = Millis(remaining.0 / RUN_TIME_MARGIN_DIVISOR);
         let slack = allowed.since(age + remaining + margin);
@@ -167,13 +172,14 @@
     /// Returns the rank of an open step, and how long it holds unless its job makes progress.
     fn rank(&self, m: Moment, entry: &OpenStep) -> (Rank, Millis) {
         let order = entry.order;
-        let by_arrival = |class, by| (Rank { class, by, order }, MAX_RANK_AGE);
+        let share = self.share_class(entry.key.job);
+        let by_arrival = |class, by| (Rank { class, share, by, order }, MAX_RANK_AGE);
         let Some(job) = self.replicated.job(entry.key.job) else {
             return by_arrival(ServiceClass::NotDue, 0);
         };
         let due = job.spec.due(entry.key.round);
         if m.wall < due {
-            let rank = Rank { class: ServiceClass::NotDue, by: 0, order };
+            let rank = Rank { class: ServiceClass::NotDue, share, by: 0, order };
             return (rank, due.since(m.wall));
         }
         let in_time = || {
@@ -207,6 +213,7 @@
         });
         Some(Timeliness {
             priority: job.priority,
+            share: self.share_class(key.job),
             order: job.order,
             now: m.now,
             age: self.age(m, key, job),
--- a/components/dispatch/tests/hard_load.rs
+++ b/components/dispatch/tests/hard_load.rs
@@ -59,7 +59,7 @@
 #[test]
 fn hard() {
     let scale: f64 = std::env::var("SCALE").ok().and_then(|s| s.parse().ok()).unwrap_or(1.0);
-    let mut f = Fleet::with_policy(1, 46, "advice, long, hard");
+    let mut f = Fleet::with_config(1, 46, "advice, long, hard");
     f.wait_checker.record_only = true;
     f.join("w", 350, Size::new(16_000, 65_536, 0));
     f.advance(Millis(1_000));
@@ -182,7 +182,7 @@
 
 #[test]
 fn gang_trace() {
-    let mut f = Fleet::with_policy(1, 46, "advice, long, hard");
+    let mut f = Fleet::with_config(1, 46, "advice, long, hard");
     f.wait_checker.record_only = true;
     f.join("w", 350, Size::new(16_000, 65_536, 0));
     f.advance(Millis(1_000));
