--- a/components/dispatch/src/call_handling.rs
+++ b/components/dispatch/src/call_handling.rs
@@ -6,6 +6,7 @@
 use model::Name;
 use workload::{Command, Credential, Document, JobId, JobSpec, JobState, Queue};
 
+use crate::admission::Admission;
 use crate::call::{Answer, Call, Verb};
 use crate::dispatcher::Dispatcher;
 use crate::input::{Moment, Token};
@@ -52,6 +53,7 @@
             );
             self.set_policy(policy);
             self.propose(Command::Configure(document));
+            self.recompute_backlog(m);
             self.admit_configured(m);
         }
         Answer::Published
@@ -147,6 +149,11 @@
                 if let Some(answer) = self.refuse_beyond_limit(name, &spec) {
                     return answer;
                 }
+            }
+            if let Some(answer) = self.refuse_for_wait(m, queue, organisation.as_ref(), &spec, id) {
+                return answer;
+            }
+            if let Some(name) = &organisation {
                 self.propose(Command::AssignOwner { job: id, organisation: name.clone() });
             }
             self.accepted.insert(id, m.now);
@@ -168,6 +175,31 @@
         Answer::Accepted
     }
 
+    /// Returns a refusal if the job would end too late to be worth anything to its caller.
+    fn refuse_for_wait(
+        &mut self,
+        m: Moment,
+        queue: &Queue,
+        organisation: Option<&Name>,
+        spec: &JobSpec,
+        id: JobId,
+    ) -> Option<Answer> {
+        if let Some(answer) = self.refuse_copy(m, id) {
+            return Some(answer);
+        }
+        match self.admit(m, queue, organisation, spec, id) {
+            Admission::Accept => {
+                self.forget_refusal(id);
+                None
+            }
+            Admission::Refuse { retry_after, forecast } => {
+                let cause = (retry_after, forecast);
+                self.record_refusal(m, id, &queue.name, organisation.cloned(), cause);
+                Some(Answer::NotDone { retry_after })
+            }
+        }
+    }
+
     /// Returns a refusal if the job could not run even with nothing else of its organisation
     /// running.
     fn refuse_beyond_limit(&self, organisation: &Name, spec: &JobSpec) -> Option<Answer> {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::action::Action;
+use crate::admission::AdmissionState;
 use crate::advice::AdviceScheduler;
 use crate::answer_times::AnswerTimes;
 use crate::call::Answer;
@@ -22,6 +23,7 @@
 use crate::long_running_waits::LongRunningWaits;
 use crate::losses::{LossAges, RecentLosses};
 use crate::plan_state::PlanState;
+use crate::refusals::Refusals;
 use crate::speed::StepSpeeds;
 use crate::step_selection::StepSelector;
 use crate::unconfigured_workers::UnconfiguredWorkers;
@@ -112,6 +114,10 @@
     pub(crate) long_running_waits: LongRunningWaits,
     /// Selects the waits to log, and when each was last logged.
     pub(crate) wait_logger: WaitLogger,
+    /// What the forecast of waits is made from.
+    pub(crate) admission: AdmissionState,
+    /// The jobs that were refused.
+    pub(crate) refusals: Refusals,
 }
 
 impl Dispatcher {
@@ -154,6 +160,8 @@
             step_selector: StepSelector::default(),
             long_running_waits: LongRunningWaits::default(),
             wait_logger: WaitLogger::default(),
+            admission: AdmissionState::default(),
+            refusals: Refusals::default(),
         };
         dispatcher.restore(m);
         dispatcher
@@ -196,6 +204,7 @@
         self.long_running_waits.update(m, &self.replicated);
         let with_runs = self.replicated.jobs().iter().filter(|(_, j)| j.placed() > 0);
         self.jobs_to_clean_up.extend(with_runs.map(|(id, _)| *id));
+        self.restore_backlog(m);
     }
 
     /// Handles an input.
@@ -272,7 +281,9 @@
     pub(crate) fn propose(&mut self, command: Command) {
         self.plan_due = true;
         self.long_running_waits.record_change(&command, &self.replicated);
+        let changed = self.backlog_changes(&command);
         self.replicated.apply(&command);
+        self.update_backlog(self.last_input, changed);
         self.batch.push(command);
     }
 
@@ -353,6 +364,7 @@
         self.advice_scheduler.expire(m.now);
         self.maintain_workers(m);
         self.clear_suspects(m);
+        self.refresh_forecasts(m);
         if m.now >= self.clean_up_at {
             self.clean_up_at = m.now + CLEANUP_INTERVAL;
             self.clean_up(m);
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -50,6 +50,8 @@
     pub long_running_waiting: u64,
     /// The longest wait among the long-running tasks that wait.
     pub long_running_max_wait: Millis,
+    /// The number of calls that were refused for the forecast wait of their jobs in this term.
+    pub refused: u64,
 }
 
 /// Gauges of one service.
@@ -72,6 +74,8 @@
     pub open_steps: u64,
     /// The number of its open steps of which the limit lets no task start.
     pub steps_at_limit: u64,
+    /// The number of its calls that were refused for the forecast wait of their jobs in this term.
+    pub refused: u64,
 }
 
 impl Dispatcher {
@@ -81,6 +85,7 @@
         let figures = |o: &Organisation| OrganisationFigures {
             limit: o.limit,
             used: self.replicated.ownership().used(&o.name),
+            refused: self.refusals.by_organisation.get(&o.name).copied().unwrap_or(0),
             ..OrganisationFigures::default()
         };
         let mut by_organisation: BTreeMap<Name, OrganisationFigures> = organisations
@@ -127,6 +132,7 @@
             quarantined_workers: self.quarantined_workers().count() as u64,
             long_running_waiting: waits.len() as u64,
             long_running_max_wait: longest,
+            refused: self.refusals.total,
         }
     }
 
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -7,11 +7,13 @@
 //! entry. The alternatives are discussed in docs/design/platform.md.
 
 mod action;
+mod admission;
 mod advice;
 mod advice_requests;
 mod advice_reserve;
 mod aging;
 mod answer_times;
+mod backlog;
 mod call;
 mod call_handling;
 mod candidates;
@@ -30,6 +32,7 @@
 mod partial_gangs;
 mod plan_state;
 mod planning;
+mod refusals;
 mod renewals;
 mod silent_zones;
 mod slack;
@@ -48,12 +51,15 @@
 mod workers;
 
 pub use action::Action;
+pub use admission::{Admission, WaitForecast};
 pub use advice::AdviceRequest;
+pub use backlog::Work;
 pub use call::{Answer, Call, Verb};
 pub use dispatcher::{Dispatcher, Setup};
 pub use figures::{Figures, OrganisationFigures, ServiceFigures};
 pub use input::{Input, Moment, Token};
-pub use limits::{Limits, Mechanisms};
+pub use limits::{Limits, MIN_REFUSAL_RETRY, Mechanisms};
+pub use refusals::RefusedJob;
 pub use worker_messages::{
     CallError, Refusal, RenewOrder, Report, RunStatus, StartOrder, StopOrder, WorkerAnnouncement,
 };
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -46,6 +46,8 @@
     pub prefetches_advice: bool,
     /// Places no new work in availability zones that have just fallen silent.
     pub avoids_silent_zones: bool,
+    /// Refuses jobs whose forecast end lies beyond the time at which they are worth anything.
+    pub forecasts_waits: bool,
 }
 
 impl Default for Mechanisms {
@@ -61,6 +63,7 @@
             adapts_answer_timeouts: true,
             prefetches_advice: true,
             avoids_silent_zones: true,
+            forecasts_waits: true,
         }
     }
 }
@@ -342,3 +345,46 @@
 pub(crate) const KEY_REFUSED_LOG_INTERVAL: Millis = Millis(1_000);
 /// The time after which callers that could not be served may retry.
 pub(crate) const CALLER_RETRY_AFTER: Millis = Millis(300);
+/// How long a leader has had workers in contact before it refuses any job. Workers report within a
+/// second of a change of leader; before that, the capacity of a few would be taken for that of the
+/// fleet.
+pub(crate) const ADMISSION_MEASURE_TIME: Millis = Millis(5_000);
+/// The interval at which the capacity in contact and the rate of completed work are measured. Each
+/// measurement visits all workers.
+pub(crate) const ADMISSION_REFRESH_INTERVAL: Millis = Millis(250);
+/// The same interval while no job has any work left.
+pub(crate) const ADMISSION_IDLE_REFRESH_INTERVAL: Millis = Millis(1_000);
+/// The half-life of the average rate of completed work: a few times the run time of a gang, since
+/// a gang's work counts at its end only.
+pub(crate) const EFFICIENCY_HALF_LIFE: Millis = Millis(10_000);
+/// The half-life with which the assumed rate returns to the full capacity while nothing waits.
+pub(crate) const EFFICIENCY_RECOVERY_HALF_LIFE: Millis = Millis(30_000);
+/// The least fraction of the capacity that is assumed to become completed work. At the worst, 54%
+/// of the cores were in use while steps waited; less is measured when the work that waits cannot
+/// use the workers that are free, which is no reason to refuse other work.
+pub(crate) const MIN_EFFICIENCY: f64 = 0.5;
+/// By what factor the forecast wait may be too long: declared run times are off by up to half.
+pub(crate) const FORECAST_MARGIN: f64 = 1.5;
+/// The multiple of its objective after which the result of a job is worth nothing to its caller.
+pub(crate) const WORTHLESS_FACTOR: u64 = 3;
+/// The shortest forecast wait for which a job is refused. Shorter waits come about without any
+/// backlog, by calls for advice and commits.
+pub(crate) const MIN_REFUSED_WAIT: Millis = Millis(1_000);
+/// The divisor of the capacity that gives how much is assumed to be freed at least, however much
+/// long-running tasks take: some of them end.
+pub(crate) const FREED_CAPACITY_DIVISOR: u64 = 10;
+/// The shortest time after which the caller of a refused job is told to retry. Callers wait in whole
+/// seconds, and instances tell a refusal by the leader from a missing leader by this time.
+pub const MIN_REFUSAL_RETRY: Millis = Millis(1_000);
+/// The longest time after which the caller of a refused job is told to retry. Callers make four
+/// attempts, and the forecast for a longer time is uncertain.
+pub(crate) const MAX_REFUSAL_RETRY: Millis = Millis(10_000);
+/// The time over which retries are spread, so that the callers of jobs that were refused together
+/// do not return together.
+pub(crate) const REFUSAL_RETRY_SPREAD: Millis = Millis(2_000);
+/// How many refusals are kept to tell why a job was refused. An entry takes about 300 bytes.
+pub(crate) const MAX_KEPT_REFUSALS: usize = 500;
+/// The maximum number of log lines about refusals in a [`REFUSAL_LINE_WINDOW`].
+pub(crate) const MAX_REFUSAL_LINES_PER_SECOND: usize = 5;
+/// The time over which [`MAX_REFUSAL_LINES_PER_SECOND`] is counted.
+pub(crate) const REFUSAL_LINE_WINDOW: Millis = Millis(1_000);
--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -46,6 +46,8 @@
 const SHORT_CALL_COST: (u64, u64) = (20_000, 500);
 /// The same for other jobs.
 const LONG_CALL_COST: (u64, u64) = (400_000, 5_000);
+/// How often callers submit a job before they give up.
+const MAX_ATTEMPTS: usize = 4;
 /// How many of a hundred workers the advice service allows for a step by default.
 const DEFAULT_ALLOWED_PERCENT: u64 = 70;
 
@@ -94,8 +96,10 @@
     path: String,
     spec: Arc<JobSpec>,
     pub at: Millis,
-    accepted: bool,
+    pub accepted: bool,
     pub first_start: Option<Millis>,
+    /// When the job was refused, and after how long its caller was told to retry.
+    pub refusals: Vec<(Millis, Millis)>,
 }
 
 /// A call for advice that is in progress.
@@ -135,6 +139,8 @@
     disturbed_at: Millis,
     /// The jobs with long-running tasks.
     long_running_jobs: Vec<JobId>,
+    /// When callers return whose jobs were refused.
+    returns: Vec<(Millis, JobId)>,
     /// The decisions that the dispatcher logged: the subject, and the whole line.
     log_lines: Vec<(String, String)>,
 }
@@ -169,6 +175,7 @@
             incarnations: BTreeMap::new(),
             disturbed_at: Millis::ZERO,
             long_running_jobs: Vec::new(),
+            returns: Vec::new(),
             log_lines: Vec::new(),
         };
         fleet.set_callers();
@@ -296,7 +303,15 @@
         }
         let (path, spec) = (format!("/{queue}/{id}"), super::spec(steps));
         let at = self.harness.now;
-        let job = SubmittedJob { kind, path, spec, at, accepted: false, first_start: None };
+        let job = SubmittedJob {
+            kind,
+            path,
+            spec,
+            at,
+            accepted: false,
+            first_start: None,
+            refusals: Vec::new(),
+        };
         self.jobs.insert(id, job);
         self.send(id);
         id
@@ -375,6 +390,7 @@
             self.carry_out_orders();
             self.fail_unanswered_orders();
             self.answer_renewals();
+            self.return_callers();
             self.harness.feed(Input::Tick);
             self.collect();
         }
@@ -542,6 +558,9 @@
                         job.accepted = true;
                     }
                 }
+                Action::Reply { token, answer: Answer::NotDone { retry_after } } => {
+                    self.note_refusal(JobId(token), retry_after);
+                }
                 Action::LogEvent { kind, subject, details } => {
                     let text = format!("{:?} {} {subject} {details}", self.harness.now, kind.name);
                     self.log_lines.push((subject, text));
@@ -552,6 +571,25 @@
         }
     }
 
+    /// Notes that a job was refused; its caller returns when it was told to, unless it gives up.
+    fn note_refusal(&mut self, id: JobId, retry_after: Millis) {
+        let now = self.harness.now;
+        let Some(job) = self.jobs.get_mut(&id) else { return };
+        job.refusals.push((now, retry_after));
+        if job.refusals.len() < MAX_ATTEMPTS {
+            self.returns.push((now + retry_after, id));
+        }
+    }
+
+    /// Lets the callers return for whom that is due.
+    fn return_callers(&mut self) {
+        let now = self.harness.now;
+        let (due, rest): (Vec<(Millis, JobId)>, _) =
+            std::mem::take(&mut self.returns).into_iter().partition(|(due, _)| *due <= now);
+        self.returns = rest;
+        due.into_iter().for_each(|(_, id)| self.send(id));
+    }
+
     /// Starts a call for advice; an instance makes its calls one after the other.
     fn start_advice_call(&mut self, request: AdviceRequest) {
         let is_quick = self.jobs.get(&request.step.job).is_some_and(|j| j.path.starts_with("/q/"));
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -130,6 +130,7 @@
         GANG_TORN = 974 Warn "gang_torn" "A member counts as running while others of its gang wait, so that the gang cannot start again; looked for every five seconds.";
         LOSS_IN_DOUBT = 975 Info "loss_in_doubt" "A worker was lost among so many others that the loss of a run may be a coincidence: what it speaks against the run, in thousandths, the age of the run, and whether it counts with those before.";
         LINES_DROPPED = 981 Warn "lines_dropped" "Log lines were dropped because there were too many.";
+        JOB_REFUSED = 990 Info "job_refused" "A job was refused because it would end too late to be worth anything: the forecast, what it was made from, and how many refusals before it were not logged.";
     }
 }
 
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 
 use clock::Millis;
-use dispatch::{Answer, Call};
+use dispatch::{Answer, Call, MIN_REFUSAL_RETRY};
 use model::InstanceId;
 
 use crate::message::Message;
@@ -166,7 +166,18 @@
     /// Processes a leader's answer. Returns the answer to the caller unless the call will be sent again.
     pub fn on_answer(&mut self, now: Millis, token: u64, answer: Answer) -> Option<RelayAction> {
         let pending = self.pending.get_mut(&token)?;
-        if let Answer::NotDone { .. } = answer {
+        if let Answer::NotDone { retry_after } = answer {
+            if retry_after >= MIN_REFUSAL_RETRY {
+                // The leader refuses the job because of its backlog: another attempt now would only
+                // add to the load. An earlier attempt may still have been accepted.
+                let maybe_accepted = pending.maybe_accepted;
+                self.pending.remove(&token);
+                let answer = match maybe_accepted {
+                    true => Answer::Unsure { retry_after },
+                    false => Answer::NotDone { retry_after },
+                };
+                return Some(RelayAction::Answer(token, answer));
+            }
             // Another leader may still accept the call.
             pending.answer_awaited = false;
             pending.next_send_at = now + RETRY_PAUSE;
--- a/components/node/tests/relay.rs
+++ b/components/node/tests/relay.rs
@@ -93,6 +93,33 @@
     assert!(matches!(answer, Some(Answer::NotDone { .. })));
 }
 
+#[test]
+fn a_refusal_for_a_backlog_reaches_the_caller_at_once() {
+    // Sent again until it expired, each refused call came to the overloaded leader twelve times.
+    let leader = InstanceId::from("l1");
+    let mut relay = Relay::new(1);
+    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.tick(Millis(0), Some(&leader));
+    let refusal = Answer::NotDone { retry_after: Millis(4_200) };
+    let answer = relay.on_answer(Millis(10), token, refusal.clone());
+    assert_eq!(answer, Some(RelayAction::Answer(token, refusal)));
+    assert!(!relay.has_pending());
+}
+
+#[test]
+fn a_refusal_for_a_backlog_does_not_hide_an_earlier_unanswered_try() {
+    let (old, new) = (InstanceId::from("l1"), InstanceId::from("l2"));
+    let mut relay = Relay::new(1);
+    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.tick(Millis(0), Some(&old));
+    relay.leader_changed(Millis(100));
+    relay.tick(Millis(100), Some(&new));
+    let refusal = Answer::NotDone { retry_after: Millis(4_200) };
+    let answer = relay.on_answer(Millis(110), token, refusal);
+    let unsure = Answer::Unsure { retry_after: Millis(4_200) };
+    assert_eq!(answer, Some(RelayAction::Answer(token, unsure)));
+}
+
 #[test]
 fn a_call_that_is_not_answered_is_sent_again() {
     let leader = InstanceId::from("l1");
