--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -387,19 +387,31 @@
         spec: &JobSpec,
         id: JobId,
     ) -> Admission {
+        match self.forecast_wait(m, queue, organisation, spec) {
+            Some(forecast) => decide(forecast, id),
+            None => Admission::Accept,
+        }
+    }
+
+    /// Returns when a job that is submitted now would start and end; `None` if it has no end or no
+    /// objective, or if this leader has not measured for long enough.
+    pub fn forecast_wait(
+        &self,
+        m: Moment,
+        queue: &Queue,
+        organisation: Option<&Name>,
+        spec: &JobSpec,
+    ) -> Option<WaitForecast> {
         // A schedule and tasks that run until they are cancelled have no end to forecast.
         let has_end = spec.rounds == 0 && !spec.is_long_running();
         let has_objective = queue.target_latency > Millis::ZERO;
         if !self.limits.mechanisms.forecasts_waits || !has_end || !has_objective {
-            return Admission::Accept;
+            return None;
         }
-        let (Some(policy), Some(supply)) =
-            (self.policy.as_ref(), self.admission.supplies.get(&queue.service))
-        else {
-            return Admission::Accept;
-        };
+        let policy = self.policy.as_ref()?;
+        let supply = self.admission.supplies.get(&queue.service)?;
         if !supply.is_measured(m.now) {
-            return Admission::Accept;
+            return None;
         }
         let work = |s: &workload::StepSpec| Work::of(&s.required_capacity(), s.count, s.estimate);
         let work = spec.steps.iter().map(work).fold(Work::default(), Work::plus);
@@ -425,7 +437,7 @@
         let standing = standing(policy, backlog, &queue.service, organisation);
         let standing = standing.as_ref();
         let forecaster = Forecaster { backlog, supply, job: &job, standing, capacity };
-        decide(forecaster.forecast(), id)
+        Some(forecaster.forecast())
     }
 
     /// Builds the sums of the work that is left from the replicated state.
@@ -481,9 +493,10 @@
         if !self.limits.mechanisms.forecasts_waits || m.now < self.admission.refresh_at {
             return;
         }
-        let interval = match self.admission.backlog.has_work() {
-            true => ADMISSION_REFRESH_INTERVAL,
-            false => ADMISSION_IDLE_REFRESH_INTERVAL,
+        let is_idle = !self.admission.backlog.has_work() && !self.admission.supplies.is_empty();
+        let interval = match is_idle {
+            true => ADMISSION_IDLE_REFRESH_INTERVAL,
+            false => ADMISSION_REFRESH_INTERVAL,
         };
         self.admission.refresh_at = m.now + interval;
         self.admission.backlog.expire(m.now);
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -156,9 +156,22 @@
 
     /// Returns a harness whose dispatcher begins a term as leader with the committed state.
     pub fn take_over(replicated: ReplicatedState, term: u64, now: Millis) -> Harness {
+        Harness::with_limits(replicated, term, now, Limits::default())
+    }
+
+    /// Returns a harness whose dispatcher accepts jobs whatever their wait.
+    pub fn without_forecasts(config: &str) -> Harness {
+        let mut replicated = ReplicatedState::default();
+        replicated.apply(&Command::Configure(Document { version: 1, text: config.into() }));
+        let mut limits = Limits::default();
+        limits.mechanisms.forecasts_waits = false;
+        Harness::with_limits(replicated, 1, Millis(1_000_000), limits)
+    }
+
+    fn with_limits(replicated: ReplicatedState, term: u64, now: Millis, limits: Limits) -> Harness {
         let m = Moment { now, wall: now, leads_until: now + Millis(1_000) };
         let setup = Setup {
-            limits: Limits::default(),
+            limits,
             term,
             reader: Arc::new(ThreeQueueReader),
             replicated: replicated.clone(),
