--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::action::Action;
+use crate::admission::AdmissionState;
 use crate::advice::AdviceScheduler;
 use crate::advice_pacing::ReleaseRates;
 use crate::answer_times::AnswerTimes;
@@ -24,6 +25,7 @@
 use crate::long_running_waits::LongRunningWaits;
 use crate::losses::{LossAges, RecentLosses};
 use crate::plan_state::PlanState;
+use crate::refusals::Refusals;
 use crate::service_order::ServiceOrder;
 use crate::shares::Shares;
 use crate::speed::StepSpeeds;
@@ -127,6 +129,10 @@
     pub(crate) wait_logger: WaitLogger,
     /// What organisations have used recently, compared with their shares.
     pub(crate) shares: Shares,
+    /// What the forecast of waits is made from.
+    pub(crate) admission: AdmissionState,
+    /// The jobs that were refused.
+    pub(crate) refusals: Refusals,
 }
 
 impl Dispatcher {
@@ -173,6 +179,8 @@
             long_running_waits: LongRunningWaits::default(),
             wait_logger: WaitLogger::default(),
             shares: Shares::default(),
+            admission: AdmissionState::default(),
+            refusals: Refusals::default(),
         };
         dispatcher.restore(m);
         dispatcher
@@ -217,6 +225,7 @@
         let with_runs = self.replicated.jobs().iter().filter(|(_, j)| j.placed() > 0);
         self.jobs_to_clean_up.extend(with_runs.map(|(id, _)| *id));
         self.restore_shares(m);
+        self.restore_backlog(m);
     }
 
     /// Handles an input.
@@ -294,7 +303,9 @@
         self.plan_due = true;
         self.long_running_waits.record_change(&command, &self.replicated);
         self.record_released(self.last_input.now, &command);
+        let changed = self.backlog_changes(&command);
         self.replicated.apply(&command);
+        self.update_backlog(self.last_input, changed);
         if let Some(id) = changed_worker(&command) {
             match self.replicated.worker(id) {
                 Some(worker) => self.capacity_index.update(worker),
@@ -410,6 +421,7 @@
         self.clear_suspects(m);
         self.worker_speeds.update(m.now);
         self.update_shares(m);
+        self.refresh_forecasts(m);
         if m.now >= self.clean_up_at {
             self.clean_up_at = m.now + CLEANUP_INTERVAL;
             self.clean_up(m);
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -51,6 +51,8 @@
     pub long_running_waiting: u64,
     /// The longest wait among the long-running tasks that wait.
     pub long_running_max_wait: Millis,
+    /// The number of calls that were refused for the forecast wait of their jobs in this term.
+    pub refused: u64,
 }
 
 /// Gauges of one service.
@@ -75,6 +77,8 @@
     pub steps_at_limit: u64,
     /// What it has used recently, in thousandths of its share by weight.
     pub share_ratio_per_mille: u64,
+    /// The number of its calls that were refused for the forecast wait of their jobs in this term.
+    pub refused: u64,
 }
 
 impl Dispatcher {
@@ -85,6 +89,7 @@
             limit: o.limit,
             used: self.replicated.ownership().used(&o.name),
             share_ratio_per_mille: self.share_ratio_per_mille(&o.name),
+            refused: self.refusals.by_organisation.get(&o.name).copied().unwrap_or(0),
             ..OrganisationFigures::default()
         };
         let mut by_organisation: BTreeMap<Name, OrganisationFigures> = organisations
@@ -131,6 +136,7 @@
             quarantined_workers: self.quarantined_workers().count() as u64,
             long_running_waiting: waits.len() as u64,
             long_running_max_wait: longest,
+            refused: self.refusals.total,
         }
     }
 
