Drain and restore an availability zone of the own cell from the command line

The zone's allocator keeps its epoch and renews leases, but closes its workers and plans nothing; the leader gives the zone no new share; its instances fail the balancer's health check. A repeated order is acknowledged with the version of the last change; an unknown zone is refused with the known ones.

The command line no longer prints "(version 0)" for a conflict without a version.

--- a/components/cell/src/command.rs
+++ b/components/cell/src/command.rs
@@ -100,6 +100,13 @@
         /// The claims; the replies have the same order.
         claims: Vec<Claim>,
     },
+    /// Drains an availability zone, or ends the drain. A repeated order changes nothing.
+    DrainZone {
+        /// The zone.
+        zone: ZoneId,
+        /// Whether the zone is drained.
+        on: bool,
+    },
 }
 
 /// A claim of a non-repeatable request.
--- a/components/cell/src/lib.rs
+++ b/components/cell/src/lib.rs
@@ -6,6 +6,7 @@
 mod assign;
 mod claims;
 mod command;
+mod drained_zones;
 mod jobs;
 mod reply_cache;
 mod share;
@@ -15,6 +16,7 @@
 pub use assign::{ZoneCapacity, assign, choose_target_zone};
 pub use claims::{CLAIM_SKEW, CLAIM_WINDOW, Claims};
 pub use command::{Claim, ClaimReply, Command, Proposal, Reply, TaskEnd, TaskOutcome};
+pub use drained_zones::DrainedZones;
 pub use jobs::{Job, JobState};
 pub use share::Share;
 pub use state::{Cell, ConfigVersion};
--- a/components/cell/src/state.rs
+++ b/components/cell/src/state.rs
@@ -9,7 +9,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::reply_cache::{Lookup, ReplyCache};
-use crate::{Claims, Command, Job, JobState, Proposal, Reply, Share, TaskEnd, Zones};
+use crate::{Claims, Command, DrainedZones, Job, JobState, Proposal, Reply, Share, TaskEnd, Zones};
 
 /// The number of ended jobs that are retained for operators to inspect. A greater number enlarges
 /// the state and its snapshots; with a smaller one ended jobs disappear from view sooner.
@@ -47,6 +47,10 @@
     pub jobs_version: u64,
     ended_jobs: VecDeque<JobName>,
     reply_cache: ReplyCache,
+    /// The drained availability zones. They are encoded after all other fields, so that a snapshot
+    /// from before this field existed still decodes.
+    #[serde(skip)]
+    pub drained_zones: DrainedZones,
 }
 
 impl Cell {
@@ -76,10 +80,13 @@
 
     /// Encodes the whole state.
     pub fn encode(&self) -> Vec<u8> {
-        postcard::to_allocvec(self).unwrap_or_default()
+        let encoded = postcard::to_allocvec(self);
+        let encoded = encoded.and_then(|bytes| postcard::to_extend(&self.drained_zones, bytes));
+        encoded.unwrap_or_default()
     }
 
-    /// Decodes a state. Empty input decodes to the initial, empty state.
+    /// Decodes a state. Empty input decodes to the initial, empty state; in a state without drained
+    /// zones, which an earlier release encoded, no zone is drained.
     ///
     /// # Errors
     /// Returns [`Error::Decode`] if the bytes are not a valid state.
@@ -87,8 +94,13 @@
         if bytes.is_empty() {
             return Ok(Cell::default());
         }
-        let decoded = postcard::from_bytes(bytes);
-        decoded.map_err(|e| Error::Decode { what: "the cell state", reason: e.to_string() })
+        let decode_error =
+            |e: postcard::Error| Error::Decode { what: "the cell state", reason: e.to_string() };
+        let (mut cell, rest) = postcard::take_from_bytes::<Cell>(bytes).map_err(decode_error)?;
+        if !rest.is_empty() {
+            cell.drained_zones = postcard::from_bytes(rest).map_err(decode_error)?;
+        }
+        Ok(cell)
     }
 
     fn apply_command(&mut self, index: u64, command: &Command) -> Reply {
@@ -114,6 +126,7 @@
                 let now = self.time;
                 Reply::Claims(claims.iter().map(|c| self.claims.claim(now, c)).collect())
             }
+            Command::DrainZone { zone, on } => self.drain_zone(index, zone, *on),
         }
     }
 
@@ -163,6 +176,17 @@
         Reply::Accepted { version: index }
     }
 
+    /// Drains a zone or restores it. A zone is known once it was granted to an allocator; before that
+    /// nothing can run in it.
+    fn drain_zone(&mut self, index: u64, zone: &ZoneId, on: bool) -> Reply {
+        if self.zones.grant(zone).is_none() {
+            let known: Vec<&str> = self.zones.iter().map(|(z, _)| z.as_str()).collect();
+            let known = if known.is_empty() { "none".to_string() } else { known.join(", ") };
+            return conflict(0, &format!("the availability zone is not known; known are: {known}"));
+        }
+        Reply::Accepted { version: self.drained_zones.set(index, zone, on) }
+    }
+
     fn grant_epoch(
         &mut self,
         index: u64,
--- a/components/cell/tests/commands.rs
+++ b/components/cell/tests/commands.rs
@@ -152,6 +152,63 @@
     assert_eq!(cell.zones.epoch(&"za".into()), Epoch(5));
 }
 
+fn drain_zone(zone: &str, on: bool) -> Command {
+    Command::DrainZone { zone: zone.into(), on }
+}
+
+fn cell_with_zone(zone: &str) -> Cell {
+    let mut cell = Cell::default();
+    let grant = Command::GrantEpoch { zone: zone.into(), holder: "a".into(), after: Epoch(0) };
+    cell.apply(1, &propose(None, grant));
+    cell
+}
+
+/// Guards against a repeated order that counts as a change: it would be logged and applied again, and the operator could not
+/// tell when the zone was drained.
+#[test]
+fn a_repeated_order_for_a_zone_is_acknowledged_and_changes_nothing() {
+    let mut cell = cell_with_zone("za");
+    let reply = cell.apply(2, &propose(Some("first"), drain_zone("za", true)));
+    assert_eq!(reply, Reply::Accepted { version: 2 });
+    let drained = cell.drained_zones.clone();
+    let reply = cell.apply(3, &propose(Some("second"), drain_zone("za", true)));
+    assert_eq!(reply, Reply::Accepted { version: 2 });
+    assert_eq!(cell.drained_zones, drained);
+    assert!(cell.drained_zones.contains(&"za".into()));
+    let reply = cell.apply(4, &propose(None, drain_zone("za", false)));
+    assert_eq!(reply, Reply::Accepted { version: 4 });
+    assert!(cell.drained_zones.is_empty());
+    assert_eq!(
+        cell.apply(5, &propose(None, drain_zone("za", false))),
+        Reply::Accepted { version: 4 }
+    );
+}
+
+/// Guards against a misspelled name that is acknowledged while the zone that was meant goes on.
+#[test]
+fn an_unknown_zone_is_refused_with_the_names_of_the_known_ones() {
+    let mut cell = cell_with_zone("za");
+    let grant = Command::GrantEpoch { zone: "zb".into(), holder: "b".into(), after: Epoch(0) };
+    cell.apply(2, &propose(None, grant));
+    let Reply::Conflict { reason, .. } = cell.apply(3, &propose(None, drain_zone("zc", true)))
+    else {
+        panic!("an unknown zone was drained");
+    };
+    assert!(reason.ends_with("za, zb"), "{reason}");
+    assert!(cell.drained_zones.is_empty());
+}
+
+/// Guards against an upgrade on which an instance cannot read its own snapshot.
+#[test]
+fn a_state_encoded_before_zones_could_be_drained_decodes() {
+    let cell = cell_with_zone("za");
+    let current = cell.encode();
+    // The drained zones are encoded last; an empty set takes a zero version and a zero length.
+    let older = current.strip_suffix(&[0, 0]).unwrap();
+    assert_eq!(Cell::decode(older).unwrap(), cell);
+    assert_eq!(Cell::decode(&current).unwrap(), cell);
+}
+
 #[test]
 fn an_older_epoch_ends_and_claims_nothing() {
     let mut cell = Cell::default();
@@ -243,6 +300,7 @@
             let ended = vec![TaskEnd { task, outcome: TaskOutcome::Done }];
             Command::EndTasks { zone: z.into(), epoch: Epoch(epoch), ended }
         }),
+        (zone, any::<bool>()).prop_map(|(z, on)| drain_zone(z, on)),
         (name, 0u64..200_000).prop_map(|(n, issued)| Command::ClaimRequests {
             claims: vec![Claim { key: n.into(), issued: Millis(issued) }],
         }),
--- a/components/instance/src/callers.rs
+++ b/components/instance/src/callers.rs
@@ -49,7 +49,8 @@
 /// Answers the balancer's health check: whether to send callers to this instance.
 pub(crate) async fn health(service: State<Rc<CallerService>>) -> HttpResponse {
     let shared = &service.shared;
-    let accepts = shared.is_ready() && !shared.is_stopping() && !shared.is_drained();
+    let drained = shared.is_drained() || shared.is_zone_drained();
+    let accepts = shared.is_ready() && !shared.is_stopping() && !drained;
     match accepts {
         true => HttpResponse::Ok().body("ok"),
         false => HttpResponse::ServiceUnavailable().body("not for new callers"),
--- a/components/instance/src/core.rs
+++ b/components/instance/src/core.rs
@@ -154,6 +154,8 @@
         if let Some(active_config) = active_config {
             core.shared.put_config(active_config.config.clone());
             core.shared.put_drained(active_config.drained.clone());
+            let zone_drained = active_config.drained_zones.contains(core.shared.zone());
+            core.shared.set_zone_drained(zone_drained);
             core.active_config = active_config;
             core.shared.set_ready();
         }
--- a/components/instance/src/core/apply.rs
+++ b/components/instance/src/core/apply.rs
@@ -102,6 +102,10 @@
                 let text = format!("{target} {}", if *on { "out of use" } else { "in use" });
                 journal.record(&kinds::DRAIN_CHANGED, Subject::default(), text);
             }
+            Command::DrainZone { zone, on } => {
+                let text = format!("zone {zone} {}", if *on { "out of use" } else { "in use" });
+                journal.record(&kinds::DRAIN_CHANGED, Subject::default(), text);
+            }
             Command::MoveShare { job, from, to, .. } => {
                 let text = format!("from zone {from} to zone {to}");
                 journal.record(&kinds::SHARE_MOVED, Subject::job(job), text);
@@ -114,20 +118,26 @@
         }
     }
 
-    /// Activates a newer configuration or a changed set of drained names. It is saved before it is used.
+    /// Activates a newer configuration or a changed set of drained names or zones. It is saved before it is used.
     fn activate_config(&mut self) -> Result<()> {
         let newer = self.cell.config.version > self.active_config.config.version;
         let behind = self.cell.config.version < self.active_config.config.version;
-        if behind || (!newer && self.cell.drained == self.active_config.drained) {
+        let same_drains = self.cell.drained == self.active_config.drained
+            && self.cell.drained_zones == self.active_config.drained_zones;
+        if behind || (!newer && same_drains) {
             return Ok(());
         }
-        let active_config =
-            ActiveConfig { config: self.cell.config.clone(), drained: self.cell.drained.clone() };
+        let active_config = ActiveConfig {
+            config: self.cell.config.clone(),
+            drained: self.cell.drained.clone(),
+            drained_zones: self.cell.drained_zones.clone(),
+        };
         if let Some(path) = &self.active_config_file {
             active_config.save(path)?;
         }
         self.active_config = active_config;
         self.shared.put_drained(self.cell.drained.clone());
+        self.shared.set_zone_drained(self.cell.drained_zones.contains(self.shared.zone()));
         if newer {
             let version = self.cell.config.version;
             self.shared.put_config(self.cell.config.clone());
--- a/components/instance/src/core/changes.rs
+++ b/components/instance/src/core/changes.rs
@@ -88,7 +88,8 @@
         }
     }
 
-    /// Chooses the zones of a new job. Returns an error if no known worker can ever run it.
+    /// Chooses the zones of a new job. Returns an error if no known worker can ever run it, or if none
+    /// outside of the drained zones can.
     fn choose_shares(&self, spec: &model::JobSpec) -> Result<Vec<cell::Share>, Outcome> {
         let rooms = self.zone_supervisor.zone_capacities();
         let all_known = rooms.len() == self.cell.zones.iter().count();
@@ -97,8 +98,15 @@
             let reason = format!("can never run: no worker of any zone holds {}", spec.size);
             return Err(Outcome::Invalid { reason: reason.into() });
         }
+        let usable = self.zone_supervisor.usable_capacities(&self.cell);
+        if fits && !usable.iter().any(|r| spec.size.fits(&r.largest)) {
+            let drained: Vec<&str> = self.cell.drained_zones.iter().map(|z| z.as_str()).collect();
+            let drained = drained.join(", ");
+            let reason = format!("only drained zones hold {}; drained are: {drained}", spec.size);
+            return Err(Outcome::Refused { reason: reason.into() });
+        }
         let none = Outcome::Refused { reason: "no zone has reported its capacity yet".into() };
-        cell::assign(spec, &rooms).ok_or(none)
+        cell::assign(spec, &usable).ok_or(none)
     }
 }
 
--- a/components/instance/src/figures.rs
+++ b/components/instance/src/figures.rs
@@ -24,6 +24,7 @@
     figures.push(Figure::new("records_synced", core.synced as f64, "records"));
     figures.push(Figure::new("request_claims", core.cell.claims.len() as f64, "claims"));
     figures.push(Figure::new("jobs_known", core.cell.jobs.len() as f64, "jobs"));
+    figures.push(Figure::new("zones_drained", core.cell.drained_zones.len() as f64, "zones"));
     if let Some(allocator) = core.role.allocator() {
         let (running, waiting, unaccounted) = allocator.task_counts();
         figures.push(Figure::new("tasks_placed", running as f64, "tasks"));
--- a/components/instance/src/operators.rs
+++ b/components/instance/src/operators.rs
@@ -103,7 +103,11 @@
 
     #[method(Drain)]
     async fn drain(&self, req: pb::DrainRequest) -> pb::ChangeReply {
-        let command = Command::Drain { target: req.target.as_str().into(), on: req.on };
+        let command = match (req.target.is_empty(), req.zone.is_empty()) {
+            (false, true) => Command::Drain { target: req.target.as_str().into(), on: req.on },
+            (true, false) => Command::DrainZone { zone: req.zone.as_str().into(), on: req.on },
+            _ => return invalid("exactly one of target and zone must be set"),
+        };
         self.command(&req.request_key, command).await
     }
 
--- a/components/instance/src/shared.rs
+++ b/components/instance/src/shared.rs
@@ -34,6 +34,7 @@
     config: RwLock<Arc<ConfigVersion>>,
     addresses: RwLock<Arc<BTreeMap<Name, SocketAddr>>>,
     drained: RwLock<Arc<BTreeSet<Name>>>,
+    zone_drained: AtomicBool,
     ready: AtomicBool,
     stopping: AtomicBool,
     closed: AtomicBool,
@@ -51,6 +52,7 @@
             config: RwLock::default(),
             addresses: RwLock::default(),
             drained: RwLock::default(),
+            zone_drained: AtomicBool::new(false),
             ready: AtomicBool::new(false),
             stopping: AtomicBool::new(false),
             closed: AtomicBool::new(false),
@@ -127,6 +129,16 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Returns whether operators have drained this instance's zone. The instance still allocates, to
+    /// renew the leases of what runs, but the balancer should send no more callers.
+    pub(crate) fn is_zone_drained(&self) -> bool {
+        self.zone_drained.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn set_zone_drained(&self, drained: bool) {
+        self.zone_drained.store(drained, Ordering::SeqCst);
+    }
+
     pub(crate) fn is_drained(&self) -> bool {
         self.drained().contains(&self.id().0)
     }
--- a/components/instance/src/zone_role.rs
+++ b/components/instance/src/zone_role.rs
@@ -135,6 +135,7 @@
         let mut allocator = Allocator::new(now, cfg);
         allocator.set_workers(now, &self.list.workers);
         allocator.set_drained(&cell.drained);
+        allocator.set_zone_drained(cell.drained_zones.contains(&self.zone));
         for job in cell.jobs.values().filter(|j| j.is_active()) {
             allocator.apply_job(now, job);
         }
@@ -150,6 +151,7 @@
             allocator.apply_job(now, job);
         }
         allocator.set_drained(&cell.drained);
+        allocator.set_zone_drained(cell.drained_zones.contains(&self.zone));
     }
 
     /// Updates the allocator after the cell has applied a command.
@@ -167,6 +169,7 @@
                 allocator.on_tasks_claimed(tasks);
             }
             Command::Drain { .. } => allocator.set_drained(&cell.drained),
+            Command::DrainZone { zone: z, on } if *z == zone => allocator.set_zone_drained(*on),
             Command::ApplyConfig { .. } => {
                 let cfg = allocator_config(zone, allocator.epoch(), cell);
                 allocator.configure(cfg.worker_lease, cfg.profile, cfg.quotas);
--- a/components/instance/src/zone_supervisor.rs
+++ b/components/instance/src/zone_supervisor.rs
@@ -108,6 +108,12 @@
         state.pending_until = state.pending_until.max(index);
     }
 
+    /// Returns the capacities of the zones that have reported theirs and are not drained.
+    pub fn usable_capacities(&self, cell: &Cell) -> Vec<ZoneCapacity> {
+        let drained = &cell.drained_zones;
+        self.zone_capacities().into_iter().filter(|c| !drained.contains(&c.zone)).collect()
+    }
+
     /// Returns the capacities of all zones that have reported theirs.
     pub fn zone_capacities(&self) -> Vec<ZoneCapacity> {
         self.zones.values().filter_map(|v| v.capacity.clone()).collect()
@@ -130,7 +136,7 @@
             return Vec::new();
         }
         let capacities: Vec<ZoneCapacity> = self
-            .zone_capacities()
+            .usable_capacities(cell)
             .into_iter()
             .filter(|r| !silent_zones.contains(&&r.zone))
             .collect();
--- a/components/instance/tests/zone_supervisor.rs
+++ b/components/instance/tests/zone_supervisor.rs
@@ -120,6 +120,23 @@
     ));
 }
 
+/// Guards against a drained zone that loses its allocator: without one, the leases of its running tasks would expire.
+#[test]
+fn the_allocator_of_a_drained_zone_is_confirmed_but_no_new_job_goes_there() {
+    let mut cell = Cell::default();
+    grant(&mut cell, 1, "za", "a");
+    grant(&mut cell, 2, "zb", "b");
+    apply(&mut cell, 3, Command::DrainZone { zone: "za".into(), on: true });
+    let mut supervisor = ZoneSupervisor::new(START);
+    let confirmed = supervisor.handle_request(START, &cell, &id("a"), &request("za", 1, 3));
+    assert_eq!(confirmed, ZoneDecision::Confirm);
+    supervisor.handle_request(START, &cell, &id("b"), &request("zb", 2, 3));
+    let usable: Vec<ZoneCapacity> = supervisor.usable_capacities(&cell);
+    assert_eq!(usable.iter().map(|c| c.zone.as_str()).collect::<Vec<_>>(), ["zb"]);
+    apply(&mut cell, 4, Command::DrainZone { zone: "za".into(), on: false });
+    assert_eq!(supervisor.usable_capacities(&cell).len(), 2);
+}
+
 fn job(name: &str, may_move: bool) -> Command {
     let spec = JobSpec {
         may_move,
--- a/components/zone/src/allocator.rs
+++ b/components/zone/src/allocator.rs
@@ -50,6 +50,8 @@
     /// Ended tasks that the cell has not recorded yet, and when that was last proposed.
     pub(crate) pending_ends: BTreeMap<TaskId, (TaskOutcome, Option<Millis>)>,
     pub(crate) drained: BTreeSet<Name>,
+    /// Whether operators have drained the zone: nothing new is placed, running tasks continue.
+    pub(crate) zone_drained: bool,
     /// When the number of quarantined workers is checked next.
     pub(crate) next_quarantine_check: Millis,
     /// When this allocator's epoch started, by this instance's clock.
@@ -74,6 +76,7 @@
             pending_claims: BTreeMap::new(),
             pending_ends: BTreeMap::new(),
             drained: BTreeSet::new(),
+            zone_drained: false,
             next_quarantine_check: Millis::ZERO,
             epoch_started_at: now,
             actions: Vec::new(),
@@ -137,6 +140,17 @@
     /// Sets which workers operators have drained.
     pub fn set_drained(&mut self, drained: &BTreeSet<Name>) {
         self.drained = drained.clone();
+        self.refresh_all_open();
+    }
+
+    /// Sets whether operators have drained the zone. Its workers then take no new tasks, their leases
+    /// are renewed, and tasks that wait here keep waiting.
+    pub fn set_zone_drained(&mut self, drained: bool) {
+        self.zone_drained = drained;
+        self.refresh_all_open();
+    }
+
+    fn refresh_all_open(&mut self) {
         let all: Vec<WorkerIndex> = self.sessions.keys().copied().collect();
         all.into_iter().for_each(|ix| self.refresh_open(ix));
     }
@@ -151,7 +165,12 @@
 
     /// Returns whether a worker could take tasks if it were healthy.
     pub(crate) fn is_available(&self, session: &WorkerSession) -> bool {
-        session.is_answering() && !session.is_leaving() && !self.drained.contains(&session.name)
+        session.is_answering() && !session.is_leaving() && !self.is_drained(session)
+    }
+
+    /// Returns whether operators have drained a worker or the whole zone.
+    fn is_drained(&self, session: &WorkerSession) -> bool {
+        self.zone_drained || self.drained.contains(&session.name)
     }
 
     /// Does the work that is due at `now`, as far as `authority` permits, and returns the resulting actions.
@@ -165,7 +184,10 @@
             self.limit_quarantine(now);
             self.release_quarantined(now);
             self.planner.policy.only_immovable = authority == Authority::ZoneOnly;
-            self.start_tasks(now);
+            // In a drained zone a plan could still evict tasks for others that cannot start.
+            if !self.zone_drained {
+                self.start_tasks(now);
+            }
         }
         if authority == Authority::Full {
             self.propose_claims(now);
@@ -323,7 +345,7 @@
             WorkerPhase::Unknown
         } else if !session.is_answering() {
             WorkerPhase::Silent
-        } else if session.is_leaving() || self.drained.contains(&session.name) {
+        } else if session.is_leaving() || self.is_drained(session) {
             WorkerPhase::Draining
         } else if !self.health.accepts_tasks(ix) {
             WorkerPhase::Quarantined
--- a/components/zone/src/phase.rs
+++ b/components/zone/src/phase.rs
@@ -22,7 +22,7 @@
     Unknown,
     /// The worker takes new tasks.
     Open,
-    /// The worker takes no new tasks, because it is leaving or an operator has drained it.
+    /// The worker takes no new tasks, because it is leaving, or an operator has drained it or its zone.
     Draining,
     /// The worker has failed tasks and gets none for a while.
     Quarantined,
--- a/components/zone/tests/aside.rs
+++ b/components/zone/tests/aside.rs
@@ -456,6 +456,23 @@
     assert!(after.is_some_and(|ms| ms <= RUN + 2_000), "done after {after:?} ms");
 }
 
+/// Guards against a drained zone that still starts tasks, and against one that stops what runs there.
+#[test]
+fn nothing_starts_in_a_drained_zone_and_what_runs_continues() {
+    let mut z = Zone::new(&[SMALL; 3]);
+    z.submit("before", JobKind::Service, 1_000);
+    z.run_for(10 * STEP);
+    let running = |z: &Zone| z.workers.iter().map(|w| w.running.len()).sum::<usize>();
+    assert_eq!(running(&z), 1);
+    z.a.set_zone_drained(true);
+    let job = z.submit("after", JobKind::Batch, 1_000);
+    assert_eq!(z.done_after(&job, 20_000), None);
+    assert_eq!(running(&z), 1, "the service runs on and nothing else started");
+    z.a.set_zone_drained(false);
+    let after = z.done_after(&job, 400_000);
+    assert!(after.is_some_and(|ms| ms <= RUN + 2_000), "done after {after:?} ms");
+}
+
 impl Zone {
     /// Fails the task of a job on the worker that runs it.
     fn fail(&mut self, job: &JobName) {
--- a/src/change.rs
+++ b/src/change.rs
@@ -38,7 +38,11 @@
                 Outcome::Accepted => return Ok(reply.version),
                 Outcome::Conflict => {
                     let version = reply.version;
-                    let reason = format!("{what}: {} (version {version})", reply.reason);
+                    let reason = match version {
+                        // The conflict is with no version, for example because a name is not known.
+                        0 => format!("{what}: {}", reply.reason),
+                        _ => format!("{what}: {} (version {version})", reply.reason),
+                    };
                     return Err(Error::Refused(reason));
                 }
                 Outcome::Invalid => {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -52,8 +52,8 @@
         help = "apply a configuration file, unless another one was applied since its base version"
     )]
     Apply(ApplyOpts),
-    /// Drain an instance or upstream.
-    #[options(help = "take an instance or upstream out of use, or back into use")]
+    /// Drain an instance, an upstream or an availability zone.
+    #[options(help = "take an instance, upstream or zone out of use, or back into use")]
     Drain(DrainOpts),
     /// Change a member's role.
     #[options(help = "change a member's role in the replicated log")]
@@ -148,11 +148,21 @@
     #[options(help = "print this help")]
     help: bool,
     /// The instance or upstream to drain.
-    #[options(free, required, help = "the instance or upstream")]
-    pub target: String,
+    #[options(free, help = "the instance or upstream")]
+    pub target: Option<String>,
+    /// The availability zone to drain, in place of an instance or upstream.
+    #[options(
+        no_short,
+        meta = "NAME",
+        help = "an availability zone: nothing new is placed in it, running work continues"
+    )]
+    pub zone: Option<String>,
     /// Whether to take the target back into use.
     #[options(help = "take it back into use")]
     pub back: bool,
+    /// Whether to take the target back into use; the same as `back`.
+    #[options(no_short, help = "the same as --back")]
+    pub restore: bool,
 }
 
 /// Flags of `member`.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -233,6 +233,11 @@
         self.wait_ready();
     }
 
+    /// Starts the process again after it was killed, without waiting until the balancer may send callers.
+    pub fn restart_without_waiting(&mut self) {
+        self.child = spawn(&self.args, &self.folder);
+    }
+
     pub fn get(&self, path: &str) -> Option<Wire> {
         let mut stream = TcpStream::connect(self.callers).ok()?;
         write_wire(&mut stream, &format!("GET {path} HTTP/1.1"), &host(), b"").ok()?;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -249,6 +249,54 @@
     assert_eq!(upstreams[0].runs(), before);
 }
 
+/// Guards against a drain that is lost with the process, that ends the zone's running work, or that a misspelled name makes
+/// void without a word.
+#[test]
+fn a_drained_zone_keeps_its_work_and_starts_nothing_until_it_is_restored() {
+    let (mut instance, _platform, _upstreams) = cell(&[whole_answer]);
+    let job = |name: &str| {
+        format!(
+            "[[job]]\nname = \"{name}\"\nteam = \"t\"\nkind = \"service\"\ncpu_milli = 100\nmemory_mb = 10\n"
+        )
+    };
+    let runs = |instance: &Instance, name: &str| {
+        instance.operate(&["show", name]).1.contains(": 1 running")
+    };
+    let before = instance.file("before.toml", &job("before"));
+    wait_until("the job is accepted", || instance.operate(&["create", &before]).0 == 0);
+    wait_until("the job runs", || runs(&instance, "before"));
+
+    let (code, text) = instance.operate(&["drain", "--zone", "nowhere"]);
+    assert!(code == 1 && text.contains("known are: za"), "{code} {text}");
+    assert_eq!(instance.operate(&["drain"]).0, 2, "neither a target nor a zone");
+    assert_eq!(instance.operate(&["drain", "a", "--zone", "za"]).0, 2, "both of them");
+
+    let (code, first) = instance.operate(&["drain", "--zone", "za"]);
+    assert_eq!(code, 0, "{first}");
+    assert_eq!(instance.operate(&["drain", "--zone", "za"]), (0, first), "repeated");
+    wait_until("the balancer is told", || instance.get("/health").unwrap().status() == 503);
+    let after = instance.file("after.toml", &job("after"));
+    let mut key = vec!["create", after.as_str()];
+    key.extend(["--key", "after"]);
+    let (code, text) = instance.operate(&key);
+    assert!(code == 1 && text.contains("only drained zones"), "{code} {text}");
+    assert!(runs(&instance, "before"), "running work continues");
+
+    instance.child.kill().unwrap();
+    instance.child.wait().unwrap();
+    instance.restart_without_waiting();
+    wait_until("it allocates again", || instance.operate(&["status"]).1.contains(" allocates"));
+    wait_until("the workers are known", || {
+        instance.operate(&["status", "--upstreams"]).1.contains("w0 live, draining")
+    });
+    assert_eq!(instance.get("/health").unwrap().status(), 503, "the restart keeps the drain");
+
+    assert_eq!(instance.operate(&["drain", "--zone", "za", "--restore"]).0, 0);
+    wait_until("the health check succeeds", || instance.get("/health").unwrap().status() == 200);
+    wait_until("the job is accepted", || instance.operate(&key).0 == 0);
+    wait_until("the job runs", || runs(&instance, "after"));
+}
+
 #[test]
 fn the_log_is_json_lines_with_the_events_of_the_catalogue() {
     let upstream = FakeUpstream::start(whole_answer);
