Gauges of who waits, by queue and by organisation

The leader reports the waiting steps, the oldest wait, the requested processor capacity and the jobs past their objective by queue and by organisation, once a second with its other gauges. Dispatcher::backlog passes once over the waiting steps and once over the unfinished jobs; plans do not call it.

slack.rs: `age` and `allowed_time` become visible in the crate.

--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -4,9 +4,10 @@
 
 use clock::Millis;
 use model::{Name, Size};
-use workload::{Organisation, TaskKey, Worker};
+use workload::{Job, JobId, Organisation, StepKey, TaskKey, Worker};
 
 use crate::dispatcher::Dispatcher;
+use crate::input::Moment;
 use crate::worker_view::{Order, Stage, WorkerView};
 
 /// Gauges of the cell as seen by its leader.
@@ -74,7 +75,109 @@
     pub steps_at_limit: u64,
 }
 
+/// Gauges of the work that waits in one queue, or of one organisation.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct QueueFigures {
+    /// The number of steps that are due and have tasks that wait for a worker.
+    pub waiting_steps: u64,
+    /// The longest wait among these steps: the time since the job was accepted, or since its round was
+    /// due.
+    pub oldest_wait: Millis,
+    /// The capacity that the waiting tasks of these steps request.
+    pub requested: Size,
+    /// The number of unfinished jobs that have taken longer than their objective allows.
+    pub late_jobs: u64,
+}
+
+/// Who waits: the work that waits, by queue and by organisation. Jobs that belong to no organisation
+/// are counted under their queue only.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Backlog {
+    /// The gauges of each configured queue, and of each other queue with unfinished jobs.
+    pub by_queue: BTreeMap<Name, QueueFigures>,
+    /// The gauges of each configured organisation, and of each other one with unfinished jobs.
+    pub by_organisation: BTreeMap<Name, QueueFigures>,
+}
+
+impl Backlog {
+    /// Updates the gauges of a job's queue and organisation.
+    fn update(&mut self, job: &Job, owner: Option<&Name>, f: impl Fn(&mut QueueFigures)) {
+        f(entry(&mut self.by_queue, &job.queue));
+        if let Some(owner) = owner {
+            f(entry(&mut self.by_organisation, owner));
+        }
+    }
+}
+
+fn entry<'a>(by_name: &'a mut BTreeMap<Name, QueueFigures>, name: &Name) -> &'a mut QueueFigures {
+    by_name.entry(name.clone()).or_default()
+}
+
 impl Dispatcher {
+    /// Returns the gauges of the work that waits. Passes once over the waiting steps and once over the
+    /// unfinished jobs, so it is for reports and not for plans.
+    pub fn backlog(&self, m: Moment) -> Backlog {
+        let mut backlog = Backlog::default();
+        if let Some(policy) = &self.policy {
+            for queue in &policy.queues {
+                entry(&mut backlog.by_queue, &queue.name);
+            }
+            for organisation in policy.organisations.iter().flat_map(|all| all.iter()) {
+                entry(&mut backlog.by_organisation, &organisation.name);
+            }
+        }
+        for open in self.replicated.open() {
+            let key = &open.key;
+            let Some(job) = self.replicated.job(key.job) else { continue };
+            if m.wall < job.spec.due(key.round) {
+                continue;
+            }
+            let wait = self.age(m, key, job);
+            let requested = self.requested_by(key);
+            let owner = self.replicated.ownership().owner(key.job);
+            backlog.update(job, owner, |figures| {
+                figures.waiting_steps += 1;
+                figures.oldest_wait = figures.oldest_wait.max(wait);
+                figures.requested = figures.requested.plus(&requested);
+            });
+        }
+        for id in self.accepted.keys() {
+            let Some(job) = self.replicated.job(*id) else { continue };
+            if self.is_past_objective(m, *id, job) {
+                let owner = self.replicated.ownership().owner(*id);
+                backlog.update(job, owner, |figures| figures.late_jobs += 1);
+            }
+        }
+        backlog
+    }
+
+    /// Returns the capacity that the waiting tasks of a step request.
+    fn requested_by(&self, key: &StepKey) -> Size {
+        let Some((spec, step)) = self.replicated.step_spec(key).zip(self.replicated.step(key))
+        else {
+            return Size::ZERO;
+        };
+        let waiting = (step.tasks.len() as u64)
+            .saturating_sub(u64::from(step.done))
+            .saturating_sub(u64::from(step.placed));
+        spec.required_capacity().times(waiting)
+    }
+
+    /// Returns whether an unfinished round of an unfinished job has taken longer than the objective of
+    /// its queue allows. A queue without a stretch and a target latency has no objective.
+    fn is_past_objective(&self, m: Moment, id: JobId, job: &Job) -> bool {
+        let Some(allowed) = self.allowed_time(job).filter(|t| *t > Millis::ZERO) else {
+            return false;
+        };
+        let is_late = |round: u32| {
+            let key = StepKey { job: id, round, step: 0 };
+            self.age(m, &key, job) > allowed
+        };
+        let is_done = |round: &workload::Round| round.steps.iter().all(|s| s.is_done());
+        let mut rounds = (0..).zip(&job.rounds);
+        !job.state.is_final() && rounds.any(|(i, round)| is_late(i) && !is_done(round))
+    }
+
     /// Returns the gauges of each configured organisation.
     pub fn organisation_figures(&self) -> BTreeMap<Name, OrganisationFigures> {
         let organisations = self.policy.iter().filter_map(|p| p.organisations.as_ref());
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -51,7 +51,7 @@
 pub use advice::AdviceRequest;
 pub use call::{Answer, Call, Verb};
 pub use dispatcher::{Dispatcher, Setup};
-pub use figures::{Figures, OrganisationFigures, ServiceFigures};
+pub use figures::{Backlog, Figures, OrganisationFigures, QueueFigures, ServiceFigures};
 pub use input::{Input, Moment, Token};
 pub use limits::{Limits, Mechanisms};
 pub use worker_messages::{
--- a/components/dispatch/src/slack.rs
+++ b/components/dispatch/src/slack.rs
@@ -22,7 +22,7 @@
     /// Returns how long a round of a job could have run for. The acceptance of a job is taken by
     /// the monotonic clock: wall clocks jump by minutes, after which every job would seem late, or
     /// none.
-    fn age(&self, m: Moment, key: &StepKey, job: &Job) -> Millis {
+    pub(crate) fn age(&self, m: Moment, key: &StepKey, job: &Job) -> Millis {
         match (job.spec.rounds, self.accepted.get(&key.job)) {
             (0, Some(at)) => m.now.since(*at),
             (0, None) => Millis::ZERO,
@@ -31,7 +31,7 @@
     }
 
     /// Returns how long a round of a job may take and be in time.
-    fn allowed_time(&self, job: &Job) -> Option<Millis> {
+    pub(crate) fn allowed_time(&self, job: &Job) -> Option<Millis> {
         let queue = self.policy.as_ref()?.queue(&job.queue)?;
         let path = job.spec.critical_path(|_| true);
         Some(Millis((path.0 as f64 * queue.stretch) as u64) + queue.target_latency)
--- a/components/metrics/src/registry.rs
+++ b/components/metrics/src/registry.rs
@@ -19,7 +19,7 @@
     seconds: BTreeMap<&'static str, Histogram<u64>>,
     /// By name and service; operators configure the services, so their number is bounded.
     by_service: BTreeMap<(&'static str, Arc<str>), u64>,
-    /// By name: the label, and the gauges by the label's value. Operators configure the services and organisations
+    /// By name: the label, and the gauges by the label's value. Operators configure the services, queues and organisations
     /// that these values name, so their number is bounded.
     labelled_gauges: BTreeMap<&'static str, (&'static str, BTreeMap<Arc<str>, u64>)>,
 }
@@ -62,6 +62,11 @@
         self.set_labelled(name, "organisation", values);
     }
 
+    /// Sets a gauge for each queue. Queues that `values` does not contain are no longer reported.
+    pub fn set_by_queue(&self, name: &'static str, values: BTreeMap<Arc<str>, u64>) {
+        self.set_labelled(name, "queue", values);
+    }
+
     fn set_labelled(
         &self,
         name: &'static str,
--- a/components/metrics/tests/registry.rs
+++ b/components/metrics/tests/registry.rs
@@ -62,3 +62,15 @@
     assert_eq!(text.matches("workers_aside{").count(), 1);
     assert_eq!(set(&[]).matches("workers_aside{").count(), 0);
 }
+
+/// Guards against gauges of queues that are reported under another label or stay after their queue is gone.
+#[test]
+fn a_gauge_of_queues_is_labelled_by_queue_and_holds_no_old_ones() {
+    let registry = Registry::default();
+    registry.set_by_queue("waiting_steps", [("quick".into(), 3), ("batch".into(), 0)].into());
+    let figures = parse(&registry.text());
+    assert_eq!(figures["waiting_steps{queue=\"quick\"}"], 3.0);
+    assert_eq!(figures["waiting_steps{queue=\"batch\"}"], 0.0);
+    registry.set_by_queue("waiting_steps", [("batch".into(), 1)].into());
+    assert_eq!(registry.text().matches("waiting_steps{").count(), 1);
+}
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -4,7 +4,9 @@
 use std::collections::BTreeMap;
 
 use clock::{Clock, Millis};
-use dispatch::{Action, Answer, Dispatcher, Input, OrganisationFigures, Setup};
+use dispatch::{
+    Action, Answer, Backlog, Dispatcher, Input, OrganisationFigures, QueueFigures, Setup,
+};
 use events::{kinds, log_decision};
 use model::{InstanceId, Name};
 
@@ -27,6 +29,21 @@
 /// The gauge of long-running tasks that wait for a worker, by service.
 const LONG_RUNNING_WAITING: &str = "heathvale_lasting_waiting";
 
+/// The value that a gauge of the backlog reports.
+type BacklogValue = fn(&QueueFigures) -> u64;
+
+/// The gauges of the work that waits: the name by queue, the name by organisation, and the value.
+const BACKLOG_GAUGES: [(&str, &str, BacklogValue); 4] = [
+    ("heathvale_queue_waiting_steps", "heathvale_organisation_waiting_steps", |f| f.waiting_steps),
+    ("heathvale_queue_oldest_wait_ms", "heathvale_organisation_oldest_wait_ms", |f| {
+        f.oldest_wait.0
+    }),
+    ("heathvale_queue_cpu_millis_requested", "heathvale_organisation_cpu_millis_requested", |f| {
+        f.requested.cpu_milli
+    }),
+    ("heathvale_queue_late_jobs", "heathvale_organisation_late_jobs", |f| f.late_jobs),
+];
+
 impl ControlInstance {
     /// Starts leading: creates a dispatcher from the replicated state, gives it the recent announcements of
     /// workers and notifies all other instances.
@@ -88,6 +105,7 @@
         let waiting = services.iter().map(|(service, f)| (service.clone(), f.long_running_waiting));
         self.metrics.set_by_service(LONG_RUNNING_WAITING, waiting.collect());
         self.record_organisation_gauges(&leader_term.dispatcher.organisation_figures());
+        self.record_backlog_gauges(&leader_term.dispatcher.backlog(self.moment()));
         let delegated = leader_term.delegated_renewals.count();
         self.metrics.set("heathvale_renewals_delegated", delegated as u64);
         let connections = self.ports.workers.connections();
@@ -132,11 +150,22 @@
         gauge(ORGANISATION_AT_LIMIT, |f| f.steps_at_limit);
     }
 
+    fn record_backlog_gauges(&self, backlog: &Backlog) {
+        for (by_queue, by_organisation, value) in BACKLOG_GAUGES {
+            let values = |figures: &BTreeMap<Name, QueueFigures>| {
+                figures.iter().map(|(name, f)| (name.clone(), value(f))).collect()
+            };
+            self.metrics.set_by_queue(by_queue, values(&backlog.by_queue));
+            self.metrics.set_by_organisation(by_organisation, values(&backlog.by_organisation));
+        }
+    }
+
     /// Clears the gauges that only a leader sets, so that no alert is based on outdated values.
     pub(crate) fn clear_leader_gauges(&self) {
         self.metrics.set_by_service(QUARANTINED_WORKERS, BTreeMap::new());
         self.metrics.set_by_service(LONG_RUNNING_WAITING, BTreeMap::new());
         self.record_organisation_gauges(&BTreeMap::new());
+        self.record_backlog_gauges(&Backlog::default());
     }
 
     /// Passes a call to the dispatcher, or rejects it if this instance does not lead.
