GET /jobs/ID on the metrics address tells why a job waits

The leader answers with the job's state, its waiting steps, and for the first waiting task the reasons by worker count, the steps before it and its slack; 404 for an unknown job. Another instance answers 421 with the leader's id, or 503 while it knows none.

--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -20,6 +20,7 @@
 mod figures;
 mod incarnations;
 mod input;
+mod job_explanation;
 mod limits;
 mod long_running_waits;
 mod loss_weighing;
@@ -53,6 +54,7 @@
 pub use dispatcher::{Dispatcher, Setup};
 pub use figures::{Backlog, Figures, OrganisationFigures, QueueFigures, ServiceFigures};
 pub use input::{Input, Moment, Token};
+pub use job_explanation::{JobExplanation, TaskWait, WaitingStep};
 pub use limits::{Limits, Mechanisms};
 pub use worker_messages::{
     CallError, Refusal, RenewOrder, Report, RunStatus, StartOrder, StopOrder, WorkerAnnouncement,
--- a/components/dispatch/src/wait_reasons.rs
+++ b/components/dispatch/src/wait_reasons.rs
@@ -83,6 +83,21 @@
 }
 
 impl WaitReasons {
+    /// Returns the number of workers of the task's service.
+    pub(crate) fn workers(&self) -> u64 {
+        self.workers
+    }
+
+    /// Returns the number of workers without any reason.
+    pub(crate) fn fit(&self) -> u64 {
+        self.fit
+    }
+
+    /// Returns the number of workers by reason, under the names that the log uses.
+    pub(crate) fn by_name(&self) -> BTreeMap<&'static str, u64> {
+        self.by_reason.iter().map(|(reason, n)| (reason.name(), *n)).collect()
+    }
+
     fn add(&mut self, reason: Option<WaitReason>) {
         self.workers += 1;
         match reason {
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -16,6 +16,7 @@
 
 use crate::advice_calls::{AdviceCall, spawn_advice_call};
 use crate::control_event::ControlEvent;
+use crate::job_report::JobReport;
 use crate::leader_term::LeaderTerm;
 use crate::leaving_workers::LeavingAcknowledgements;
 use crate::log_thread::{LogEvent, LogHandle, LogInput};
@@ -162,6 +163,14 @@
                 self.send_to_leader(Message::Left(worker.clone()));
                 self.handle_input(Input::Left(worker));
             }
+            InboundEvent::Explain { id, tx } => {
+                let report = match &self.leader_term {
+                    Some(l) => JobReport::new(&l.dispatcher, self.moment(), id),
+                    None => JobReport::NotLeader(self.peers.leader(now).cloned()),
+                };
+                // The operator may have disconnected.
+                let _ = tx.send(report);
+            }
             InboundEvent::Signal(Signal::Reload) => self.read_settings(now),
             InboundEvent::Signal(Signal::Stop) => {
                 begin_stop(&self.settings, &self.handle);
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -14,6 +14,7 @@
 
 use crate::advice_calls::{AdviceCall, spawn_advice_call};
 use crate::held_renewals::HeldRenewals;
+use crate::job_report::JobReport;
 use crate::message::Message;
 use crate::node_handle::{InboundEvent, NodeHandle, Signal};
 use crate::peers::{Peers, PeersConfig, Reachability};
@@ -151,6 +152,10 @@
                 self.pending_calls.add(token, now, &call, tx);
             }
             Event::Inbound(InboundEvent::Signal(signal)) => self.on_signal(now, signal),
+            Event::Inbound(InboundEvent::Explain { tx, .. }) => {
+                // The operator may have disconnected.
+                let _ = tx.send(JobReport::NotLeader(self.peers.leader(now).cloned()));
+            }
             // Workers call only control instances.
             Event::Inbound(
                 InboundEvent::Announcement(_)
--- a/components/node/src/node_handle.rs
+++ b/components/node/src/node_handle.rs
@@ -14,7 +14,9 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
-use workload::WorkerId;
+use workload::{JobId, WorkerId};
+
+use crate::job_report::JobReport;
 
 /// The counter of faulty announcements, by fault.
 const FAULTY_ANNOUNCEMENTS_METRIC: &str = "heathvale_announcements_faulty_total";
@@ -33,6 +35,8 @@
     Left(WorkerId),
     /// The process received a signal.
     Signal(Signal),
+    /// An operator asks about a job.
+    Explain { id: JobId, tx: oneshot::Sender<JobReport> },
 }
 
 /// A request to the process from the operating system.
@@ -118,6 +122,14 @@
         let _ = self.tx.send(InboundEvent::Left(worker));
     }
 
+    /// Returns what this instance knows about a job: the leader explains it, another instance names the leader.
+    pub async fn explain(&self, id: JobId) -> JobReport {
+        let (tx, rx) = oneshot::channel();
+        // The send fails only if the process is exiting, which then no longer leads.
+        let _ = self.tx.send(InboundEvent::Explain { id, tx });
+        rx.await.unwrap_or(JobReport::NotLeader(None))
+    }
+
     /// Returns whether callers should be sent to this instance.
     pub fn is_ready(&self) -> bool {
         self.ready.load(Ordering::Relaxed) && !self.is_stopping()
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -375,6 +375,15 @@
         answer.map(|a| String::from_utf8_lossy(&a.body).to_string()).unwrap_or_default()
     }
 
+    /// Returns the status and body of an instance's explanation of a job.
+    pub fn explain(&self, node: usize, id: &str) -> Option<(u32, Value)> {
+        let head = [("host", "c".to_string())];
+        let addr = self.nodes[node].addr(METRICS_PORT);
+        let line = format!("GET /jobs/{id} HTTP/1.1");
+        let answer = call(addr, &line, &head, b"", Duration::from_millis(1_500))?;
+        Some((answer.status(), serde_json::from_slice(&answer.body).ok()?))
+    }
+
     /// Returns the addresses at which callers reach the entry instances.
     pub fn fronts(&self) -> Vec<SocketAddr> {
         self.nodes.iter().filter(|n| !n.control).map(|n| n.addr(FRONT_PORT)).collect()
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -57,6 +57,42 @@
     assert_eq!(cell.runs.violations(), Vec::<String>::new());
 }
 
+/// All workers are in zone `z`. Guards against an endpoint that answers from an instance without the state, that knows jobs
+/// which were never accepted, or that does not tell why a job waits.
+#[test]
+fn the_leader_tells_why_a_job_waits_and_the_others_name_the_leader() {
+    let mut cell = Cell::start(2);
+    let id = "00000000000004a1";
+    cell.wait("the zone is drained", |c| c.drain_zone("z", true));
+    cell.wait("the job is accepted", |c| submit(c, id, &job_body(2)) == 200);
+    // The job may be accepted before the leader's log shows that its term has begun.
+    cell.wait("the log names the leader", |c| c.leader().is_some());
+    let leader = cell.leader().expect("a leader");
+    let mut explained = None;
+    cell.wait("the leader knows both workers", |c| {
+        explained = c.explain(leader, id);
+        explained.as_ref().is_some_and(|(_, e)| e["first_wait"]["workers"] == 2)
+    });
+    let (status, explained) = explained.expect("an answer");
+    assert_eq!((status, &explained["state"]), (200, &"queued".into()), "{explained}");
+    assert_eq!(explained["first_wait"]["reasons"]["zone_drained"], 2, "{explained}");
+    assert_eq!(explained["first_wait"]["steps_before"], 0, "{explained}");
+    assert_eq!(cell.explain(leader, "00000000000004ff").map(|a| a.0), Some(404));
+    assert_eq!(cell.explain(leader, "x").map(|a| a.0), Some(400));
+    for other in (0..cell.nodes.len()).filter(|n| *n != leader) {
+        let (status, body) = cell.explain(other, id).expect("an answer");
+        assert_eq!(status, 421, "{body}");
+        assert!(body["leader"].is_string(), "{body}");
+    }
+    cell.wait("the gauges tell of the waiting step", |c| {
+        let text = c.metrics(leader);
+        text.contains("heathvale_queue_waiting_steps{queue=")
+            && text.contains("heathvale_queue_oldest_wait_ms{queue=")
+    });
+    cell.wait("the zone is restored", |c| c.drain_zone("z", false));
+    cell.wait("the job is done", |c| c.state(id).as_deref() == Some("completed"));
+}
+
 #[test]
 fn callers_get_the_codes_that_the_pages_name() {
     let mut cell = Cell::start(1);
