--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -56,7 +56,7 @@
         JOB_CREATED = 302 Info "job_created" "A job was accepted.";
         JOB_CANCELLED = 303 Info "job_cancelled" "A job was cancelled.";
         JOB_ENDED = 304 Info "job_ended" "All tasks of a job have ended.";
-        DRAIN_CHANGED = 305 Info "drain_changed" "An instance or upstream was taken out of use or back in.";
+        DRAIN_CHANGED = 305 Info "drain_changed" "An instance, upstream or availability zone was taken out of use or back in.";
         SHARE_MOVED = 306 Warn "share_moved" "Tasks of a cut-off zone were given to another zone.";
         EPOCH_GRANTED = 401 Info "epoch_granted" "An instance became the allocator of a zone.";
         EPOCH_RELEASED = 402 Info "epoch_released" "An allocator gave its zone back.";
