--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -24,6 +24,7 @@
 mod figures;
 mod incarnations;
 mod input;
+mod job_explanation;
 mod limits;
 mod long_running_waits;
 mod loss_weighing;
@@ -62,8 +63,9 @@
 pub use backlog::Work;
 pub use call::{Answer, Call, Verb};
 pub use dispatcher::{Dispatcher, Setup};
-pub use figures::{Figures, OrganisationFigures, ServiceFigures};
+pub use figures::{Backlog, Figures, OrganisationFigures, QueueFigures, ServiceFigures};
 pub use input::{Input, Moment, Token};
+pub use job_explanation::{JobExplanation, TaskWait, WaitingStep};
 pub use limits::{Limits, MIN_REFUSAL_RETRY, Mechanisms};
 pub use refusals::RefusedJob;
 pub use worker_messages::{
--- a/components/dispatch/src/service_order.rs
+++ b/components/dispatch/src/service_order.rs
@@ -170,7 +170,7 @@
     }
 
     /// Returns the rank of an open step, and how long it holds unless its job makes progress.
-    fn rank(&self, m: Moment, entry: &OpenStep) -> (Rank, Millis) {
+    pub(crate) fn rank(&self, m: Moment, entry: &OpenStep) -> (Rank, Millis) {
         let order = entry.order;
         let share = self.share_class(entry.key.job);
         let by_arrival = |class, by| (Rank { class, share, by, order }, MAX_RANK_AGE);
--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -43,9 +43,8 @@
 /// How long a ticket is valid. This and the cost of calls for advice follow the queues' policy.
 const TICKET_VALIDITY: Millis = Millis(2_000);
 /// The cost of a call for advice on a quick job in microseconds: the base cost, and the cost for each worker.
-pub const SHORT_CALL_COST: (u64, u64) = (20_000, 500);
+const SHORT_CALL_COST: (u64, u64) = (20_000, 500);
 /// The same for other jobs.
-pub const LONG_CALL_COST: (u64, u64) = (400_000, 5_000);
 const LONG_CALL_COST: (u64, u64) = (400_000, 5_000);
 /// How often callers submit a job before they give up.
 const MAX_ATTEMPTS: usize = 4;
@@ -345,17 +344,9 @@
             };
             self.service.allowed_of.insert(id, percent);
         }
-        let (accepted, first_start) = (false, None);
-        let job = SubmittedJob { kind, path, credential, spec, at, accepted, first_start };
-        let job = SubmittedJob {
-            kind,
-            path,
-            spec,
-            at,
-            accepted: false,
-            first_start: None,
-            refusals: Vec::new(),
-        };
+        let (accepted, first_start, refusals) = (false, None, Vec::new());
+        let job =
+            SubmittedJob { kind, path, credential, spec, at, accepted, first_start, refusals };
         self.jobs.insert(id, job);
         self.send(id);
         id
