--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -121,6 +121,7 @@
     /// Creates a dispatcher that takes over from the previous leader.
     pub fn new(setup: Setup, m: Moment) -> Dispatcher {
         let Setup { limits, term, reader, replicated } = setup;
+        let worker_speeds = WorkerSpeeds::restore(&replicated);
         let mut dispatcher = Dispatcher {
             limits,
             term,
@@ -140,7 +141,7 @@
             recent_losses: RecentLosses::default(),
             loss_ages: LossAges::default(),
             step_speeds: BTreeMap::new(),
-            worker_speeds: WorkerSpeeds::default(),
+            worker_speeds,
             answer_times: AnswerTimes::unknown(),
             silent_zones: BTreeSet::new(),
             batch: Vec::new(),
@@ -357,7 +358,7 @@
         self.advice_scheduler.expire(m.now);
         self.maintain_workers(m);
         self.clear_suspects(m);
-        self.worker_speeds.update(m.now);
+        self.update_speeds(m);
         if m.now >= self.clean_up_at {
             self.clean_up_at = m.now + CLEANUP_INTERVAL;
             self.clean_up(m);
@@ -380,6 +381,6 @@
         self.avoided_workers.retain(|k, _| is_unfinished(&k.step.job));
         self.loss_ages.retain(|k| is_unfinished(&k.step.job));
         self.step_speeds.retain(|k, _| is_unfinished(&k.job));
-        self.worker_speeds.retain_steps(|k| is_unfinished(&k.job));
+        self.clean_up_speeds(m);
     }
 }
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -50,6 +50,8 @@
     pub long_running_waiting: u64,
     /// The longest wait among the long-running tasks that wait.
     pub long_running_max_wait: Millis,
+    /// The number of machines that are known to be slower than the others of their service.
+    pub slow_machines: u64,
 }
 
 /// Gauges of one service.
@@ -127,6 +129,7 @@
             quarantined_workers: self.quarantined_workers().count() as u64,
             long_running_waiting: waits.len() as u64,
             long_running_max_wait: longest,
+            slow_machines: self.worker_speeds.slow_machines(),
         }
     }
 
--- a/components/dispatch/src/long_running_waits.rs
+++ b/components/dispatch/src/long_running_waits.rs
@@ -86,7 +86,8 @@
             | Command::SuspectsCleared { .. }
             | Command::AssignOwner { .. }
             | Command::LossesUncertain { .. }
-            | Command::DrainZone { .. } => {}
+            | Command::DrainZone { .. }
+            | Command::SpeedsLearned { .. } => {}
         }
     }
 
--- a/components/dispatch/src/renewals.rs
+++ b/components/dispatch/src/renewals.rs
@@ -196,7 +196,9 @@
                 self.record_run_done(m, id, began);
                 self.record_run_time(m, id, end, order.as_ref());
                 if let Some(took) = took {
-                    self.step_speeds.entry(end.task.step).or_default().record_done(id, took);
+                    let speed = self.replicated.worker(id).map_or(1.0, |w| self.speed(w));
+                    let step_speeds = self.step_speeds.entry(end.task.step).or_default();
+                    step_speeds.record_done(id, took, speed);
                 }
             }
             EndKind::Failed => {
--- a/components/dispatch/src/slack.rs
+++ b/components/dispatch/src/slack.rs
@@ -19,6 +19,12 @@
         allowed_time.since(self.age(m, key, job) + remaining)
     }
 
+    /// Returns whether the time in which a round of a job had to end to be in time has passed.
+    pub(crate) fn has_missed_objective(&self, m: Moment, key: &StepKey) -> bool {
+        let Some(job) = self.replicated.job(key.job) else { return false };
+        self.allowed_time(job).is_some_and(|allowed| self.age(m, key, job) > allowed)
+    }
+
     /// Returns how long a round of a job could have run for. The acceptance of a job is taken by
     /// the monotonic clock: wall clocks jump by minutes, after which every job would seem late, or
     /// none.
--- a/components/dispatch/src/speed.rs
+++ b/components/dispatch/src/speed.rs
@@ -32,6 +32,12 @@
         Progress { since, at: now, percent, speed: None, last_percent: percent }
     }
 
+    /// Returns the progress of a run that began at a known time and at no progress. Its first report
+    /// shows its speed already.
+    pub(crate) fn since_start(since: Millis, began: Millis) -> Progress {
+        Progress { since, at: began, percent: 0, speed: None, last_percent: 0 }
+    }
+
     /// Records the progress from a report.
     pub(crate) fn record(&mut self, now: Millis, percent: u32) {
         self.last_percent = percent;
@@ -56,6 +62,11 @@
         self.speed
     }
 
+    /// Returns whether the run was last measured to make any progress.
+    pub(crate) fn makes_progress(&self) -> bool {
+        self.speed.is_some_and(|s| s > 0.0)
+    }
+
     /// Returns whether a run started on another worker, at `elsewhere` percent per millisecond,
     /// would certainly finish sooner.
     pub(crate) fn is_straggler(
@@ -81,14 +92,14 @@
 }
 
 impl StepSpeeds {
-    /// Records a speed in percent per millisecond.
+    /// Records the speed of a run, in percent per millisecond on a machine of the usual speed.
     pub(crate) fn record(&mut self, worker: &WorkerId, speed: f64) {
         self.by_worker.insert(worker.clone(), speed);
     }
 
-    /// Records that a task of the step is done.
-    pub(crate) fn record_done(&mut self, worker: &WorkerId, took: Millis) {
-        self.record(worker, 100.0 / took.0.max(1) as f64);
+    /// Records that a task of the step is done on a machine of a speed.
+    pub(crate) fn record_done(&mut self, worker: &WorkerId, took: Millis, speed: f64) {
+        self.record(worker, 100.0 / took.0.max(1) as f64 / speed);
     }
 
     /// Returns the median speed on other workers, if there are enough of them.
--- a/components/dispatch/tests/common/fleet.rs
+++ b/components/dispatch/tests/common/fleet.rs
@@ -7,18 +7,19 @@
 pub mod fail;
 pub mod incarnations;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
 use clock::Millis;
 use dispatch::{
-    Action, AdviceRequest, Answer, Call, CallError, Input, StartOrder, Verb, WorkerAnnouncement,
+    Action, AdviceRequest, Answer, Call, CallError, Input, Limits, StartOrder, Verb,
+    WorkerAnnouncement,
 };
 use model::{InstanceId, Size};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use workload::{
-    Command, JobId, JobSpec, JobState, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
+    Command, Document, JobId, JobSpec, JobState, StepKey, StepSpec, TaskKey, WorkerId, WorkerInfo,
 };
 
 use self::crash::Crashes;
@@ -46,6 +47,8 @@
 const SHORT_CALL_COST: (u64, u64) = (20_000, 500);
 /// The same for other jobs.
 const LONG_CALL_COST: (u64, u64) = (400_000, 5_000);
+/// The factor by which a long run exceeds the usual run time of its task.
+pub const LONG_RUN_FACTOR: u64 = 7;
 /// How many of a hundred workers the advice service allows for a step by default.
 const DEFAULT_ALLOWED_PERCENT: u64 = 70;
 
@@ -137,6 +140,13 @@
     long_running_jobs: Vec<JobId>,
     /// The decisions that the dispatcher logged: the subject, and the whole line.
     log_lines: Vec<(String, String)>,
+    /// How many of a thousand runs take [`LONG_RUN_FACTOR`] times as long as others.
+    pub long_runs_per_thousand: u64,
+    /// The runs that take [`LONG_RUN_FACTOR`] times as long as others, whatever the chance.
+    pub long_runs: BTreeSet<(TaskKey, u32)>,
+    /// When speeds of machines were committed.
+    pub speed_records: Vec<Millis>,
+    limits: Limits,
 }
 
 impl Fleet {
@@ -170,6 +180,10 @@
             disturbed_at: Millis::ZERO,
             long_running_jobs: Vec::new(),
             log_lines: Vec::new(),
+            long_runs_per_thousand: 0,
+            long_runs: BTreeSet::new(),
+            speed_records: Vec::new(),
+            limits: Limits::default(),
         };
         fleet.set_callers();
         fleet
@@ -190,6 +204,16 @@
         self.harness.set_advice_callers(&names);
     }
 
+    /// Replaces the limits of the dispatcher, and of later leaders, and the configuration, before any worker joins.
+    pub fn configure(&mut self, limits: Limits, text: &str) {
+        self.limits = limits;
+        let document = Document { version: 2, text: text.into() };
+        self.harness.committed.apply(&Command::Configure(document));
+        let committed = self.harness.committed.clone();
+        self.harness = Harness::with_limits(limits, committed, self.term, self.harness.now);
+        self.set_callers();
+    }
+
     /// Makes the advice service allow every worker for every step.
     pub fn allow_all(&mut self) {
         self.allow(100);
@@ -330,7 +354,7 @@
     pub fn take_over(&mut self) {
         self.term += 1;
         let committed = self.harness.committed.clone();
-        self.harness = Harness::take_over(committed, self.term, self.harness.now);
+        self.harness = Harness::with_limits(self.limits, committed, self.term, self.harness.now);
         self.has_leader = true;
         self.set_callers();
         let open = self.jobs.iter().filter(|(_, j)| !j.accepted).map(|(id, _)| *id);
@@ -402,6 +426,9 @@
         while self.committing.front().is_some_and(|(due, ..)| *due <= now) {
             let Some((_, number, commands)) = self.committing.pop_front() else { return };
             commands.iter().for_each(|c| self.harness.committed.apply(c));
+            if commands.iter().any(|c| matches!(c, Command::SpeedsLearned { .. })) {
+                self.speed_records.push(now);
+            }
             self.handle(Input::Committed(number));
         }
     }
@@ -467,7 +494,14 @@
         // Declared run times are off by up to a third.
         let which = if spec.gang { 0 } else { u64::from(index) + 1 };
         let percent = 70 + draw(self.seed, &[step.job.0, u64::from(step.step), which]) % 61;
-        let takes = Millis(spec.estimate.0 * percent / 100);
+        let mut takes = Millis(spec.estimate.0 * percent / 100);
+        let chance =
+            draw(self.seed, &[step.job.0, u64::from(step.step), which, u64::from(order.run)]);
+        if chance % 1_000 < self.long_runs_per_thousand
+            || self.long_runs.contains(&(order.task, order.run))
+        {
+            takes = Millis(takes.0 * LONG_RUN_FACTOR);
+        }
         let Some(host) = self.hosts.get_mut(worker) else { return Ok(()) };
         let began = host.start(now, order, spec, takes).map_err(CallError::Refused)?;
         let drained_for = host.drained_since.map_or(Millis::ZERO, |at| now.since(at));
@@ -598,6 +632,28 @@
         waits
     }
 
+    /// Returns the log lines of a kind of event, with their subjects.
+    pub fn events(&self, kind: &str) -> Vec<&(String, String)> {
+        let kind = format!(" {kind} ");
+        self.log_lines.iter().filter(|(_, text)| text.contains(&kind)).collect()
+    }
+
+    /// Returns by how many milliseconds each run that was stopped for being slow ended sooner than it would have, for
+    /// the tasks that are done.
+    pub fn gains_of_moved_runs(&self) -> Vec<i64> {
+        let moved = self.events("run_straggles").into_iter().filter_map(|(subject, _)| {
+            let stopped = |h: &Host| {
+                h.stopped.iter().filter(|(k, _)| k.to_string() == *subject).map(|s| s.1).min()
+            };
+            let would_end = self.hosts.values().filter_map(stopped).min()?;
+            let done =
+                |h: &Host| h.done.iter().find(|(k, _)| k.to_string() == *subject).map(|d| d.1);
+            let ended = self.hosts.values().find_map(done)?;
+            Some(would_end.0 as i64 - ended.0 as i64)
+        });
+        moved.collect()
+    }
+
     /// Returns a random number below `end`.
     pub fn random_below(&mut self, end: u64) -> u64 {
         self.rng.random_range(0..end)
--- a/components/dispatch/tests/common/host.rs
+++ b/components/dispatch/tests/common/host.rs
@@ -27,6 +27,14 @@
     }
 }
 
+impl Progress {
+    /// Returns when the work is done if the run makes progress as before.
+    fn ends_at(&self, now: Millis) -> Millis {
+        let remaining = self.duration.0 * (100 - self.from) / 100;
+        self.since.unwrap_or(now) + Millis(remaining)
+    }
+}
+
 /// A renewal that the worker has not answered yet.
 struct PendingRenewal {
     sent_at: Millis,
@@ -57,6 +65,12 @@
     pub replaced: bool,
     /// Whether it fails all it starts.
     pub failing: bool,
+    /// The factor by which its runs progress faster than usual.
+    pub speed: f64,
+    /// The tasks of which a run was stopped here, and when the run would have ended.
+    pub stopped: Vec<(TaskKey, Millis)>,
+    /// The tasks that were done here, and when.
+    pub done: Vec<(TaskKey, Millis)>,
     /// Since when its availability zone is drained, as committed.
     pub drained_since: Option<Millis>,
     runs: BTreeMap<TaskKey, Progress>,
@@ -75,6 +89,9 @@
             crashed,
             replaced,
             failing,
+            speed: 1.0,
+            stopped: Vec::new(),
+            done: Vec::new(),
             drained_since,
             runs,
             pending_renewal,
@@ -142,6 +159,9 @@
     pub fn end(&mut self, now: Millis, key: TaskKey, kind: EndKind) {
         let progress = self.saved(now, &key);
         let before = self.fake.ends.len();
+        if kind == EndKind::Done {
+            self.done.push((key, now));
+        }
         self.fake.end(key, kind);
         for end in &mut self.fake.ends[before..] {
             end.checkpoint = progress.as_str().into();
@@ -177,6 +197,7 @@
         }
         let since = (!spec.gang).then_some(now);
         let from = order.checkpoint.parse().unwrap_or(0);
+        let duration = Millis((duration.0 as f64 / self.speed) as u64);
         self.runs.insert(order.task, Progress { spec, duration, from, since });
         Ok(true)
     }
@@ -185,7 +206,11 @@
         self.check_not_replaced()?;
         let progress = self.saved(now, &order.task);
         let before = self.fake.ends.len();
+        let would_end = self.runs.get(&order.task).map(|p| p.ends_at(now));
         self.fake.stop(order)?;
+        if let Some(at) = would_end.filter(|_| !self.fake.running.contains_key(&order.task)) {
+            self.stopped.push((order.task, at));
+        }
         for end in &mut self.fake.ends[before..] {
             end.checkpoint = progress.as_str().into();
         }
--- a/components/dispatch/tests/common/mod.rs
+++ b/components/dispatch/tests/common/mod.rs
@@ -29,7 +29,7 @@
 /// A policy reader that reads any text as three queues at host `h`: `/q/` for quick jobs, with the highest priority,
 /// `/mid/`, and `/bulk/`. All of them use advice if the text contains `advice`. Calls for advice on bulk jobs take long,
 /// and those on `/mid/` as well if the text contains `long`. `/mid/` is open to callers without a key if the text
-/// contains `public`.
+/// contains `public`. `/bulk/` allows four times the critical path if the text contains `patient`.
 struct ThreeQueueReader;
 
 impl PolicyReader for ThreeQueueReader {
@@ -57,6 +57,7 @@
             priority: 2,
             max_attempts: 4,
             advice: text.contains("advice").then_some(long),
+            stretch: if text.contains("patient") { 4.0 } else { queue.stretch },
             ..queue.clone()
         };
         let mid = Queue {
@@ -156,9 +157,19 @@
 
     /// Returns a harness whose dispatcher begins a term as leader with the committed state.
     pub fn take_over(replicated: ReplicatedState, term: u64, now: Millis) -> Harness {
+        Harness::with_limits(Limits::default(), replicated, term, now)
+    }
+
+    /// Returns such a harness with other limits than the default ones.
+    pub fn with_limits(
+        limits: Limits,
+        replicated: ReplicatedState,
+        term: u64,
+        now: Millis,
+    ) -> Harness {
         let m = Moment { now, wall: now, leads_until: now + Millis(1_000) };
         let setup = Setup {
-            limits: Limits::default(),
+            limits,
             term,
             reader: Arc::new(ThreeQueueReader),
             replicated: replicated.clone(),
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -81,6 +81,7 @@
         self.metrics.set("heathvale_advice_callers_busy", figures.advice_callers_busy);
         self.metrics.set("heathvale_steps_without_caller", figures.steps_without_caller);
         self.metrics.set("heathvale_steps_without_look", figures.steps_not_examined);
+        self.metrics.set("heathvale_machines_slow", figures.slow_machines);
         let services = leader_term.dispatcher.service_figures();
         let quarantined =
             services.iter().map(|(service, f)| (service.clone(), f.quarantined_workers));
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -178,4 +178,10 @@
         /// Whether it is drained from now on.
         drained: bool,
     },
+    /// The speeds of some machines have changed.
+    SpeedsLearned {
+        /// Each machine, with its speed in thousandths of the usual one of its service. The usual speed itself removes
+        /// the record.
+        speeds: Vec<(Name, u32)>,
+    },
 }
--- a/components/workload/src/lib.rs
+++ b/components/workload/src/lib.rs
@@ -23,7 +23,7 @@
 pub use organisation::{Credential, KeyDigest, Organisation, Organisations};
 pub use ownership::Ownership;
 pub use policy::{AdvicePolicy, Document, Policy, PolicyReader, Queue, Service};
-pub use replicated_state::{OpenStep, ReplicatedState};
+pub use replicated_state::{OpenStep, ReplicatedState, USUAL_SPEED};
 pub use spec::{JobSpec, MAX_SPEC, MAX_TASKS, StepSpec};
 pub use uncertain_losses::{COUNTED_WEIGHT, FULL_WEIGHT, UncertainLoss, UncertainLosses};
 pub use worker::{Worker, WorkerInfo};
--- a/components/workload/src/replicated_state.rs
+++ b/components/workload/src/replicated_state.rs
@@ -47,8 +47,15 @@
     /// is not empty.
     #[serde(skip)]
     drained_zones: BTreeSet<Name>,
+    /// The machines whose speed differs from the usual one, in thousandths of it. Encoded after `drained_zones`, for
+    /// the same reason, and only if it is not empty.
+    #[serde(skip)]
+    machine_speeds: BTreeMap<Name, u32>,
 }
 
+/// The usual speed of a machine in [`Command::SpeedsLearned`].
+pub const USUAL_SPEED: u32 = 1_000;
+
 impl ReplicatedState {
     /// Decodes the state from a snapshot; an empty slice yields the empty state.
     ///
@@ -79,8 +86,13 @@
         }
         let (uncertain_losses, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
         replicated.uncertain_losses = uncertain_losses;
+        if rest.is_empty() {
+            return Ok(replicated);
+        }
+        let (drained_zones, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
+        replicated.drained_zones = drained_zones;
         if !rest.is_empty() {
-            replicated.drained_zones = postcard::from_bytes(rest).map_err(fault)?;
+            replicated.machine_speeds = postcard::from_bytes(rest).map_err(fault)?;
         }
         Ok(replicated)
     }
@@ -97,13 +109,18 @@
         let bytes = postcard::to_allocvec(self).map_err(fault)?;
         let bytes = postcard::to_extend(&self.crashes, bytes).map_err(fault)?;
         let bytes = postcard::to_extend(&self.ownership, bytes).map_err(fault)?;
-        if self.uncertain_losses.is_empty() && self.drained_zones.is_empty() {
+        let (no_zones, no_speeds) = (self.drained_zones.is_empty(), self.machine_speeds.is_empty());
+        if self.uncertain_losses.is_empty() && no_zones && no_speeds {
             return Ok(bytes);
         }
         let bytes = postcard::to_extend(&self.uncertain_losses, bytes).map_err(fault)?;
-        match self.drained_zones.is_empty() {
+        if no_zones && no_speeds {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&self.drained_zones, bytes).map_err(fault)?;
+        match no_speeds {
             true => Ok(bytes),
-            false => postcard::to_extend(&self.drained_zones, bytes).map_err(fault),
+            false => postcard::to_extend(&self.machine_speeds, bytes).map_err(fault),
         }
     }
 
@@ -178,6 +195,11 @@
             && self.workers.get(worker).is_some_and(|w| self.drained_zones.contains(&w.info.zone))
     }
 
+    /// Returns the machines whose speed is known to differ from the usual one of their service, in thousandths of it.
+    pub fn machine_speeds(&self) -> &BTreeMap<Name, u32> {
+        &self.machine_speeds
+    }
+
     /// Returns which organisation each job belongs to, and what each organisation has running.
     pub fn ownership(&self) -> &Ownership {
         &self.ownership
@@ -274,9 +296,19 @@
             Command::DrainZone { zone, drained: false } => {
                 self.drained_zones.remove(zone);
             }
+            Command::SpeedsLearned { speeds } => {
+                speeds.iter().for_each(|(machine, speed)| self.set_machine_speed(machine, *speed));
+            }
         }
     }
 
+    fn set_machine_speed(&mut self, machine: &Name, speed: u32) {
+        match speed == USUAL_SPEED {
+            true => self.machine_speeds.remove(machine),
+            false => self.machine_speeds.insert(machine.clone(), speed),
+        };
+    }
+
     fn clear_suspect(&mut self, task: &TaskKey) {
         self.crashes.clear(task);
         self.uncertain_losses.clear(task);
--- a/components/workload/tests/replicated_state.rs
+++ b/components/workload/tests/replicated_state.rs
@@ -9,7 +9,7 @@
 use rstest::rstest;
 use workload::{
     Command, Document, End, EndKind, JobId, JobSpec, JobState, ReplicatedState, StepSpec, TaskKey,
-    WorkerId,
+    USUAL_SPEED, WorkerId,
 };
 
 fn started(name: &str, index: u32, run: u32) -> Command {
@@ -176,6 +176,29 @@
     assert_eq!(ReplicatedState::decode(&replicated.encode().unwrap()).unwrap(), replicated);
 }
 
+/// A member that restarts from a snapshot must know the speeds, and one that reads a snapshot written before they
+/// existed must know none.
+#[test]
+fn a_snapshot_holds_the_speeds_of_machines() {
+    let learned = |speeds: &[(&str, u32)]| {
+        let speeds = speeds.iter().map(|(machine, speed)| ((*machine).into(), *speed)).collect();
+        Command::SpeedsLearned { speeds }
+    };
+    let without = apply_all(&[submit(1, vec![step(2)]), join("w")]);
+    let with = apply_all(&[
+        submit(1, vec![step(2)]),
+        join("w"),
+        learned(&[("m1", 550), ("m2", 460)]),
+        learned(&[("m1", USUAL_SPEED), ("m2", 480)]),
+    ]);
+    let speeds: Vec<(&str, u32)> = with.machine_speeds().iter().map(|(m, s)| (&**m, *s)).collect();
+    assert_eq!(speeds, [("m2", 480)]);
+    assert_eq!(ReplicatedState::decode(&with.encode().unwrap()).unwrap(), with);
+    let decoded = ReplicatedState::decode(&without.encode().unwrap()).unwrap();
+    assert!(decoded.machine_speeds().is_empty());
+    assert!(with.encode().unwrap().starts_with(&without.encode().unwrap()));
+}
+
 #[rstest]
 #[case::no_steps(vec![], 0)]
 #[case::count_of_zero(vec![step(0)], 0)]
