--- a/components/dispatch/src/admission.rs
+++ b/components/dispatch/src/admission.rs
@@ -395,7 +395,8 @@
         | Command::AssignOwner { .. }
         | Command::LossesUncertain { .. }
         | Command::DrainZone { .. }
-        | Command::UsageRecorded { .. } => BTreeSet::new(),
+        | Command::UsageRecorded { .. }
+        | Command::SpeedsLearned { .. } => BTreeSet::new(),
     }
 }
 
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -54,6 +54,8 @@
     pub long_running_max_wait: Millis,
     /// The number of calls that were refused for the forecast wait of their jobs in this term.
     pub refused: u64,
+    /// The number of machines that are known to be slower than the others of their service.
+    pub slow_machines: u64,
 }
 
 /// Gauges of one service.
@@ -240,6 +242,7 @@
             long_running_waiting: waits.len() as u64,
             long_running_max_wait: longest,
             refused: self.refusals.total,
+            slow_machines: self.worker_speeds.slow_machines(),
         }
     }
 
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -258,7 +258,7 @@
 /// The slack below which a waiting job is placed before more urgent ones that have more: the time
 /// of a call for advice, a commit and the wait for a stop.
 pub(crate) const MAX_URGENT_SLACK: Millis = Millis(2_000);
-/// The part of a job's remaining time that it should have to spare to count as in time.
+/// The part of a job's remaining time by which it is served earlier than it would have to be by declared run times.
 pub(crate) const RUN_TIME_MARGIN_DIVISOR: u64 = 4;
 /// How long a gang on a full fleet waits until all of its workers have freed enough capacity. Each of them frees
 /// a task's share within about this time, since batch tasks run for some seconds.
--- a/components/dispatch/src/long_running_waits.rs
+++ b/components/dispatch/src/long_running_waits.rs
@@ -87,7 +87,8 @@
             | Command::AssignOwner { .. }
             | Command::LossesUncertain { .. }
             | Command::DrainZone { .. }
-            | Command::UsageRecorded { .. } => {}
+            | Command::UsageRecorded { .. }
+            | Command::SpeedsLearned { .. } => {}
         }
     }
 
--- a/components/dispatch/src/service_order.rs
+++ b/components/dispatch/src/service_order.rs
@@ -25,12 +25,12 @@
 pub(crate) enum ServiceClass {
     /// Its queue has the highest priority and its job can be in time. Callers wait for such jobs.
     Quick,
-    /// Its job is in time only if the step starts within [`MAX_URGENT_SLACK`].
+    /// Its queue has the highest priority and its job is late.
+    LateQuick,
+    /// Its job is in time only if the step starts soon.
     Urgent,
     /// Its job has been late for [`LATE_TURN_AFTER`].
     Turn,
-    /// Its queue has the highest priority and its job is late.
-    LateQuick,
     /// Its job can be in time.
     InTime,
     /// Its job is late.
@@ -70,6 +70,8 @@
     pub(crate) allowed: Millis,
     /// The shortest time that the rest of it takes.
     pub(crate) remaining: Millis,
+    /// How long its next step usually takes to start, with a margin for the declared run times.
+    pub(crate) lead: Millis,
     /// The rest of its work, in core-milliseconds.
     pub(crate) remaining_work: u64,
 }
@@ -77,21 +79,28 @@
 impl Timeliness {
     /// Returns the rank at this moment, and how long it holds unless the job makes progress.
     pub(crate) fn rank(&self) -> (Rank, Millis) {
-        let Timeliness { priority, share, order, now, age, allowed, remaining, remaining_work } =
-            *self;
+        let Timeliness {
+            priority,
+            share,
+            order,
+            now,
+            age,
+            allowed,
+            remaining,
+            lead,
+            remaining_work,
+        } = *self;
         let rank = |class, by| Rank { class, share, by, order };
-        // Declared run times are off by up to half. A job that is just in time by them mostly ends late.
-        let margin = Millis(remaining.0 / RUN_TIME_MARGIN_DIVISOR);
-        let slack = allowed.since(age + remaining + margin);
+        let slack = allowed.since(age + remaining);
         let latest_start = now + slack;
         if slack > Millis::ZERO {
             return match priority {
                 0 => (rank(ServiceClass::Quick, 0), slack),
-                _ if slack < MAX_URGENT_SLACK => {
+                _ if slack < MAX_URGENT_SLACK + lead => {
                     (rank(ServiceClass::Urgent, u64::from(priority) << 48 | latest_start.0), slack)
                 }
                 _ => {
-                    let holds = slack.since(MAX_URGENT_SLACK);
+                    let holds = slack.since(MAX_URGENT_SLACK + lead);
                     (rank(ServiceClass::InTime, u64::from(priority)), holds)
                 }
             };
@@ -205,7 +214,9 @@
         let advice = self.advice_policies.get(&job.queue);
         let call = advice.map_or(0.0, |policy| cost_ms(policy, TYPICAL_NAMED_WORKERS));
         let assembly = if step.gang { GANG_ASSEMBLY_TIME } else { Millis::ZERO };
-        let remaining = path + Millis(call as u64) + assembly;
+        // Declared run times are off by up to half, so a job that is just in time by them mostly ends late.
+        let margin = Millis(path.0 / RUN_TIME_MARGIN_DIVISOR);
+        let lead = margin + Millis(call as u64) + assembly;
         let unfinished = job.spec.steps.iter().zip(&round.steps);
         let work = unfinished.map(|(spec, state)| {
             let tasks = (state.tasks.len() as u64).saturating_sub(u64::from(state.done));
@@ -218,7 +229,8 @@
             now: m.now,
             age: self.age(m, key, job),
             allowed,
-            remaining,
+            remaining: path,
+            lead,
             remaining_work: work.sum(),
         })
     }
--- a/components/workload/src/command.rs
+++ b/components/workload/src/command.rs
@@ -185,4 +185,10 @@
         /// The decaying average of what the runs of each organisation use, without those that use nothing.
         usage: Vec<(Name, Size)>,
     },
+    /// The speeds of some machines have changed.
+    SpeedsLearned {
+        /// Each machine, with its speed in thousandths of the usual one of its service. The usual speed itself removes
+        /// the record.
+        speeds: Vec<(Name, u32)>,
+    },
 }
--- a/components/workload/src/replicated_state.rs
+++ b/components/workload/src/replicated_state.rs
@@ -47,8 +47,15 @@
     /// is not empty.
     #[serde(skip)]
     drained_zones: BTreeSet<Name>,
+    /// The machines whose speed differs from the usual one, in thousandths of it. Encoded after `drained_zones`, for
+    /// the same reason, and only if it is not empty.
+    #[serde(skip)]
+    machine_speeds: BTreeMap<Name, u32>,
 }
 
+/// The usual speed of a machine in [`Command::SpeedsLearned`].
+pub const USUAL_SPEED: u32 = 1_000;
+
 impl ReplicatedState {
     /// Decodes the state from a snapshot; an empty slice yields the empty state.
     ///
@@ -92,8 +99,14 @@
         let (drained_zones, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
         replicated.drained_zones = drained_zones;
         if !rest.is_empty() {
-            let recorded_usage = postcard::from_bytes(rest).map_err(fault)?;
-            replicated.ownership.record_usage(recorded_usage);
+            let (recorded_usage, rest) =
+                postcard::take_from_bytes::<Option<RecordedUsage>>(rest).map_err(fault)?;
+            if let Some(recorded_usage) = recorded_usage {
+                replicated.ownership.record_usage(recorded_usage);
+            }
+            if !rest.is_empty() {
+                replicated.machine_speeds = postcard::from_bytes(rest).map_err(fault)?;
+            }
         }
         Ok(replicated)
     }
@@ -111,18 +124,23 @@
         let bytes = postcard::to_extend(&self.crashes, bytes).map_err(fault)?;
         let bytes = postcard::to_extend(&self.ownership, bytes).map_err(fault)?;
         let recorded_usage = self.ownership.recorded_usage();
-        let (has_drained, has_usage) = (!self.drained_zones.is_empty(), recorded_usage.is_some());
-        if self.uncertain_losses.is_empty() && !has_drained && !has_usage {
+        let (has_usage, has_speeds) = (recorded_usage.is_some(), !self.machine_speeds.is_empty());
+        let has_drained = !self.drained_zones.is_empty();
+        if self.uncertain_losses.is_empty() && !has_drained && !has_usage && !has_speeds {
             return Ok(bytes);
         }
         let bytes = postcard::to_extend(&self.uncertain_losses, bytes).map_err(fault)?;
-        if !has_drained && !has_usage {
+        if !has_drained && !has_usage && !has_speeds {
             return Ok(bytes);
         }
         let bytes = postcard::to_extend(&self.drained_zones, bytes).map_err(fault)?;
-        match recorded_usage {
-            Some(recorded) => postcard::to_extend(recorded, bytes).map_err(fault),
-            None => Ok(bytes),
+        if !has_usage && !has_speeds {
+            return Ok(bytes);
+        }
+        let bytes = postcard::to_extend(&recorded_usage, bytes).map_err(fault)?;
+        match has_speeds {
+            true => postcard::to_extend(&self.machine_speeds, bytes).map_err(fault),
+            false => Ok(bytes),
         }
     }
 
@@ -197,6 +215,11 @@
             && self.workers.get(worker).is_some_and(|w| self.drained_zones.contains(&w.info.zone))
     }
 
+    /// Returns the machines whose speed is known to differ from the usual one of their service, in thousandths of it.
+    pub fn machine_speeds(&self) -> &BTreeMap<Name, u32> {
+        &self.machine_speeds
+    }
+
     /// Returns which organisation each job belongs to, and what each organisation has running.
     pub fn ownership(&self) -> &Ownership {
         &self.ownership
@@ -297,9 +320,19 @@
                 let usage = usage.iter().cloned().collect();
                 self.ownership.record_usage(RecordedUsage { at: *at, usage });
             }
+            Command::SpeedsLearned { speeds } => {
+                speeds.iter().for_each(|(machine, speed)| self.set_machine_speed(machine, *speed));
+            }
         }
     }
 
+    fn set_machine_speed(&mut self, machine: &Name, speed: u32) {
+        match speed == USUAL_SPEED {
+            true => self.machine_speeds.remove(machine),
+            false => self.machine_speeds.insert(machine.clone(), speed),
+        };
+    }
+
     fn clear_suspect(&mut self, task: &TaskKey) {
         self.crashes.clear(task);
         self.uncertain_losses.clear(task);
