--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -260,6 +260,12 @@
         self.steps.entry(*step).or_default().lacks_caller_since.get_or_insert(now);
     }
 
+    /// Returns whether so many instances are free to make a call that one for a step without any
+    /// capacity in sight takes none from the others.
+    pub(crate) fn has_ample_callers(&self) -> bool {
+        self.idle_caller_count * 4 > self.callers.len()
+    }
+
     /// Returns how many instances can make calls.
     pub(crate) fn callers(&self) -> usize {
         self.callers.len()
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -134,7 +134,8 @@
     /// Otherwise defers the step: steps that wait for capacity would use up all available calls,
     /// however many workers are free for the steps behind them.
     pub(crate) fn request_advice(&mut self, m: Moment, need: StepNeedingAdvice) {
-        if need.advice_priority == AdvicePriority::Normal && !self.claim_for(m, &need) {
+        let is_claimed = need.advice_priority != AdvicePriority::Normal || self.claim_for(m, &need);
+        if !is_claimed && !self.advice_scheduler.has_ample_callers() {
             return;
         }
         let StepNeedingAdvice { key, policy, advice_priority, .. } = &need;
