Calls for steps that wait for capacity have an examination budget per plan

Such calls now stop once they have examined 1,000 workers in a plan, and go on in the next one. Workers with fresh tickets are not looked up again, except for a gang whose capacity they count towards.

--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -421,6 +421,18 @@
         }
     }
 
+    /// Returns whether a call on a step may name a worker: it may be allowed, and its ticket, if any,
+    /// is due for renewal.
+    pub(crate) fn is_askable(
+        &self,
+        now: Millis,
+        step: &StepKey,
+        policy: &AdvicePolicy,
+        worker: &WorkerId,
+    ) -> bool {
+        self.steps.get(step).is_none_or(|s| s.is_askable(now, policy, worker))
+    }
+
     /// Records that the free capacity that a step may use has to be examined anew.
     pub(crate) fn forget_capacity_wait(&mut self, step: &StepKey) {
         if let Some(advice) = self.steps.get_mut(step) {
@@ -435,9 +447,8 @@
         need: &AdviceNeed<'_>,
         candidates: &[AdviceCandidate],
     ) -> bool {
-        let advice = self.steps.get(&need.step);
         let is_askable =
-            |c: &AdviceCandidate| advice.is_none_or(|a| a.is_askable(now, &need.policy, &c.worker));
+            |c: &AdviceCandidate| self.is_askable(now, &need.step, &need.policy, &c.worker);
         let capacity: u64 = candidates.iter().map(|c| c.fits.min(need.tasks)).sum();
         candidates.iter().any(|c| c.fits > 0 && is_askable(c))
             && (!need.gang || capacity >= need.tasks)
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -20,6 +20,7 @@
 use crate::input::Moment;
 use crate::limits::{
     ADVICE_CANDIDATES_WITH_CAPACITY, ADVICE_FULL_WORKERS_EXAMINED, ADVICE_MAX_WORKERS,
+    WAITING_EXAMINATION_BUDGET,
 };
 use crate::planning::PlanPass;
 use crate::worker_health::WorkerTier;
@@ -169,9 +170,15 @@
     }
 
     /// Requests tickets for steps that wait for capacity, the most urgent first, with the calls
-    /// that the steps that could start have left.
+    /// that the steps that could start have left. The rest wait for the next plan once these calls
+    /// have used up their examination budget: with many free instances, the calls for a backlog would
+    /// otherwise take the leader's processor all at once.
     pub(crate) fn request_advice_for_waiting(&mut self, m: Moment) {
+        let budget_end = self.plan_state.workers_scanned + WAITING_EXAMINATION_BUDGET;
         for (need, candidates) in std::mem::take(&mut self.plan_state.deferred) {
+            if self.plan_state.workers_scanned >= budget_end {
+                break;
+            }
             if !self.may_request(m, &need) {
                 continue;
             }
@@ -235,10 +242,17 @@
         let (key, spec) = (&need.key, need.spec());
         let Some(job) = self.replicated.job(key.job) else { return Candidates::default() };
         let service = job.service.clone();
+        // Workers with fresh tickets count only towards the capacity for a gang. A backlog has many
+        // steps with tickets for most workers, none of which is due for renewal.
+        let counts_all = spec.gang && self.has_free_capacity(need);
+        let is_askable = |id: &&WorkerId| {
+            counts_all || self.advice_scheduler.is_askable(m.now, key, &need.policy, id)
+        };
         let allowed = self.advice_scheduler.allowed(key);
-        let mut workers: Vec<AdviceCandidate> =
-            allowed.iter().filter_map(|id| self.suitable_candidate(m, need, id)).collect();
         let mut examined = allowed.len() as u64;
+        let allowed = allowed.iter().filter(is_askable);
+        let mut workers: Vec<AdviceCandidate> =
+            allowed.filter_map(|id| self.suitable_candidate(m, need, id)).collect();
         let enough = ADVICE_CANDIDATES_WITH_CAPACITY.max(need.tasks as usize);
         let group = self.capacity_index.group(&service, spec.constraint.as_ref());
         let free = group.into_iter().flat_map(|g| g.with_free_from(g.next_free, &spec.size));
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -137,6 +137,9 @@
 pub(crate) const EXAMINATIONS_PER_MS: u64 = 50;
 /// How many examined workers one examined waiting step counts as.
 pub(crate) const EXAMINATIONS_PER_STEP: u64 = 5;
+/// The number of examined workers after which a plan makes no more calls for steps that wait for
+/// capacity: the examination budget of 20 ms.
+pub(crate) const WAITING_EXAMINATION_BUDGET: u64 = EXAMINATIONS_PER_MS * 20;
 /// The maximum number of starts in flight to workers that answer. A start is confirmed within 50
 /// ms, so 64 suffice for 1,300 starts a second. A leader that sends more than it can process the
 /// answers to considers them lost, sends them again and processes even fewer: with 350 workers,
--- a/components/dispatch/tests/capacity_index.rs
+++ b/components/dispatch/tests/capacity_index.rs
@@ -15,8 +15,8 @@
 const FILLING: u64 = 0xf000;
 /// How many instances call for advice.
 const CALLERS: usize = 40;
-/// How many workers without free capacity are examined at most for one call.
-const EXAMINED_PER_CALL: u64 = 100;
+/// How many workers a plan examines at most for steps that wait for capacity, and for one more call.
+const MAX_EXAMINED: u64 = 1_000 + 100;
 
 fn set_callers(b: &mut Harness) {
     let callers: Vec<String> = (0..CALLERS).map(|i| format!("e{i:02}")).collect();
@@ -121,12 +121,12 @@
     let mut b = full_fleet(workers, 0);
     submit_waiting(&mut b, 1_000);
     let scanned = b.dispatcher.figures().workers_scanned;
-    assert!(0 < scanned && scanned <= CALLERS as u64 * EXAMINED_PER_CALL, "{scanned} workers");
+    assert!(0 < scanned && scanned <= MAX_EXAMINED, "{scanned} workers");
     b.now += Millis(500);
     b.submit(1, spec(vec![step(3)]));
     assert_eq!(b.advice_requests(Some(1)).len(), 1);
     let scanned = b.dispatcher.figures().workers_scanned;
-    assert!(scanned <= CALLERS as u64 * EXAMINED_PER_CALL, "{scanned} workers");
+    assert!(scanned <= MAX_EXAMINED, "{scanned} workers");
 }
 
 /// Guards against a step that examines workers to learn that none has capacity.
