--- a/components/dispatch/src/advice.rs
+++ b/components/dispatch/src/advice.rs
@@ -35,7 +35,7 @@
 }
 
 /// Returns whether calls under a policy are short, so that no instances are reserved against them.
-fn is_short(policy: &AdvicePolicy) -> bool {
+pub(crate) fn is_short(policy: &AdvicePolicy) -> bool {
     cost_ms(policy, ADVICE_MIN_WORKERS) <= MAX_SHORT_ADVICE_MS
 }
 
--- a/components/dispatch/src/advice_requests.rs
+++ b/components/dispatch/src/advice_requests.rs
@@ -14,7 +14,9 @@
 use workload::{AdvicePolicy, JobSpec, OpenStep, StepKey, StepSpec, Worker, WorkerId};
 
 use crate::action::Action;
-use crate::advice::{AdviceCandidate, AdviceNeed, AdvicePriority, AdviceSelection, cost_ms};
+use crate::advice::{
+    AdviceCandidate, AdviceNeed, AdvicePriority, AdviceSelection, cost_ms, is_short,
+};
 use crate::candidates::{fits, max_additional_tasks};
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
@@ -117,7 +119,8 @@
             worker_tier,
             advice_priority,
         };
-        if !self.may_request(m, &need) || !self.claim_for(m, &need) {
+        let is_affordable = self.claim_for(m, &need) || self.advice_scheduler.has_ample_callers();
+        if !is_affordable || !self.may_request(m, &need) {
             return;
         }
         let candidates = self.candidates_with_capacity(m, &need);
@@ -136,7 +139,9 @@
     /// however many workers are free for the steps behind them.
     pub(crate) fn request_advice(&mut self, m: Moment, need: StepNeedingAdvice) {
         let is_claimed = need.advice_priority != AdvicePriority::Normal || self.claim_for(m, &need);
-        if !is_claimed && !self.advice_scheduler.has_ample_callers() {
+        // Instances are reserved for short calls, which take little time.
+        let is_affordable = is_short(&need.policy) || self.advice_scheduler.has_ample_callers();
+        if !is_claimed && !is_affordable {
             return;
         }
         let StepNeedingAdvice { key, policy, advice_priority, .. } = &need;
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -261,8 +261,6 @@
 /// The slack below which a waiting job is placed before more urgent ones that have more: the time
 /// of a call for advice, a commit and the wait for a stop.
 pub(crate) const MAX_URGENT_SLACK: Millis = Millis(2_000);
-/// The part of a job's remaining time by which it is served earlier than it would have to be by declared run times.
-pub(crate) const RUN_TIME_MARGIN_DIVISOR: u64 = 4;
 /// How long a gang on a full fleet waits until all of its workers have freed enough capacity. Each of them frees
 /// a task's share within about this time, since batch tasks run for some seconds.
 pub(crate) const GANG_ASSEMBLY_TIME: Millis = Millis(1_500);
@@ -271,9 +269,9 @@
 /// How long after it can no longer be in time a step is served before those that have time. Callers wait for some
 /// seconds or come back for the result within minutes, so no job may wait for longer than this behind newer ones.
 pub(crate) const LATE_TURN_AFTER: Millis = Millis(30_000);
-/// How long the rank of a step is kept, unless it is known to change earlier. Progress of its job, a new configuration
-/// and a jump of the wall clock show after that time.
-pub(crate) const MAX_RANK_AGE: Millis = Millis(1_000);
+/// How long the rank of a step is kept, unless it is known to change earlier. Progress of its job, a new configuration,
+/// a jump of the wall clock and a change of the shares of organisations show after that time.
+pub(crate) const MAX_RANK_AGE: Millis = Millis(250);
 /// The backoff of an unhealthy or full worker, during which it gets no work.
 pub(crate) const WORKER_BACKOFF: Millis = Millis(700);
 /// The minimum time over which the speed of a run is measured.
--- a/components/dispatch/src/service_order.rs
+++ b/components/dispatch/src/service_order.rs
@@ -17,16 +17,14 @@
 use crate::input::Moment;
 use crate::limits::{
     GANG_ASSEMBLY_TIME, LATE_TURN_AFTER, MAX_LATE_FACTOR, MAX_RANK_AGE, MAX_URGENT_SLACK,
-    RUN_TIME_MARGIN_DIVISOR,
 };
 
 /// How soon a step is to be served, the most urgent first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ServiceClass {
-    /// Its queue has the highest priority and its job can be in time. Callers wait for such jobs.
+    /// Its queue has the highest priority. Callers wait for such jobs and they are small, so they come first, in the
+    /// order of arrival, even if they are late.
     Quick,
-    /// Its queue has the highest priority and its job is late.
-    LateQuick,
     /// Its job is in time only if the step starts soon.
     Urgent,
     /// Its job has been late for [`LATE_TURN_AFTER`].
@@ -70,7 +68,7 @@
     pub(crate) allowed: Millis,
     /// The shortest time that the rest of it takes.
     pub(crate) remaining: Millis,
-    /// How long its next step usually takes to start, with a margin for the declared run times.
+    /// How much longer than that of other steps the start of this one takes.
     pub(crate) lead: Millis,
     /// The rest of its work, in core-milliseconds.
     pub(crate) remaining_work: u64,
@@ -91,21 +89,23 @@
             remaining_work,
         } = *self;
         let rank = |class, by| Rank { class, share, by, order };
+        if priority == 0 {
+            return (rank(ServiceClass::Quick, 0), Millis(u64::MAX));
+        }
         let slack = allowed.since(age + remaining);
         let latest_start = now + slack;
         if slack > Millis::ZERO {
-            return match priority {
-                0 => (rank(ServiceClass::Quick, 0), slack),
-                _ if slack < MAX_URGENT_SLACK + lead => {
+            return match slack < MAX_URGENT_SLACK + lead {
+                true => {
                     (rank(ServiceClass::Urgent, u64::from(priority) << 48 | latest_start.0), slack)
                 }
-                _ => {
+                false => {
                     let holds = slack.since(MAX_URGENT_SLACK + lead);
                     (rank(ServiceClass::InTime, u64::from(priority)), holds)
                 }
             };
         }
-        let too_late_at = Millis(allowed.0 * MAX_LATE_FACTOR);
+        let too_late_at = Millis(allowed.0.saturating_mul(MAX_LATE_FACTOR));
         let turn_at = allowed.since(remaining) + LATE_TURN_AFTER;
         if age >= turn_at {
             return (rank(ServiceClass::Turn, 0), Millis(u64::MAX));
@@ -115,10 +115,7 @@
             return (rank(ServiceClass::TooLate, remaining_work), until_turn);
         }
         let holds = until_turn.min(too_late_at.since(age + remaining));
-        match priority {
-            0 => (rank(ServiceClass::LateQuick, 0), holds),
-            _ => (rank(ServiceClass::Late, remaining_work), holds),
-        }
+        (rank(ServiceClass::Late, remaining_work), holds)
     }
 }
 
@@ -213,14 +210,14 @@
         let path = job.spec.critical_path(|i| !round.steps[i].is_done());
         let advice = self.advice_policies.get(&job.queue);
         let call = advice.map_or(0.0, |policy| cost_ms(policy, TYPICAL_NAMED_WORKERS));
-        let assembly = if step.gang { GANG_ASSEMBLY_TIME } else { Millis::ZERO };
-        // Declared run times are off by up to half, so a job that is just in time by them mostly ends late.
-        let margin = Millis(path.0 / RUN_TIME_MARGIN_DIVISOR);
-        let lead = margin + Millis(call as u64) + assembly;
+        let lead = match step.gang {
+            true => Millis(call as u64) + GANG_ASSEMBLY_TIME,
+            false => Millis::ZERO,
+        };
         let unfinished = job.spec.steps.iter().zip(&round.steps);
         let work = unfinished.map(|(spec, state)| {
             let tasks = (state.tasks.len() as u64).saturating_sub(u64::from(state.done));
-            tasks * spec.size.cpu_milli * spec.estimate.0 / 1_000
+            tasks.saturating_mul(spec.size.cpu_milli).saturating_mul(spec.estimate.0) / 1_000
         });
         Some(Timeliness {
             priority: job.priority,
@@ -231,7 +228,7 @@
             allowed,
             remaining: path,
             lead,
-            remaining_work: work.sum(),
+            remaining_work: work.fold(0, u64::saturating_add),
         })
     }
 }
--- a/components/dispatch/tests/hard_load.rs
+++ b/components/dispatch/tests/hard_load.rs
@@ -1,4 +1,4 @@
-//! More work than the fleet can run: gangs, batch jobs and quick jobs at 1.5 times the capacity of 60 workers, with
+//! More work than the fleet can run: gangs, batch jobs and quick jobs at 2.5 times the usual load of 60 workers, which they cannot run, with
 //! the costs of calls for advice and the objectives of the deployment that docs/design/overload.md describes.
 
 mod common;
@@ -16,6 +16,8 @@
 const USUAL_RATES: [(Kind, f64); 3] = [(Kind::Gang, 0.6), (Kind::Batch, 2.75), (Kind::Quick, 14.1)];
 /// The number of waiting steps from which the fleet counts as having a backlog.
 const BACKLOG: u64 = 25;
+/// By how much the load exceeds the usual one.
+const OVERLOAD: f64 = 2.5;
 
 /// What was seen while steps waited.
 #[derive(Default)]
@@ -88,7 +90,7 @@
 #[test]
 fn quick_jobs_start_within_300_ms_beside_a_backlog() {
     let mut load = Load::new(1);
-    load.drive(Millis(12_000), 1.5);
+    load.drive(Millis(12_000), OVERLOAD);
     let handed_in = load.fleet.jobs.values().filter(|j| j.kind == Kind::Quick).count();
     let waits = load.fleet.waits(Kind::Quick);
     let p95 = waits.get(handed_in * 95 / 100).copied();
@@ -101,7 +103,7 @@
 #[test]
 fn steps_with_tickets_make_no_further_calls_beside_a_backlog() {
     let mut load = Load::new(1);
-    load.drive(Millis(12_000), 1.5);
+    load.drive(Millis(12_000), OVERLOAD);
     let quick = |id| load.fleet.jobs[id].kind == Kind::Quick;
     let started = load.fleet.jobs.iter().filter(|(id, j)| quick(id) && j.first_start.is_some());
     let jobs = started.clone().count() as u32;
@@ -114,7 +116,7 @@
 #[test]
 fn nine_tenths_of_the_cores_are_in_use_beside_a_backlog() {
     let mut load = Load::new(1);
-    load.drive(Millis(12_000), 1.5);
+    load.drive(Millis(12_000), OVERLOAD);
     let Observed { moments, cores_in_use } = load.observed;
     let in_use = cores_in_use / f64::from(moments);
     assert!(in_use >= 0.9, "{in_use:.3} of the cores are in use while steps wait");
