--- a/components/dispatch/src/advice_pacing.rs
+++ b/components/dispatch/src/advice_pacing.rs
@@ -11,7 +11,7 @@
 use model::{Dimension, Name, Size};
 use workload::{AdvicePolicy, Command, StepKey, StepSpec};
 
-use crate::advice::cost_ms;
+use crate::advice::{cost_ms, is_short};
 use crate::capacity_reservations::WorkerSelector;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
@@ -157,7 +157,8 @@
     ) -> Option<f64> {
         let selector = self.worker_selector(key, spec)?;
         let paced = self.paced_capacity(&selector);
-        if !paced.is_scarce() {
+        // A short call names many workers anyway.
+        if is_short(policy) || !paced.is_scarce() {
             return None;
         }
         let span = policy.valid.since(PLACEMENT_TIME).0 as f64;
