--- a/components/dispatch/src/backlog.rs
+++ b/components/dispatch/src/backlog.rs
@@ -229,7 +229,7 @@
 /// Returns the time to which the ends of an objective of this length are rounded, so that jobs with
 /// like objectives share some tens of sums, however many of them there are.
 fn rounding_step(objective: Millis) -> Millis {
-    let step = (objective.0 / LATE_FROM_STEPS).max(MIN_LATE_FROM_STEP.0).min(1 << 62);
+    let step = (objective.0 / LATE_FROM_STEPS).clamp(MIN_LATE_FROM_STEP.0, 1 << 62);
     Millis(step.next_power_of_two())
 }
 
--- a/components/dispatch/src/call_handling.rs
+++ b/components/dispatch/src/call_handling.rs
@@ -145,10 +145,10 @@
                 Caller::Organisation(name) => Some(name),
                 Caller::Anyone => None,
             };
-            if let Some(name) = &organisation {
-                if let Some(answer) = self.refuse_beyond_limit(name, &spec) {
-                    return answer;
-                }
+            if let Some(name) = &organisation
+                && let Some(answer) = self.refuse_beyond_limit(name, &spec)
+            {
+                return answer;
             }
             if let Some(answer) = self.refuse_for_wait(m, queue, organisation.as_ref(), &spec, id) {
                 return answer;
--- a/components/dispatch/tests/admission.rs
+++ b/components/dispatch/tests/admission.rs
@@ -133,7 +133,7 @@
     let first = StepSpec { size, estimate: Millis(4_000), ..step(4) };
     let later = StepSpec { estimate: Millis(40_000), depends_on: vec![0], ..first.clone() };
     f.advance(MEASURED_AFTER);
-    f.submit_job(Kind::Wide, "bulk", vec![first.clone(), later]);
+    f.submit_job(Kind::Wide, "bulk", vec![first, later]);
     f.advance(Millis(2_000));
     let short = f.submit_job(Kind::Batch, "bulk", vec![step(1)]);
     f.advance(Millis(1_000));
