--- a/components/dispatch/src/worker_speeds.rs
+++ b/components/dispatch/src/worker_speeds.rs
@@ -24,7 +24,7 @@
 /// show. One run in thirty takes seven times as long, and must hardly count.
 const MAX_SURPRISE: f64 = 0.35;
 /// The minimum deviation from the usual speed, as a natural logarithm, that counts. Speeds within
-/// 10% of each other make no difference to a placement; with 0.15, machines at 0.95 did by chance.
+/// 10% of each other must make no difference to a placement, so the bound is twice that.
 const MIN_DEVIATION: f64 = 0.2;
 /// The deviation that counts after one comparison; it falls with the square root of their number.
 /// The run times of a step's tasks differ by up to a third, a standard deviation of 0.2.
