Pause after a plan for several times as long as it took

On an overloaded fleet of 350 workers the leader processed some 1,000 starts a second while 600 to 1,500 steps waited and half of the cores were idle; from an order to its answer took 190 ms, and the bound of 200 starts in flight did the rest.

Cause: the leader's processor. Commits and answers of workers wait meanwhile.

Now the leader tells the dispatcher how long a decision took, and the next plan waits for seven times as long, at most 60 ms, so that plans take an eighth of its time. A leader with a fast processor plans as often as before.

--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::input::{Input, Moment, Token};
 use crate::limits::{
     CLEANUP_INTERVAL, EXAMINATIONS_PER_MS, LEASE_EXPIRY_MARGIN, Limits, MAX_CLOCK_DRIFT_PERCENT,
+    MAX_PLAN_PAUSE, PLAN_TIME_DIVISOR,
 };
 use crate::long_running_waits::LongRunningWaits;
 use crate::loss_evidence::LostRuns;
@@ -296,6 +297,14 @@
         (batch, std::mem::take(&mut self.actions))
     }
 
+    /// Records how long the last [`Dispatcher::decide`] took. The next plan comes so much later that
+    /// plans take a bounded part of the leader's time, however little processor time it has: answers
+    /// of workers and commits wait for it otherwise.
+    pub fn record_decision_time(&mut self, m: Moment, took: Millis) {
+        let pause = Millis(took.0 * (PLAN_TIME_DIVISOR - 1)).min(MAX_PLAN_PAUSE);
+        self.plan_at = self.plan_at.max(m.now + pause);
+    }
+
     /// Returns the replicated state, including commands that are not committed yet.
     pub fn replicated(&self) -> &ReplicatedState {
         &self.replicated
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -144,6 +144,12 @@
 /// takes about a microsecond of a whole processor, of which the leader has less than half, so that
 /// a backlog never keeps it from processing answers.
 pub(crate) const EXAMINATIONS_PER_MS: u64 = 50;
+/// The divisor of the leader's time that plans take at most. The rest is for orders and answers,
+/// without which nothing that a plan decides is carried out.
+pub(crate) const PLAN_TIME_DIVISOR: u64 = 8;
+/// The maximum pause after a plan that took long. Quick jobs are to start within 300 ms, which
+/// includes two plans, a call for advice and a commit.
+pub(crate) const MAX_PLAN_PAUSE: Millis = Millis(60);
 /// How many examined workers one examined waiting step counts as.
 pub(crate) const EXAMINATIONS_PER_STEP: u64 = 5;
 /// The number of examined workers after which a plan makes no more calls for steps that wait for
@@ -286,7 +292,7 @@
 pub(crate) const MIN_STRAGGLER_AGE: Millis = Millis(600);
 /// The minimum number of other workers that must run a step to determine its expected speed.
 pub(crate) const MIN_COMPARED_WORKERS: usize = 2;
-/// The cost of moving a run besides the stop: two commits and often a call for advice.
+/// The cost of moving or preempting a run besides the stop: two commits and often a call for advice.
 pub(crate) const MOVE_COST: Millis = Millis(300);
 /// The maximum number of times that a task is moved. A task that is slow on all these workers is
 /// slow itself.
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -5,7 +5,7 @@
 
 use clock::{Clock, Millis};
 use dispatch::{
-    Action, Answer, Backlog, Dispatcher, Input, OrganisationFigures, QueueFigures, Setup,
+    Action, Answer, Backlog, Dispatcher, Input, Moment, OrganisationFigures, QueueFigures, Setup,
 };
 use events::{kinds, log_decision, log_summary};
 use model::{InstanceId, Name};
@@ -223,6 +223,9 @@
         let Some(leader_term) = &mut self.leader_term else { return };
         let (batch, actions) = leader_term.dispatcher.decide(m);
         leader_term.timings.end_phase(Phase::Decide);
+        let decided_at = self.clock.now();
+        let decided = Moment { now: decided_at, ..m };
+        leader_term.dispatcher.record_decision_time(decided, decided_at.since(m.now));
         let term = leader_term.term;
         if let Some((batch, commands)) = batch {
             self.metrics.add("heathvale_commands_total", "proposed", commands.len() as u64);
