--- a/components/events/src/line_queue.rs
+++ b/components/events/src/line_queue.rs
@@ -19,7 +19,7 @@
 /// each.
 const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// The maximum size of a write that consists of several lines: a pipe takes a write of up to this size (`PIPE_BUF`)
-/// as a whole or not at all, so that no line is torn.
+/// as a whole or not at all, so that no line is cut.
 const MAX_WRITE_BYTES: usize = 4_096;
 
 /// How important a line is when there are too many.
