--- a/review/standins.py
+++ b/review/standins.py
@@ -17,6 +17,8 @@
 import time
 
 CONTROL_PORT, FRONT_PORT, READY_PORT = 8166, 8161, 8167
+# The port for other nodes, and the one at which a node listens for them behind a proxy.
+LINKS_PORT, PROXIED_PORT = 7720, 7736
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PROGRAM = os.path.join(ROOT, "target", "release", "heathvaled")
 HOST, PREFIX = "nony24.example", "/lohu930/"
@@ -97,6 +99,66 @@
             writer.close()
 
 
+class Proxy:
+    """Passes channels on from one loopback address to another. Open ones can go silent for good, without a reset; new
+    ones work."""
+
+    def __init__(self, listen, target):
+        self.listen, self.target, self.server, self.open = listen, target, None, []
+
+    async def start(self):
+        self.server = await asyncio.start_server(self.serve, *self.listen)
+
+    async def serve(self, reader, writer):
+        channel = {"port": writer.get_extra_info("peername")[1], "silent": False}
+        self.open.append(channel)
+        try:
+            to_reader, to_writer = await asyncio.open_connection(*self.target)
+        except OSError:
+            writer.close()
+            return
+
+        async def copy(source, sink):
+            try:
+                while True:
+                    data = await source.read(65536)
+                    if not data:
+                        break
+                    if not channel["silent"]:
+                        sink.write(data)
+                        await sink.drain()
+            except ConnectionError:
+                pass
+            if not channel["silent"]:
+                sink.close()
+
+        try:
+            await asyncio.gather(copy(reader, to_writer), copy(to_reader, writer))
+        except asyncio.CancelledError:
+            pass
+
+    def silence(self, pid):
+        """Silences the open channels that a process has opened; returns how many."""
+        inodes = set()
+        for fd in os.listdir(f"/proc/{pid}/fd"):
+            try:
+                link = os.readlink(f"/proc/{pid}/fd/{fd}")
+            except OSError:
+                continue
+            if link.startswith("socket:["):
+                inodes.add(link[8:-1])
+        ports = set()
+        with open("/proc/net/tcp", encoding="ascii") as f:
+            for line in list(f)[1:]:
+                fields = line.split()
+                if fields[9] in inodes:
+                    ports.add(int(fields[1].split(":")[1], 16))
+        found = [c for c in self.open if c["port"] in ports and not c["silent"]]
+        for channel in found:
+            channel["silent"] = True
+        return len(found)
+
+
 class Node:
     """A machine with one process of the project on it."""
 
@@ -104,17 +166,21 @@
         self.cell, self.name, self.ip, self.control, self.zone = cell, name, ip, control, zone
         self.folder = os.path.join(cell.folder, name)
         os.makedirs(self.folder)
-        self.child, self.starts, self.expected_down = None, 0, False
+        self.child, self.starts = None, 0
+        # A proxy in front of the address for other nodes, if any.
+        self.proxy = None
 
     def settings(self, bootstrap):
         listen = {"control": f"{self.ip}:{CONTROL_PORT}"} if self.control else {
             "front": f"{self.ip}:{FRONT_PORT}", "ready": f"{self.ip}:{READY_PORT}"}
+        if self.proxy:
+            listen["links"] = f"{self.ip}:{PROXIED_PORT}"
         return {
             "node": self.name, "role": "control" if self.control else "entry",
             "machine_class": "core" if self.control else "edge",
             "serves": ["control_plane" if self.control else "edge"], "ip": self.ip, "zone": self.zone,
             "region": "r", "zones": {z: "r" for z in self.cell.zones}, "listen": listen,
-            "port_range": [7720, 7735], "seeds": self.cell.seeds, "bootstrap": bootstrap,
+            "port_range": [LINKS_PORT, 7735], "seeds": self.cell.seeds, "bootstrap": bootstrap,
             "loss_counts": self.control,
             "limits": {"cpu_share": 0.5, "cores": 1, "memory_mb": self.cell.memory_mb,
                        "max_fds": 4096, "link_mbps": 1000.0, "disk_mb": 128 if self.control else 0},
@@ -368,7 +434,13 @@
     def on_seen(self, minion, number, task, run, how):
         self.record.add(f"noted: {minion.id} end {number} of {task} run {run} {how}")
 
+    def put_behind_proxy(self, node):
+        node.proxy = Proxy((node.ip, LINKS_PORT), (node.ip, PROXIED_PORT))
+
     async def start(self):
+        for node in self.nodes:
+            if node.proxy:
+                await node.proxy.start()
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("the build of the deploy file is missing")
         for node in self.nodes:
@@ -382,8 +454,9 @@
             await asyncio.sleep(0.3)
         raise CannotRun("the first desired state was not acknowledged")
 
-    async def publish(self, version):
-        route = {"name": "r-1", "host": HOST, "path_prefix": PREFIX, "kind": "unsafe", "timeout_ms": 3000,
+    async def publish(self, version, prefix=PREFIX):
+        """The operator sends a desired state, to one node after the other until it is acknowledged."""
+        route = {"name": "r-1", "host": HOST, "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 3000,
                  "target_latency_ms": 250, "priority": 0, "service": "huvo11a", "max_attempts": 3, "stretch": 1.5}
         service = {"name": "huvo11a", "health_path": "/health", "max_conns": 64, "protocol": "h1", "tls": False,
                    "admission_check": False, "spare": False}
