--- a/review/standins.py
+++ b/review/standins.py
@@ -313,7 +313,7 @@
         if run <= self.closed.get(task, 0) or task in self.running:
             return self.reject("old")
         spec = json.loads(body["spec"])
-        self.running[task] = {"run": run, "cpu": spec["cpu"]}
+        self.running[task] = {"run": run, "cpu": spec["cpu"], "began": time.monotonic(), "work_s": spec["work_s"]}
         heapq.heappush(self.due, (time.monotonic() + spec["work_s"], task, run))
         self.cell.on_start(self, task, run, body)
         return 200, {"clock_ms": self.clock()}
@@ -346,8 +346,10 @@
                 await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
             except asyncio.TimeoutError:
                 break
+        now = time.monotonic()
+        percent = lambda r: min(99, int(100 * (now - r["began"]) / r["work_s"]))
         return 200, {"clock_ms": self.clock(),
-                     "running": [[t, r["run"], "", 0] for t, r in self.running.items()],
+                     "running": [[t, r["run"], "", percent(r)] for t, r in self.running.items()],
                      "finished": self.finished[:500]}
 
     def end(self, task, how):
