--- a/review/cell2.py
+++ b/review/cell2.py
@@ -8,6 +8,7 @@
 import os
 import random
 import re
+import resource
 import shutil
 import signal
 import socket
@@ -185,7 +186,7 @@
         }
         Node.all.append(self)
 
-    def start(self):
+    def start(self, quiet=False):
         self.settings["seeds"] = [f"{n.ip}:{CONTROL}" for n in self.cell.controls][:3]
         self.settings["advice"] = self.cell.advice.address if self.cell.advice else None
         path = os.path.join(self.folder, "settings.json")
@@ -194,9 +195,18 @@
         log = open(os.path.join(self.folder, "log"), "ab")
         env = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "HOME": self.folder, "LANG": "C.UTF-8",
                "HEATHVALE_NODE_FILE": path}
-        self.process = subprocess.Popen(command_of(self.role), cwd=REPO, env=env, stdout=log, stderr=log)
+        self.process = subprocess.Popen(command_of(self.role), cwd=REPO, env=env, stdout=log, stderr=log,
+                                        preexec_fn=self.limit_files)
         log.close()
-        self.cell.record.add(f"platform: {self.name} started")
+        if not quiet:
+            self.cell.record.add(f"platform: {self.name} started")
+
+    def limit_files(self):
+        """Makes the process's own writes beyond `disk_mb` fail, as on a full disk, if the case asks for it."""
+        if self.cell.limits_disk and self.settings["limits"]["disk_mb"]:
+            size = self.settings["limits"]["disk_mb"] << 20
+            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+            resource.setrlimit(resource.RLIMIT_FSIZE, (size, size))
 
     def signal(self, number):
         self.process.send_signal(number)
@@ -217,11 +227,11 @@
     """Three control and some entry instances, and the operator's desired state."""
 
     def __init__(self, record, edges=2, proxied=False):
-        self.record, self.proxied = record, proxied
+        self.record, self.proxied, self.limits_disk = record, proxied, False
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.cut = set()
         self.proxies, self.workers, self.advice = [], [], None
-        self.version = 0
+        self.version, self.acked = 0, 0
         a, b = random.randrange(16, 250), random.randrange(1, 250)
         ips = [f"127.{a}.{b}.{n}" for n in range(1, 3 + edges + 1)]
         self.worker_ips = [f"127.{a}.{b}.{n}" for n in range(100, 200)]
@@ -264,7 +274,7 @@
             last = status, text
         return last
 
-    def publish(self, routes, services, patience=30, **more):
+    def publish(self, routes, services, patience=30, quiet=False, **more):
         """Sends a desired state until it is acknowledged."""
         self.version += 1
         body = {"version": self.version, "routes": routes, "services": services,
@@ -274,7 +284,9 @@
         while time.monotonic() < until:
             status, text = self.control_call("POST", "/Config.Replace", body)
             if status == 200:
-                self.record.add(f"operator: version {self.version} acknowledged")
+                self.acked = self.version
+                if not quiet:
+                    self.record.add(f"operator: version {self.version} acknowledged")
                 return
             time.sleep(0.2)
         raise CannotRun(f"version {self.version} was not acknowledged: {status} {text}")
@@ -319,6 +331,51 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
+def memory_mb(node):
+    """Returns the memory of a process, in MB; 0 if there is none."""
+    try:
+        for line in open(f"/proc/{node.process.pid}/status"):
+            if line.startswith("VmRSS"):
+                return int(line.split()[1]) // 1024
+    except (OSError, AttributeError):
+        pass
+    return 0
+
+
+class MemoryLimit:
+    """Kills each process that goes over `memory_mb`, and starts it again after a short delay, as the platform does."""
+
+    def __init__(self, cell):
+        self.cell, self.stopped, self.kills = cell, False, []
+        self.locks = {n.name: threading.Lock() for n in cell.nodes}
+        for n in cell.nodes:
+            threading.Thread(target=self.watch, args=(n,), daemon=True).start()
+
+    def watch(self, node):
+        limit = node.settings["limits"]["memory_mb"]
+        while not self.stopped:
+            used = memory_mb(node)
+            if used > limit:
+                with self.locks[node.name]:
+                    if not self.stopped:
+                        self.replace(node, used, limit)
+            time.sleep(0.01)
+
+    def replace(self, node, used, limit):
+        node.kill()
+        self.kills.append(node.name)
+        if len(self.kills) <= 40:
+            self.cell.record.add(f"platform: {node.name} used {used} MB of {limit} and was killed")
+        time.sleep(0.2)
+        node.settings["bootstrap"] = False
+        node.start(quiet=len(self.kills) > 40)
+
+    def end(self):
+        self.stopped = True
+        for lock in self.locks.values():
+            lock.acquire()
+
+
 def route(name="r-1", prefix="/lohu930/", service="huvo11a", **more):
     body = {"name": name, "host": "nony24.example", "path_prefix": prefix, "kind": "unsafe", "timeout_ms": 3000,
             "target_latency_ms": 250, "priority": 0, "service": service, "max_attempts": 2, "stretch": 1.5}
@@ -542,8 +599,7 @@
 def main(case, folder):
     """Runs a case: `case(record, trouble)` returns a description of the break, or None. Exits as the issue says."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    name = "record.txt" if trouble else "record-without-trouble.txt"
-    record = Record(os.path.join(folder, name))
+    record = Record(os.path.join(folder, "record.txt"))
     watchdog = threading.Timer(110, lambda: (record.add("verdict: ran too long"), [n.kill() for n in Node.all], os._exit(2)))
     watchdog.daemon = True
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
