review: the proxy of the stand-ins no longer delays new links

Owners are now looked up once, as a cut begins, and only links of the instance that is cut off pass through proxies, besides those to control instances.

--- a/review/cell2.py
+++ b/review/cell2.py
@@ -79,6 +79,13 @@
         connection.close()
 
 
+class Link:
+    """One connection through a proxy: the process that opened it, once it is known."""
+
+    def __init__(self, peer, local):
+        self.peer, self.local, self.pid = peer, local, None
+
+
 class Proxy:
     """Listens where the instances call one of them and passes their bytes on to it.
 
@@ -86,8 +93,9 @@
     A close is passed on after the bytes before it, as TCP does with what a partition has held up.
     """
 
-    def __init__(self, listen, target, held):
-        self.target, self.held = target, held
+    def __init__(self, listen, target, held, is_cut_now):
+        self.target, self.held, self.is_cut_now = target, held, is_cut_now
+        self.links = []
         self.server = socket.socket()
         self.server.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.server.bind(listen)
@@ -103,25 +111,36 @@
             threading.Thread(target=self.serve, args=(client, peer), daemon=True).start()
 
     def serve(self, client, peer):
-        pid = owner_of(peer, client.getsockname())
-        while self.held(pid):
+        link = Link(peer, client.getsockname())
+        if self.is_cut_now():
+            find_owners([link])
+        self.links.append(link)
+        while self.held(link.pid):
             time.sleep(0.01)
         try:
             server = socket.create_connection(self.target, timeout=5)
             server.settimeout(None)
         except OSError:
             client.close()
+            self.links.remove(link)
             return
-        threading.Thread(target=self.pump, args=(client, server, pid), daemon=True).start()
-        threading.Thread(target=self.pump, args=(server, client, pid), daemon=True).start()
-
-    def pump(self, source, target, pid):
+        ends = [threading.Thread(target=self.pump, args=way, daemon=True)
+                for way in ((client, server, link), (server, client, link))]
+        for end in ends:
+            end.start()
+        for end in ends:
+            end.join()
+        self.links.remove(link)
+        client.close()
+        server.close()
+
+    def pump(self, source, target, link):
         while True:
             try:
                 data = source.recv(65536)
             except OSError:
                 data = b""
-            while self.held(pid):
+            while self.held(link.pid):
                 time.sleep(0.01)
             try:
                 if not data:
@@ -132,25 +151,26 @@
                 return
 
 
-def owner_of(peer, local):
-    """Returns the id of the process that opened a connection, by its address, or None."""
+def find_owners(links):
+    """Finds the processes that opened some connections, by the addresses of the connections."""
     def hexed(address):
         return "%s:%04X" % (socket.inet_aton(address[0])[::-1].hex().upper(), address[1])
-    wanted = (hexed(peer), hexed(local))
-    for _ in range(50):
-        for line in open("/proc/net/tcp"):
-            part = line.split()
-            if (part[1], part[2]) == wanted:
-                inode = f"socket:[{part[9]}]"
-                for pid in Node.pids():
-                    try:
-                        for fd in os.listdir(f"/proc/{pid}/fd"):
-                            if os.readlink(f"/proc/{pid}/fd/{fd}") == inode:
-                                return pid
-                    except OSError:
-                        continue
-        time.sleep(0.002)
-    return None
+    inodes = {}
+    for line in open("/proc/net/tcp"):
+        part = line.split()
+        inodes[part[1], part[2]] = f"socket:[{part[9]}]"
+    owners = {}
+    for pid in Node.pids():
+        try:
+            for fd in os.listdir(f"/proc/{pid}/fd"):
+                try:
+                    owners[os.readlink(f"/proc/{pid}/fd/{fd}")] = pid
+                except OSError:
+                    continue
+        except OSError:
+            continue
+    for link in links:
+        link.pid = owners.get(inodes.get((hexed(link.peer), hexed(link.local))))
 
 
 class Node:
@@ -169,7 +189,8 @@
         os.makedirs(self.folder)
         control = role == "control"
         listen = {"control": f"{ip}:{CONTROL}"} if control else {"front": f"{ip}:{FRONT}", "ready": f"{ip}:{READY}"}
-        if cell.proxied:
+        self.proxied = cell.proxied and (control or name == "edge-1")
+        if self.proxied:
             listen["links"] = f"{ip}:{BEHIND}"
         self.settings = {
             "node": name, "role": role, "machine_class": "core" if control else "edge",
@@ -224,7 +245,11 @@
 
 
 class Cell:
-    """Three control and some entry instances, and the operator's desired state."""
+    """Three control and some entry instances, and the operator's desired state.
+
+    With `proxied`, the links to the control instances and to the first entry instance pass through proxies, and so all
+    links of that entry instance.
+    """
 
     def __init__(self, record, edges=2, proxied=False):
         self.record, self.proxied, self.limits_disk = record, proxied, False
@@ -246,10 +271,10 @@
     def start(self):
         if not os.path.exists(os.path.join(REPO, command_of("control")[0])):
             raise CannotRun("the build of the deploy file is missing")
-        if self.proxied:
-            for n in self.nodes:
+        for n in self.nodes:
+            if n.proxied:
                 held = lambda pid, own=n: self.is_cut(pid, own)
-                self.proxies.append(Proxy((n.ip, LINKS), (n.ip, BEHIND), held))
+                self.proxies.append(Proxy((n.ip, LINKS), (n.ip, BEHIND), held, lambda: bool(self.cut)))
         for n in self.nodes:
             n.start()
 
@@ -260,6 +285,11 @@
         return pid != own and (pid in pids or own in pids)
 
     def partition(self, *nodes):
+        """Cuts instances off from all others; only those whose links all pass through proxies can be cut off."""
+        if nodes:
+            links = [link for p in self.proxies for link in list(p.links)]
+            find_owners(links)
+            self.record.add(f"platform: the owners of {sum(l.pid is not None for l in links)} of {len(links)} links are known")
         self.cut = set(nodes)
         names = ", ".join(n.name for n in nodes)
         self.record.add(f"platform: {names} cut off from the other machines" if nodes else "platform: the cut has healed")
