--- a/review/cell2.py
+++ b/review/cell2.py
@@ -8,7 +8,6 @@
 import os
 import random
 import re
-import resource
 import shutil
 import signal
 import socket
@@ -216,19 +215,11 @@
         log = open(os.path.join(self.folder, "log"), "ab")
         env = {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "HOME": self.folder, "LANG": "C.UTF-8",
                "HEATHVALE_NODE_FILE": path}
-        self.process = subprocess.Popen(command_of(self.role), cwd=REPO, env=env, stdout=log, stderr=log,
-                                        preexec_fn=self.limit_files)
+        self.process = subprocess.Popen(command_of(self.role), cwd=REPO, env=env, stdout=log, stderr=log)
         log.close()
         if not quiet:
             self.cell.record.add(f"platform: {self.name} started")
 
-    def limit_files(self):
-        """Makes the process's own writes beyond `disk_mb` fail, as on a full disk, if the case asks for it."""
-        if self.cell.limits_disk and self.settings["limits"]["disk_mb"]:
-            size = self.settings["limits"]["disk_mb"] << 20
-            signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
-            resource.setrlimit(resource.RLIMIT_FSIZE, (size, size))
-
     def signal(self, number):
         self.process.send_signal(number)
         self.cell.record.add(f"platform: {signal.Signals(number).name} to {self.name}")
@@ -252,11 +243,11 @@
     """
 
     def __init__(self, record, edges=2, proxied=False):
-        self.record, self.proxied, self.limits_disk = record, proxied, False
+        self.record, self.proxied = record, proxied
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.cut = set()
         self.proxies, self.workers, self.advice = [], [], None
-        self.version, self.acked = 0, 0
+        self.version = 0
         a, b = random.randrange(16, 250), random.randrange(1, 250)
         ips = [f"127.{a}.{b}.{n}" for n in range(1, 3 + edges + 1)]
         self.worker_ips = [f"127.{a}.{b}.{n}" for n in range(100, 200)]
@@ -304,7 +295,7 @@
             last = status, text
         return last
 
-    def publish(self, routes, services, patience=30, quiet=False, **more):
+    def publish(self, routes, services, patience=30, **more):
         """Sends a desired state until it is acknowledged."""
         self.version += 1
         body = {"version": self.version, "routes": routes, "services": services,
@@ -314,9 +305,7 @@
         while time.monotonic() < until:
             status, text = self.control_call("POST", "/Config.Replace", body)
             if status == 200:
-                self.acked = self.version
-                if not quiet:
-                    self.record.add(f"operator: version {self.version} acknowledged")
+                self.record.add(f"operator: version {self.version} acknowledged")
                 return
             time.sleep(0.2)
         raise CannotRun(f"version {self.version} was not acknowledged: {status} {text}")
