Reject calls that reach the leader after their callers' time limits

What callers saw: a submission at an instance that a cut of 5.5 s isolated was answered with 504. Its caller cancelled the job at another instance (410), and as the cut ended the job was accepted, started and completed. In the same way a zone was drained as a cut ended although its restoration had been acknowledged meanwhile; nothing was started there any more, and nothing told the operator.

Cause: an instance gives a call up after its caller's time limit, but the message carried no limit. What a cut holds is delivered when it ends, also over the connection that was replaced meanwhile, and the leader took it however late it came.

Ruled out: an age written by the sender, which says nothing of the time in transit; wall clocks, which step; the incarnation of a link, as the bytes of the old connection may come first.

Change: each attempt carries its caller's deadline by the leader's monotonic clock. Leaders state that clock in their welcomes, in a field of the packet that was always zero, so a welcome remains readable for earlier versions. The bound derived from it is early by the transit of a welcome and never late. The leader rejects a call after its deadline as not done and logs it (E944, once a second at most). A call to a leader whose clock is unknown waits; its welcome is asked for at once.

Why it works: whoever was answered at the end of the time limit has the last word. What is cancelled sooner than that is a fault of its own.

The relay's tests now expect the one message that carries a limit in place of the two without; what they check is unchanged.

--- a/components/dispatch/src/call.rs
+++ b/components/dispatch/src/call.rs
@@ -82,6 +82,16 @@
         }
     }
 
+    /// Returns what the call is about, for log lines: a path, a version or a zone.
+    pub fn subject(&self) -> Name {
+        match self {
+            Call::Job { path, .. } | Call::KeyedJob { path, .. } => path.clone(),
+            Call::Publish(document) => document.version.to_string().into(),
+            Call::Read => "configuration".into(),
+            Call::DrainZone { zone, .. } => zone.clone(),
+        }
+    }
+
     /// Returns the credential shown with a caller's call.
     pub(crate) fn credential(&self) -> &Credential {
         match self {
@@ -98,6 +108,14 @@
     }
 }
 
+/// The times of a relayed call, by the monotonic clock of the leader that it is sent to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CallTimes {
+    /// The end of the caller's time limit, or somewhat earlier. The caller has an answer by then and may have acted on it, so
+    /// the call must not be carried out any more.
+    pub deadline: Millis,
+}
+
 /// The answer to a [`Call`].
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Answer {
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -19,6 +19,7 @@
 use crate::call::Answer;
 use crate::capacity_index::{CapacityIndex, changed_worker};
 use crate::input::{Input, Moment, Token};
+use crate::late_calls::LateCalls;
 use crate::limits::{
     CLEANUP_INTERVAL, EXAMINATIONS_PER_MS, LEASE_EXPIRY_MARGIN, Limits, MAX_CLOCK_DRIFT_PERCENT,
     MAX_PLAN_PAUSE, PLAN_TIME_DIVISOR,
@@ -138,6 +139,8 @@
     pub(crate) admission: AdmissionState,
     /// The jobs that were refused.
     pub(crate) refusals: Refusals,
+    /// The calls that came too late.
+    pub(crate) late_calls: LateCalls,
 }
 
 impl Dispatcher {
@@ -188,6 +191,7 @@
             shares: Shares::default(),
             admission: AdmissionState::default(),
             refusals: Refusals::default(),
+            late_calls: LateCalls::default(),
         };
         dispatcher.restore(m);
         dispatcher
@@ -252,6 +256,9 @@
             Input::Committed(batch) => self.on_committed(m, batch),
             Input::Call { token, call } => self.on_call(m, token, call),
             Input::RepeatedCall { token, call } => self.on_repeated_call(m, token, call),
+            Input::TimedCall { token, call, repeated, times } => {
+                self.on_timed_call(m, token, call, repeated, times);
+            }
             Input::Announcement(announcement) => self.on_announcement(m, announcement),
             Input::Left(worker) => self.on_left(m, &worker),
             Input::Renewed { worker, sent_at, result } => {
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -62,6 +62,8 @@
     pub long_running_max_wait: Millis,
     /// The number of calls that were refused for the forecast wait of their jobs in this term.
     pub refused: u64,
+    /// The number of calls that came after their callers' time limits in this term.
+    pub late_calls: u64,
     /// The part of the capacity, in thousandths, that admission assumes to become completed work.
     pub efficiency_per_mille: u64,
     /// The number of machines that are known to be slower than the others of their service.
@@ -256,6 +258,7 @@
             long_running_waiting: waits.len() as u64,
             long_running_max_wait: longest,
             refused: self.refusals.total,
+            late_calls: self.late_calls.total,
             efficiency_per_mille: self.admission.efficiency_per_mille(),
             slow_machines: self.worker_speeds.slow_machines(),
         }
--- a/components/dispatch/src/input.rs
+++ b/components/dispatch/src/input.rs
@@ -6,7 +6,7 @@
 use model::{InstanceId, Name};
 use workload::{TaskKey, WorkerId};
 
-use crate::call::Call;
+use crate::call::{Call, CallTimes};
 use crate::worker_messages::{CallError, Report, WorkerAnnouncement};
 
 /// The identifier of a call until it is answered.
@@ -44,6 +44,17 @@
         /// The call itself.
         call: Call,
     },
+    /// A call that must not be carried out after its time limit.
+    TimedCall {
+        /// The identifier that the answer repeats.
+        token: Token,
+        /// The call itself.
+        call: Call,
+        /// Whether an earlier attempt may have been carried out.
+        repeated: bool,
+        /// The times of the call.
+        times: CallTimes,
+    },
     /// An announcement of a worker.
     Announcement(WorkerAnnouncement),
     /// A worker that reports that it is shutting down now.
--- /dev/null
+++ b/components/dispatch/src/late_calls.rs
@@ -0,0 +1,59 @@
+//! Rejects calls that reach the leader after their callers' time limits.
+//!
+//! A partition may hold a call for seconds and deliver it when it ends. By then its caller has been told that the outcome is
+//! unknown and may have cancelled the job, or restored the zone, through another instance. docs/design/platform.md, "Calls that
+//! are held up", has the reasons.
+
+use clock::Millis;
+use events::kinds;
+
+use crate::call::{Answer, Call, CallTimes};
+use crate::dispatcher::Dispatcher;
+use crate::input::{Moment, Token};
+use crate::limits::{CALLER_RETRY_AFTER, LATE_CALL_LOG_INTERVAL};
+
+/// The late calls of this leader's term.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct LateCalls {
+    pub(crate) total: u64,
+    /// The number of late calls without a log line since the last one with a line.
+    not_logged: u64,
+    /// The earliest time for the next log line.
+    next_line_at: Millis,
+}
+
+impl Dispatcher {
+    /// Handles an attempt of a call unless its time limit has passed.
+    pub(crate) fn on_timed_call(
+        &mut self,
+        m: Moment,
+        token: Token,
+        call: Call,
+        repeated: bool,
+        times: CallTimes,
+    ) {
+        if m.now > times.deadline {
+            self.log_late_call(m, &call, times);
+            // Nothing was proposed, so this attempt has certainly not been carried out.
+            self.reply_now(token, Answer::NotDone { retry_after: CALLER_RETRY_AFTER });
+            return;
+        }
+        match repeated {
+            false => self.on_call(m, token, call),
+            true => self.on_repeated_call(m, token, call),
+        }
+    }
+
+    fn log_late_call(&mut self, m: Moment, call: &Call, times: CallTimes) {
+        self.late_calls.total += 1;
+        if m.now < self.late_calls.next_line_at {
+            self.late_calls.not_logged += 1;
+            return;
+        }
+        self.late_calls.next_line_at = m.now + LATE_CALL_LOG_INTERVAL;
+        let not_logged = std::mem::take(&mut self.late_calls.not_logged);
+        let (late_by, term) = (m.now.since(times.deadline).0, self.term);
+        let details = format!("late_by_ms={late_by} not_logged={not_logged} term={term}");
+        self.log_event(&kinds::CALL_LATE, call.subject(), details);
+    }
+}
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -377,6 +377,8 @@
 pub(crate) const MAX_WAIT_LINES_PER_SECOND: usize = 5;
 /// The minimum interval between log lines about calls that show no organisation's key.
 pub(crate) const KEY_REFUSED_LOG_INTERVAL: Millis = Millis(1_000);
+/// The minimum interval between log lines about calls that came too late. A cut delivers all that it held at once.
+pub(crate) const LATE_CALL_LOG_INTERVAL: Millis = Millis(1_000);
 /// The time after which callers that could not be served may retry.
 pub(crate) const CALLER_RETRY_AFTER: Millis = Millis(300);
 /// The half-life of the average of what an organisation uses. Batch and gang tasks run for 2 to 5 s:
--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -331,16 +331,20 @@
                     Some(_) => self.welcome(),
                     None => self.welcome_to_entry(),
                 };
-                self.links.send(&from, 0, welcome);
+                self.links.send(&from, now.0, welcome);
             }
             Message::Welcome { leader, term, controls, .. } => {
+                let stated = Millis(packet.order);
                 if self.peers.on_welcome(&from, leader, term, &controls, now) {
                     self.relay.leader_changed(now);
                     self.resend_announcements();
                 }
+                self.peers.record_leader_time(&from, term, stated, now);
                 self.log.send(LogInput::Contacts(controls));
             }
-            message @ (Message::Call { .. } | Message::RepeatedCall { .. }) => {
+            message @ (Message::Call { .. }
+            | Message::RepeatedCall { .. }
+            | Message::TimedCall { .. }) => {
                 self.on_call(from, message);
             }
             Message::Answer { token, answer } => {
@@ -406,7 +410,8 @@
         advice_callers.insert(self.settings.id());
         self.handle_input(Input::AdviceCallers(advice_callers));
         self.handle_input(Input::Tick);
-        let actions = self.relay.tick(now, self.peers.leader(now));
+        let leader = self.peers.leader_with_clock(now);
+        let actions = self.relay.tick(now, leader.as_ref());
         self.perform(actions);
         self.handle.set_ready(self.peers.leader(now).is_some());
     }
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -199,10 +199,12 @@
         self.peers.record_contact(&packet.from, now);
         match packet.message {
             Message::Welcome { leader, term, voters, .. } => {
+                let stated = Millis(packet.order);
                 if self.peers.on_welcome_at_entry(&packet.from, leader, term, voters, now) {
                     log_leader(&packet.from, term);
                     self.relay.leader_changed(now);
                 }
+                self.peers.record_leader_time(&packet.from, term, stated, now);
             }
             Message::Answer { token, answer } => {
                 let action = self.relay.on_answer(now, token, answer);
@@ -229,6 +231,7 @@
             | Message::Hello { .. }
             | Message::Call { .. }
             | Message::RepeatedCall { .. }
+            | Message::TimedCall { .. }
             | Message::Announcement(_)
             | Message::Announcements(_)
             | Message::LeavingAcknowledged { .. }
@@ -265,8 +268,9 @@
         self.relay.set_reachability(now, reachability);
         // Without a majority of the voters a call would be lost, and its caller would not know whether it was
         // carried out.
-        let leader = self.peers.leader(now).filter(|_| reachability == Reachability::Majority);
-        let actions = self.relay.tick(now, leader);
+        let has_majority = reachability == Reachability::Majority;
+        let leader = self.peers.leader_with_clock(now).filter(|_| has_majority);
+        let actions = self.relay.tick(now, leader.as_ref());
         self.perform(now, actions);
     }
 
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -67,8 +67,9 @@
             .into_iter()
             .for_each(|announcement| self.handle_input(Input::Announcement(announcement)));
         let welcome = self.welcome();
+        let stated = self.clock.now();
         for id in self.peers.ids() {
-            self.links.send(id, 0, welcome.clone());
+            self.links.send(id, stated.0, welcome.clone());
         }
     }
 
@@ -111,6 +112,7 @@
         self.metrics.set("heathvale_starts_unanswered", figures.starts_unanswered);
         self.metrics.set("heathvale_workers_on_probation", figures.probation_workers);
         self.metrics.set("heathvale_workers_slow", figures.slow_workers);
+        self.metrics.set("heathvale_calls_late", figures.late_calls);
         self.metrics.set("heathvale_admission_efficiency_per_mille", figures.efficiency_per_mille);
         let services = leader_term.dispatcher.service_figures();
         let quarantined =
@@ -191,9 +193,12 @@
 
     /// Passes the call in a message to the dispatcher, or rejects it if this instance does not lead.
     pub(crate) fn on_call(&mut self, from: InstanceId, message: Message) {
-        let (token, call, repeated) = match message {
-            Message::Call { token, call } => (token, call, false),
-            Message::RepeatedCall { token, call } => (token, call, true),
+        let (token, call, repeated, timing) = match message {
+            Message::Call { token, call } => (token, call, false, None),
+            Message::RepeatedCall { token, call } => (token, call, true, None),
+            Message::TimedCall { token, call, repeated, term, times } => {
+                (token, call, repeated, Some((term, times)))
+            }
             // No other message carries a call.
             _ => return,
         };
@@ -201,15 +206,18 @@
             true => CallOrigin::Local(token),
             false => CallOrigin::Peer { id: from, token },
         };
-        let Some(leader_term) = &mut self.leader_term else {
+        // The times of a call for another term are by another clock.
+        let in_term = |l: &&mut LeaderTerm| timing.as_ref().is_none_or(|(term, _)| *term == l.term);
+        let Some(leader_term) = self.leader_term.as_mut().filter(in_term) else {
             let retry_after = TICK_INTERVAL;
             self.answer(origin, Answer::NotDone { retry_after });
             return;
         };
         let token = leader_term.add_call(origin);
-        self.handle_input(match repeated {
-            false => Input::Call { token, call },
-            true => Input::RepeatedCall { token, call },
+        self.handle_input(match (timing, repeated) {
+            (Some((_, times)), _) => Input::TimedCall { token, call, repeated, times },
+            (None, false) => Input::Call { token, call },
+            (None, true) => Input::RepeatedCall { token, call },
         });
     }
 
--- a/components/node/src/message.rs
+++ b/components/node/src/message.rs
@@ -2,7 +2,7 @@
 
 use clock::Millis;
 use consensus::Envelope;
-use dispatch::{Answer, Call, CallError, Report, WorkerAnnouncement};
+use dispatch::{Answer, Call, CallError, CallTimes, Report, WorkerAnnouncement};
 use model::{Incarnation, InstanceId, Name};
 use serde::{Deserialize, Serialize};
 use workload::{StepKey, WorkerId};
@@ -34,7 +34,7 @@
         /// The voters among them, as far as the sender knows.
         voters: Vec<InstanceId>,
     },
-    /// A call for the leader.
+    /// A call for the leader, as instances of earlier versions send it. It has no time limit.
     Call {
         /// Identifies this attempt in its answer; unique at the sender.
         token: u64,
@@ -114,12 +114,24 @@
         /// Their ids and workers.
         held: Vec<(u64, WorkerId)>,
     },
-    /// A call for the leader of which an earlier attempt got no answer. It is separate from
-    /// [`Message::Call`] so that instances of earlier versions can still read the first attempt.
+    /// A call for the leader of which an earlier attempt got no answer, as instances of earlier versions send it.
     RepeatedCall {
         /// Identifies this attempt in its answer; unique at the sender.
         token: u64,
         /// The call itself.
         call: Call,
     },
+    /// A call for the leader of a term, which must not carry it out after the call's time limit.
+    TimedCall {
+        /// Identifies this attempt in its answer; unique at the sender.
+        token: u64,
+        /// The call itself.
+        call: Call,
+        /// Whether an earlier attempt got no answer.
+        repeated: bool,
+        /// The term by whose leader's clock the times are given.
+        term: u64,
+        /// The times of the call.
+        times: CallTimes,
+    },
 }
--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -6,6 +6,7 @@
 use clock::Millis;
 use model::{Incarnation, InstanceId};
 
+use crate::leader_clock::LeaderClock;
 use crate::message::Message;
 
 /// How often an instance sends hellos. With a greater interval a new leader is not discovered, and a lost one
@@ -80,6 +81,17 @@
     }
 }
 
+/// The leader of a term, with what is known of its clock.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// Its id.
+    pub id: InstanceId,
+    /// The term.
+    pub term: u64,
+    /// Its clock in this term.
+    pub clock: LeaderClock,
+}
+
 /// How many of the voters an instance can reach.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Reachability {
@@ -100,6 +112,8 @@
     peers: BTreeMap<InstanceId, Peer>,
     leader: Option<(u64, InstanceId)>,
     leader_confirmed_at: Millis,
+    /// The clock of the leader, once it has stated it in its term. A process that starts again has another clock.
+    leader_clock: Option<LeaderClock>,
     /// The voters, and the term in which they were reported.
     voters: (u64, Vec<InstanceId>),
     next_hello_at: Millis,
@@ -114,6 +128,7 @@
             peers: BTreeMap::new(),
             leader: None,
             leader_confirmed_at: Millis::ZERO,
+            leader_clock: None,
             voters: (0, Vec::new()),
             next_hello_at: now,
         };
@@ -206,6 +221,11 @@
         }
         let next = Some((term, leader));
         let changed = self.leader != next;
+        if changed {
+            self.leader_clock = None;
+            // The answer of the leader tells its clock.
+            self.next_hello_at = now;
+        }
         self.leader = next;
         self.leader_confirmed_at = now;
         changed
@@ -215,6 +235,26 @@
     pub fn clear_leader(&mut self, leader: &InstanceId) {
         if self.leader.as_ref().is_some_and(|(_, l)| l == leader) {
             self.leader = None;
+            self.leader_clock = None;
+        }
+    }
+
+    /// Records the time that an instance stated in a welcome, if it is the known leader in its term. Instances of earlier
+    /// versions state none, which reads as zero.
+    pub fn record_leader_time(
+        &mut self,
+        from: &InstanceId,
+        term: u64,
+        stated: Millis,
+        now: Millis,
+    ) {
+        let is_leader = self.leader.as_ref().is_some_and(|(t, l)| *t == term && l == from);
+        if !is_leader || stated == Millis::ZERO {
+            return;
+        }
+        match &mut self.leader_clock {
+            Some(clock) => clock.tighten(stated, now),
+            None => self.leader_clock = Some(LeaderClock::stated(stated, now)),
         }
     }
 
@@ -234,6 +274,16 @@
         self.leader.as_ref().filter(|_| recent).map(|(_, id)| id)
     }
 
+    /// Returns the leader like [`Peers::leader`] once its clock is known, without which a call to it would have no limit.
+    pub fn leader_with_clock(&self, now: Millis) -> Option<Leader> {
+        let id = self.leader(now)?.clone();
+        let clock = match id == self.cfg.id {
+            true => LeaderClock::own(now),
+            false => self.leader_clock?,
+        };
+        Some(Leader { id, term: self.term(), clock })
+    }
+
     /// Updates the voters unless they were reported in a later term.
     pub fn set_voters(&mut self, term: u64, voters: Vec<InstanceId>) {
         if term >= self.voters.0 && !voters.is_empty() {
--- a/components/node/src/pending_calls.rs
+++ b/components/node/src/pending_calls.rs
@@ -35,15 +35,14 @@
         call: &Call,
         tx: oneshot::Sender<Answer>,
     ) {
-        let (subject, verb) = match call {
-            Call::Job { path, verb, .. } | Call::KeyedJob { path, verb, .. } => {
-                (path.clone(), verb_name(verb))
-            }
-            Call::Publish(document) => (Name::from(document.version.to_string()), "publish"),
-            Call::Read => (Name::from("configuration"), "read"),
-            Call::DrainZone { zone, drained: true } => (zone.clone(), "drain_zone"),
-            Call::DrainZone { zone, drained: false } => (zone.clone(), "restore_zone"),
+        let verb = match call {
+            Call::Job { verb, .. } | Call::KeyedJob { verb, .. } => verb_name(verb),
+            Call::Publish(_) => "publish",
+            Call::Read => "read",
+            Call::DrainZone { drained: true, .. } => "drain_zone",
+            Call::DrainZone { drained: false, .. } => "restore_zone",
         };
+        let subject = call.subject();
         self.by_token.insert(token, PendingCall { subject, verb, received_at: now, tx });
     }
 
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -5,15 +5,18 @@
 //! A leader that gets a later attempt is told that there was an earlier one, and answers for both; an answer
 //! to an earlier attempt cannot reject the call. Without an answer to the last attempt the final one is
 //! "unsure". docs/design/platform.md, "Calls that are sent again", has the reasons.
+//!
+//! An attempt may be held up on its way. It carries the time by which its caller has an answer, and no leader carries it out
+//! later.
 
 use std::collections::BTreeMap;
 
 use clock::Millis;
-use dispatch::{Answer, Call, MIN_REFUSAL_RETRY};
+use dispatch::{Answer, Call, CallTimes, MIN_REFUSAL_RETRY};
 use model::InstanceId;
 
 use crate::message::Message;
-use crate::peers::Reachability;
+use crate::peers::{Leader, Reachability};
 
 /// How long an answer is awaited before a call is sent again. A commit takes a few syncs of two disks, so
 /// with a smaller value calls would be sent twice.
@@ -152,7 +155,7 @@
     }
 
     /// Returns the calls that are due to be sent, and the final answers of those that have expired.
-    pub fn tick(&mut self, now: Millis, leader: Option<&InstanceId>) -> Vec<RelayAction> {
+    pub fn tick(&mut self, now: Millis, leader: Option<&Leader>) -> Vec<RelayAction> {
         let expired = self.pending.iter().filter(|(_, p)| now >= p.ends_at());
         let expired: Vec<u64> = expired.map(|(call, _)| *call).collect();
         let mut actions: Vec<RelayAction> = Vec::new();
@@ -175,11 +178,10 @@
             pending.attempts.push(token);
             self.calls.insert(token, *id);
             let call = pending.call.clone();
-            let message = match pending.maybe_accepted {
-                false => Message::Call { token, call },
-                true => Message::RepeatedCall { token, call },
-            };
-            actions.push(RelayAction::Send(leader.clone(), message));
+            let times = CallTimes { deadline: leader.clock.at_least(pending.expires_at) };
+            let (repeated, term) = (pending.maybe_accepted, leader.term);
+            let message = Message::TimedCall { token, call, repeated, term, times };
+            actions.push(RelayAction::Send(leader.id.clone(), message));
         }
         actions
     }
--- a/components/node/tests/relay.rs
+++ b/components/node/tests/relay.rs
@@ -4,8 +4,7 @@
 
 use clock::Millis;
 use dispatch::{Answer, Call, Verb};
-use model::InstanceId;
-use node::{Message, Reachability, Relay, RelayAction};
+use node::{Leader, LeaderClock, Message, Reachability, Relay, RelayAction};
 use rstest::rstest;
 use workload::JobSpec;
 
@@ -19,8 +18,13 @@
     call(Verb::Submit(Arc::new(JobSpec::default())))
 }
 
+/// Returns a leader whose clock shows the same as that of the relay.
+fn leader(name: &str) -> Leader {
+    Leader { id: name.into(), term: 1, clock: LeaderClock::own(Millis(0)) }
+}
+
 fn sent(actions: &[RelayAction]) -> usize {
-    let is_call = |m: &Message| matches!(m, Message::Call { .. } | Message::RepeatedCall { .. });
+    let is_call = |m: &Message| matches!(m, Message::TimedCall { .. });
     actions.iter().filter(|a| matches!(a, RelayAction::Send(_, m) if is_call(m))).count()
 }
 
@@ -33,10 +37,10 @@
 
 #[test]
 fn an_answer_is_handed_on_once() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let token = relay.accept(Millis(0), submit(), MAX_WAIT);
-    assert_eq!(sent(&relay.tick(Millis(0), Some(&leader))), 1);
+    assert_eq!(sent(&relay.tick(Millis(0), Some(&l1))), 1);
     let answer = relay.on_answer(Millis(9), token, Answer::Accepted);
     assert_eq!(answer, Some(RelayAction::Answer(token, Answer::Accepted)));
     assert_eq!(relay.on_answer(Millis(9), token, Answer::Accepted), None);
@@ -61,17 +65,17 @@
     #[case] call: Call,
     #[case] unsure: bool,
 ) {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     relay.accept(Millis(0), call, MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
+    relay.tick(Millis(0), Some(&l1));
     let answer = final_answer(relay.tick(MAX_WAIT, None));
     assert_eq!(matches!(answer, Some(Answer::Unsure { .. })), unsure);
 }
 
 #[test]
 fn a_refusal_after_an_unanswered_try_does_not_hide_that_try() {
-    let (old, new) = (InstanceId::from("l1"), InstanceId::from("l2"));
+    let (old, new) = (leader("l1"), leader("l2"));
     let mut relay = Relay::new(1);
     let token = relay.accept(Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&old));
@@ -85,10 +89,10 @@
 
 #[test]
 fn a_refusal_to_the_only_try_leaves_the_call_surely_not_done() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let token = relay.accept(Millis(0), submit(), MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
+    relay.tick(Millis(0), Some(&l1));
     relay.on_answer(Millis(10), token, Answer::NotDone { retry_after: Millis(1) });
     let answer = final_answer(relay.tick(MAX_WAIT, None));
     assert!(matches!(answer, Some(Answer::NotDone { .. })));
@@ -97,10 +101,10 @@
 #[test]
 fn a_refusal_for_a_backlog_reaches_the_caller_at_once() {
     // Sent again until it expired, each refused call came to the overloaded leader twelve times.
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let token = relay.accept(Millis(0), submit(), MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
+    relay.tick(Millis(0), Some(&l1));
     let refusal = Answer::NotDone { retry_after: Millis(4_200) };
     let answer = relay.on_answer(Millis(10), token, refusal.clone());
     assert_eq!(answer, Some(RelayAction::Answer(token, refusal)));
@@ -109,7 +113,7 @@
 
 #[test]
 fn a_refusal_for_a_backlog_does_not_hide_an_earlier_unanswered_try() {
-    let (old, new) = (InstanceId::from("l1"), InstanceId::from("l2"));
+    let (old, new) = (leader("l1"), leader("l2"));
     let mut relay = Relay::new(1);
     let token = relay.accept(Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&old));
@@ -124,8 +128,9 @@
 /// Returns the token of the attempt that was sent, and whether it is marked as a repeated one.
 fn attempt(actions: &[RelayAction]) -> (u64, bool) {
     let attempt = actions.iter().find_map(|a| match a {
-        RelayAction::Send(_, Message::Call { token, .. }) => Some((*token, false)),
-        RelayAction::Send(_, Message::RepeatedCall { token, .. }) => Some((*token, true)),
+        RelayAction::Send(_, Message::TimedCall { token, repeated, .. }) => {
+            Some((*token, *repeated))
+        }
         _ => None,
     });
     attempt.expect("an attempt")
@@ -140,7 +145,7 @@
 #[case::no_job(Answer::NoJob)]
 #[case::not_done(Answer::NotDone { retry_after: Millis(50) })]
 fn a_rejection_of_an_earlier_attempt_is_passed_over(#[case] rejection: Answer) {
-    let (old, new) = (InstanceId::from("l1"), InstanceId::from("l2"));
+    let (old, new) = (leader("l1"), leader("l2"));
     let mut relay = Relay::new(1);
     let call = relay.accept(Millis(0), submit(), MAX_WAIT);
     let (first, marked) = attempt(&relay.tick(Millis(0), Some(&old)));
@@ -160,11 +165,11 @@
 #[case::no_key(Answer::NoKey)]
 #[case::too_large(Answer::TooLarge)]
 fn a_rejection_of_the_last_attempt_reaches_the_caller_at_once(#[case] rejection: Answer) {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let call = relay.accept(Millis(0), submit(), MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
-    let (second, _) = attempt(&relay.tick(Millis(600), Some(&leader)));
+    relay.tick(Millis(0), Some(&l1));
+    let (second, _) = attempt(&relay.tick(Millis(600), Some(&l1)));
     let answer = relay.on_answer(Millis(610), second, rejection.clone());
     assert_eq!(answer, Some(RelayAction::Answer(call, rejection)));
 }
@@ -172,11 +177,11 @@
 /// Guards against a refusal that a copy of an earlier attempt makes false once the backlog is shorter.
 #[test]
 fn a_refusal_of_the_last_attempt_for_a_backlog_leaves_the_earlier_one_open() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let call = relay.accept(Millis(0), submit(), MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
-    let (second, _) = attempt(&relay.tick(Millis(600), Some(&leader)));
+    relay.tick(Millis(0), Some(&l1));
+    let (second, _) = attempt(&relay.tick(Millis(600), Some(&l1)));
     let refusal = Answer::NotDone { retry_after: Millis(4_200) };
     let unsure = Answer::Unsure { retry_after: Millis(4_200) };
     let answer = relay.on_answer(Millis(610), second, refusal);
@@ -186,30 +191,48 @@
 /// Guards against the acceptance of an earlier attempt being passed over.
 #[test]
 fn a_late_acceptance_of_an_earlier_attempt_is_final() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let call = relay.accept(Millis(0), submit(), MAX_WAIT);
-    let (first, _) = attempt(&relay.tick(Millis(0), Some(&leader)));
-    relay.tick(Millis(600), Some(&leader));
+    let (first, _) = attempt(&relay.tick(Millis(0), Some(&l1)));
+    relay.tick(Millis(600), Some(&l1));
     let answer = relay.on_answer(Millis(610), first, Answer::Accepted);
     assert_eq!(answer, Some(RelayAction::Answer(call, Answer::Accepted)));
 }
 
+/// Guards against a call that is carried out after its caller was told that the outcome is unknown, because it was held up.
+#[test]
+fn every_attempt_carries_the_time_by_which_its_caller_has_an_answer() {
+    let clock = LeaderClock::stated(Millis(50_000), Millis(100));
+    let leader = Leader { id: "l1".into(), term: 7, clock };
+    let mut relay = Relay::new(1);
+    relay.accept(Millis(100), submit(), MAX_WAIT);
+    for now in [100, 700, 1_300] {
+        let actions = relay.tick(Millis(now), Some(&leader));
+        let [RelayAction::Send(_, Message::TimedCall { term, times, .. })] = &actions[..] else {
+            panic!("{actions:?}");
+        };
+        assert_eq!((*term, times.deadline), (7, clock.at_least(Millis(100) + MAX_WAIT)));
+    }
+    let answered_at = Millis(100) + MAX_WAIT;
+    assert!(final_answer(relay.tick(answered_at, Some(&leader))).is_some());
+}
+
 #[test]
 fn a_call_that_is_not_answered_is_sent_again() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     relay.accept(Millis(0), submit(), MAX_WAIT);
-    let tries: usize = (0..18).map(|t| sent(&relay.tick(Millis(t * 100), Some(&leader)))).sum();
+    let tries: usize = (0..18).map(|t| sent(&relay.tick(Millis(t * 100), Some(&l1)))).sum();
     assert_eq!(tries, 3);
 }
 
 #[test]
 fn an_instance_that_is_cut_off_refuses_at_once_what_surely_was_not_taken() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     let sent_call = relay.accept(Millis(0), submit(), MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
+    relay.tick(Millis(0), Some(&l1));
     let unsent_call = relay.accept(Millis(10), submit(), MAX_WAIT);
     relay.set_reachability(Millis(10), Reachability::Minority);
     let actions = relay.tick(Millis(10), None);
@@ -221,10 +244,10 @@
 
 #[test]
 fn an_instance_that_is_cut_off_says_soon_that_a_call_may_have_been_taken() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     relay.accept(Millis(0), submit(), MAX_WAIT);
-    relay.tick(Millis(0), Some(&leader));
+    relay.tick(Millis(0), Some(&l1));
     for now in [500, 550, 600] {
         relay.set_reachability(Millis(now), Reachability::Minority);
         assert_eq!(
@@ -254,11 +277,11 @@
 
 #[test]
 fn a_call_waits_on_once_enough_voters_are_back() {
-    let leader = InstanceId::from("l1");
+    let l1 = leader("l1");
     let mut relay = Relay::new(1);
     relay.accept(Millis(0), submit(), MAX_WAIT);
     relay.set_reachability(Millis(0), Reachability::Isolated);
     relay.set_reachability(Millis(200), Reachability::Majority);
-    assert_eq!(sent(&relay.tick(Millis(200), Some(&leader))), 1);
-    assert_eq!(final_answer(relay.tick(Millis(700), Some(&leader))), None);
+    assert_eq!(sent(&relay.tick(Millis(200), Some(&l1))), 1);
+    assert_eq!(final_answer(relay.tick(Millis(700), Some(&l1))), None);
 }
--- a/components/node/tests/relay_schedules.rs
+++ b/components/node/tests/relay_schedules.rs
@@ -9,8 +9,8 @@
     Action, Answer, Call, Dispatcher, Input, Limits, MIN_REFUSAL_RETRY, Moment, Setup, Verb,
 };
 use errors::Result;
-use model::{InstanceId, Name, Size};
-use node::{Message, Relay, RelayAction};
+use model::{Name, Size};
+use node::{Leader, LeaderClock, Message, Relay, RelayAction};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use workload::{
@@ -149,10 +149,8 @@
 
     fn deliver_call(&mut self) {
         let Some((term, message)) = self.calls.pop_front() else { return };
-        let (attempt, call, repeated) = match message {
-            Message::Call { token, call } => (token, call, false),
-            Message::RepeatedCall { token, call } => (token, call, true),
-            _ => return,
+        let Message::TimedCall { token: attempt, call, repeated, times, .. } = message else {
+            return;
         };
         if term != self.term {
             let retry_after = Millis(MIN_REFUSAL_RETRY.0 / 2);
@@ -162,10 +160,7 @@
         self.last_token += 1;
         let token = self.last_token;
         self.tokens.insert(token, attempt);
-        self.feed(match repeated {
-            false => Input::Call { token, call },
-            true => Input::RepeatedCall { token, call },
-        });
+        self.feed(Input::TimedCall { token, call, repeated, times });
     }
 
     fn deliver_answer(&mut self) {
@@ -217,7 +212,9 @@
             _ => {
                 self.now += Millis(150);
                 self.feed(Input::Tick);
-                let leader = InstanceId::from(self.term.to_string().as_str());
+                let clock = LeaderClock::own(self.now);
+                let id = self.term.to_string().as_str().into();
+                let leader = Leader { id, term: self.term, clock };
                 let actions = self.relay.tick(self.now, Some(&leader));
                 self.perform(actions);
             }
--- a/components/testkit/src/lib.rs
+++ b/components/testkit/src/lib.rs
@@ -9,7 +9,7 @@
 
 pub use http::{Wire, call, read_wire, write_wire};
 pub use platform_worker::{PlatformWorker, PlatformWorkerConfig};
-pub use proxy::{Proxy, Spoil};
+pub use proxy::{Marker, Proxy, Spoil};
 pub use records::{Record, RecordKind, Recorder, read_records};
 pub use run_log::{RunLog, RunRecord};
 pub use worker::{WorkerConfig, WorkerCore};
--- a/components/testkit/src/proxy.rs
+++ b/components/testkit/src/proxy.rs
@@ -29,6 +29,10 @@
 
 /// How long [`Spoil::Delay`] holds each chunk of data back.
 const DELAY: Duration = Duration::from_millis(350);
+/// How much of a connection's data is kept to look for a [`Marker`].
+const MAX_HEAD: usize = 128;
+/// How often a connection whose data is held checks whether that is over.
+const HOLD_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// A running proxy in front of one address.
 #[derive(Debug)]
@@ -36,6 +40,25 @@
     addr: SocketAddr,
     mode: Arc<AtomicU8>,
     open: Arc<Mutex<Vec<ProxiedConnection>>>,
+    /// The connections whose requests are held, see [`Proxy::hold`].
+    held: Held,
+}
+
+type Held = Arc<Mutex<Option<Marker>>>;
+
+/// A text at a fixed position of a connection's data, by which the connections of one client are told from others.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Marker {
+    /// The position of its first byte.
+    pub position: usize,
+    /// The text.
+    pub text: String,
+}
+
+impl Marker {
+    fn marks(&self, head: &[u8]) -> bool {
+        head.get(self.position..).is_some_and(|h| h.starts_with(self.text.as_bytes()))
+    }
 }
 
 /// A connection that the proxy has accepted.
@@ -61,9 +84,14 @@
     /// Returns an error if the address cannot be bound.
     pub fn start_at(listen: SocketAddr, target: SocketAddr) -> std::io::Result<Proxy> {
         let listener = TcpListener::bind(listen)?;
-        let proxy =
-            Proxy { addr: listener.local_addr()?, mode: Arc::default(), open: Arc::default() };
+        let proxy = Proxy {
+            addr: listener.local_addr()?,
+            mode: Arc::default(),
+            open: Arc::default(),
+            held: Arc::default(),
+        };
         let (mode, open) = (proxy.mode.clone(), proxy.open.clone());
+        let held = proxy.held.clone();
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let Ok(server) = TcpStream::connect(target) else { continue };
@@ -77,11 +105,12 @@
                 open.lock().unwrap_or_else(|e| e.into_inner()).push(connection);
                 let (mode_forward, mode_return) = (mode.clone(), mode.clone());
                 let (silenced_forward, silenced_return) = (silenced.clone(), silenced);
+                let held = held.clone();
                 thread::spawn(move || {
-                    forward(client, server, &mode_forward, &silenced_forward, true)
+                    forward(client, server, &mode_forward, &silenced_forward, Some(&held))
                 });
                 thread::spawn(move || {
-                    forward(server_return, client_return, &mode_return, &silenced_return, false)
+                    forward(server_return, client_return, &mode_return, &silenced_return, None)
                 });
             }
         });
@@ -106,6 +135,17 @@
         }
     }
 
+    /// Holds the requests of the connections with this marker, in order, until [`Proxy::release`], as a partition does with
+    /// what was sent. A connection that is closed meanwhile still delivers what was sent before.
+    pub fn hold(&self, marker: Marker) {
+        *self.held.lock().unwrap_or_else(|e| e.into_inner()) = Some(marker);
+    }
+
+    /// Delivers what is held.
+    pub fn release(&self) {
+        *self.held.lock().unwrap_or_else(|e| e.into_inner()) = None;
+    }
+
     /// Drops all further data of the existing connections, in both directions and without closing them. New
     /// connections work. Returns the number of silenced connections, including those that have ended.
     pub fn hush_open(&self) -> usize {
@@ -115,15 +155,27 @@
     }
 }
 
-/// Copies data in one direction until the connection ends, and applies the fault that is set.
+/// Waits while the requests of a connection are held, given the beginning of its data.
+fn wait_released(head: &[u8], held: &Mutex<Option<Marker>>) {
+    let is_held = || {
+        let held = held.lock().unwrap_or_else(|e| e.into_inner());
+        held.as_ref().is_some_and(|marker| marker.marks(head))
+    };
+    while is_held() {
+        thread::sleep(HOLD_CHECK_INTERVAL);
+    }
+}
+
+/// Copies data in one direction until the connection ends, and applies the fault that is set. Only requests can be `held`.
 fn forward(
     mut from: TcpStream,
     mut to: TcpStream,
     mode: &AtomicU8,
     silenced: &AtomicBool,
-    carries_requests: bool,
+    held: Option<&Mutex<Option<Marker>>>,
 ) {
     let mut buf = [0; 16_384];
+    let mut head = Vec::new();
     while let Ok(n) = from.read(&mut buf) {
         if silenced.load(Ordering::SeqCst) {
             // A close on one side is not passed on to the other side either.
@@ -137,13 +189,17 @@
             break;
         }
         let swallowed =
-            mode == Spoil::Silence as u8 || (mode == Spoil::OneWay as u8 && !carries_requests);
+            mode == Spoil::Silence as u8 || (mode == Spoil::OneWay as u8 && held.is_none());
         if swallowed {
             continue;
         }
         if mode == Spoil::Delay as u8 {
             thread::sleep(DELAY);
         }
+        if let Some(held) = held {
+            head.extend(buf[..n].iter().take(MAX_HEAD - head.len()));
+            wait_released(&head, held);
+        }
         if to.write_all(&buf[..n]).is_err() {
             break;
         }
--- a/components/transport/src/packet.rs
+++ b/components/transport/src/packet.rs
@@ -13,7 +13,8 @@
 pub struct Packet<M> {
     /// The sender.
     pub from: InstanceId,
-    /// The sender's logical clock, by which events on different instances are ordered.
+    /// The sender's clock: a logical clock, by which events on different instances are ordered, or the monotonic clock of a
+    /// leader in its welcomes. Zero if none is stated.
     pub order: u64,
     /// The content.
     pub message: M,
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -9,7 +9,7 @@
 
 use serde_json::{Value, json};
 use tempfile::TempDir;
-use testkit::{PlatformWorker, PlatformWorkerConfig, Proxy, RunLog, call};
+use testkit::{Marker, PlatformWorker, PlatformWorkerConfig, Proxy, RunLog, call};
 
 /// The maximum wait for any condition before a test fails.
 pub const MAX_WAIT: Duration = Duration::from_secs(60);
@@ -24,6 +24,9 @@
 /// The port at which an instance listens for the others if their links pass through a proxy.
 const PROXIED_LINKS_PORT: u16 = 7736;
 
+/// Where the first message of a link names its sender: after the handshake, the length of the message and that of the name.
+const SENDER_POSITION: usize = 17;
+
 /// Returns a loopback address that nothing else uses, so that the ports can be fixed.
 fn next_ip() -> Ipv4Addr {
     static NEXT: AtomicU16 = AtomicU16::new(1);
@@ -82,6 +85,17 @@
         assert!(proxy.hush_open() > 0, "no instance has a link to {}", self.ip);
     }
 
+    /// Holds what the instance at `sender` sends to this one, or delivers it again.
+    fn hold_links(&self, sender: Option<&str>) {
+        let proxy = self.links_proxy.as_ref().expect("the links pass through a proxy");
+        match sender {
+            Some(sender) => {
+                proxy.hold(Marker { position: SENDER_POSITION, text: sender.to_string() });
+            }
+            None => proxy.release(),
+        }
+    }
+
     pub fn start(&mut self) {
         let file = self.folder.path().join("settings.json");
         std::fs::write(&file, self.settings.to_string()).expect("the settings are written");
@@ -270,6 +284,19 @@
         self.unexpected_exits.extend(self.nodes.iter_mut().filter_map(Node::revive));
     }
 
+    /// Cuts an instance off from the other control instances, whose links pass through proxies: what it sends them is held
+    /// until [`Cell::end_cut`].
+    pub fn cut_off(&self, node: usize) {
+        let sender = self.nodes[node].addr(LINKS_PORT).to_string();
+        let others = self.nodes.iter().enumerate().filter(|(i, n)| *i != node && n.control);
+        others.for_each(|(_, n)| n.hold_links(Some(&sender)));
+    }
+
+    /// Ends every cut and delivers what was held.
+    pub fn end_cut(&self) {
+        self.nodes.iter().filter(|n| n.control).for_each(|n| n.hold_links(None));
+    }
+
     /// Returns the last lines of every log, for the message of a failing test.
     pub fn tails(&self) -> String {
         let tail = |n: &Node| format!("== {}\n{}\n", n.ip, n.tail());
@@ -314,9 +341,15 @@
 
     /// Sends an operator's order to drain an availability zone, or to end that, and returns whether it was acknowledged.
     pub fn drain_zone(&self, zone: &str, drained: bool) -> bool {
-        let order = if drained { "Start" } else { "Finish" };
-        let line = format!("POST /Evacuations.{order}/{zone}");
-        self.control_call(&line, "").is_some_and(|(status, _)| status == 200)
+        self.control_call(&drain_line(zone, drained), "").is_some_and(|(status, _)| status == 200)
+    }
+
+    /// Sends an operator's order like [`Cell::drain_zone`] to one control instance and returns the status of the answer.
+    pub fn drain_zone_at(&self, node: usize, zone: &str, drained: bool) -> Option<u32> {
+        let line = format!("{} HTTP/1.1", drain_line(zone, drained));
+        let head = [("host", "c".to_string())];
+        let addr = self.nodes[node].addr(CONTROL_PORT);
+        call(addr, &line, &head, b"", CALL_LIMIT).map(|a| a.status())
     }
 
     /// Returns whether a control instance reads back the newest accepted configuration or the one after it. The latter may be
@@ -409,6 +442,11 @@
     }
 }
 
+fn drain_line(zone: &str, drained: bool) -> String {
+    let order = if drained { "Start" } else { "Finish" };
+    format!("POST /Evacuations.{order}/{zone}")
+}
+
 /// The key of the organisation that submits jobs.
 const OWN_KEY: &str = "key-a";
 /// A key of another organisation.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod cell;
 mod crashes;
+mod late_calls;
 mod lives;
 mod silent_links;
 mod soak;
