Carry out orders about a zone in the order in which they were handed in

What operators saw: a drain that a cut held up was answered with 504, the zone was restored at another instance, and the drain was carried out when it arrived within its time limit. Nothing was started in the zone any more. A restoration could undo a later drain in the same way, from which workers are about to be taken.

Cause: the leader took orders in the order of their arrival. That a restoration changes nothing (the zone is not drained yet) hid that it has the last word.

Change: the leader remembers when it last acknowledged an order about each zone, for 60 s, and refuses one that was handed in before that. A new leader takes the begin of its term for that time: an order that waited for it and changes something is refused once, and operators send it again.

Configurations were looked at and need nothing, as the higher version wins. A cancel that is held up still cancels within its caller's time limit.

--- a/components/dispatch/src/call_handling.rs
+++ b/components/dispatch/src/call_handling.rs
@@ -60,7 +60,7 @@
         Some(match call {
             Call::Publish(document) => self.publish(m, document),
             Call::Read => self.read_document(),
-            Call::DrainZone { zone, drained } => self.drain_zone(zone, drained),
+            Call::DrainZone { zone, drained } => self.drain_zone(m, zone, drained, received_at),
             Call::Job { host, path, size, verb } => {
                 let credential = Credential::None;
                 self.answer_caller(m, (&host, &path), size, verb, credential, received_at)
@@ -95,17 +95,6 @@
         Answer::Published
     }
 
-    /// Drains an availability zone or ends that. A repeated call is acknowledged and changes nothing.
-    /// The zone need not have any workers yet.
-    fn drain_zone(&mut self, zone: Name, drained: bool) -> Answer {
-        if self.replicated.drained_zones().contains(&zone) != drained {
-            let kind = if drained { &kinds::ZONE_DRAINED } else { &kinds::ZONE_RESTORED };
-            self.log_event(kind, &zone, format!("term={}", self.term));
-            self.propose(Command::DrainZone { zone, drained });
-        }
-        Answer::ZoneUpdated
-    }
-
     fn read_document(&self) -> Answer {
         match self.replicated.document().version {
             0 => Answer::NotDone { retry_after: CALLER_RETRY_AFTER },
--- a/components/dispatch/src/dispatcher.rs
+++ b/components/dispatch/src/dispatcher.rs
@@ -40,6 +40,7 @@
 use crate::worker_speeds::WorkerSpeeds;
 use crate::worker_view::{Order, Stage, WorkerView};
 use crate::worker_views::WorkerViews;
+use crate::zone_orders::ZoneOrders;
 
 /// An action that is held until a batch is committed.
 #[derive(Clone, Debug)]
@@ -144,6 +145,8 @@
     pub(crate) late_calls: LateCalls,
     /// When jobs were cancelled that had not been accepted.
     pub(crate) withdrawal_times: WithdrawalTimes,
+    /// When orders about availability zones were carried out.
+    pub(crate) zone_orders: ZoneOrders,
 }
 
 impl Dispatcher {
@@ -197,6 +200,7 @@
             refusals: Refusals::default(),
             late_calls: LateCalls::default(),
             withdrawal_times,
+            zone_orders: ZoneOrders::new(m.now),
         };
         dispatcher.restore(m);
         dispatcher
@@ -480,5 +484,6 @@
         self.step_speeds.retain(|k, _| is_unfinished(&k.job));
         self.clean_up_speeds(m);
         self.forget_withdrawn(m);
+        self.zone_orders.forget_old(m.now);
     }
 }
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -60,6 +60,7 @@
 mod worker_view;
 mod worker_views;
 mod workers;
+mod zone_orders;
 
 pub use action::Action;
 pub use admission::{Admission, WaitForecast};
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -379,9 +379,10 @@
 pub(crate) const KEY_REFUSED_LOG_INTERVAL: Millis = Millis(1_000);
 /// The minimum interval between log lines about calls that came too late. A cut delivers all that it held at once.
 pub(crate) const LATE_CALL_LOG_INTERVAL: Millis = Millis(1_000);
-/// How long the id of a job is kept that was cancelled without having been accepted, and how long ago a submission may have
-/// been handed in. Callers wait for seconds; only a frozen instance relays a submission that is older.
-pub(crate) const WITHDRAWAL_RETENTION: Millis = Millis(60_000);
+/// How long the leader knows what a call decided that one handed in before it must not change: that a job was cancelled
+/// without having been accepted, or a zone drained. Calls handed in longer ago are refused. Callers wait for seconds; only a
+/// frozen instance relays a call that is older.
+pub(crate) const LATE_CALL_RETENTION: Millis = Millis(60_000);
 /// The time after which callers that could not be served may retry.
 pub(crate) const CALLER_RETRY_AFTER: Millis = Millis(300);
 /// The half-life of the average of what an organisation uses. Batch and gang tasks run for 2 to 5 s:
--- a/components/dispatch/src/withdrawn_jobs.rs
+++ b/components/dispatch/src/withdrawn_jobs.rs
@@ -12,7 +12,7 @@
 use crate::call::Answer;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
-use crate::limits::{MIN_REFUSAL_RETRY, WITHDRAWAL_RETENTION};
+use crate::limits::{LATE_CALL_RETENTION, MIN_REFUSAL_RETRY};
 
 /// When ids were withdrawn, as far as this leader knows.
 #[derive(Clone, Debug)]
@@ -41,7 +41,7 @@
     /// Returns whether a job that was handed in at `received_at` may have been withdrawn without being kept.
     fn may_be_forgotten(&self, now: Millis, received_at: Millis) -> bool {
         let dropped = self.dropped_until.is_some_and(|at| received_at <= at);
-        dropped || now.since(received_at) >= WITHDRAWAL_RETENTION
+        dropped || now.since(received_at) >= LATE_CALL_RETENTION
     }
 }
 
@@ -91,7 +91,7 @@
 
     /// Drops the ids that were withdrawn so long ago that no submission from before is accepted any more.
     pub(crate) fn forget_withdrawn(&mut self, m: Moment) {
-        let is_old = |at: Millis| m.now.since(at) >= WITHDRAWAL_RETENTION;
+        let is_old = |at: Millis| m.now.since(at) >= LATE_CALL_RETENTION;
         let Some(oldest) = self.replicated.withdrawals().oldest() else { return };
         let last = self.replicated.withdrawals().last_number();
         let times = &mut self.withdrawal_times;
--- a/components/node/tests/late_calls.rs
+++ b/components/node/tests/late_calls.rs
@@ -375,6 +375,30 @@
     assert!(unknown > SEEDS / 10, "submissions are held up");
 }
 
+fn order(drained: bool) -> Call {
+    Call::DrainZone { zone: "z".into(), drained }
+}
+
+/// Guards against a zone in which nothing is started, or from which workers are about to be taken, although the operator was
+/// told otherwise.
+#[test]
+fn a_zone_stays_as_the_last_acknowledged_order_left_it() {
+    for seed in 0..SEEDS {
+        let mut s = Simulation::new(seed);
+        let first = s.rng.random_bool(0.5);
+        if s.rng.random_bool(0.5) {
+            s.call_until_done(1, &order(!first));
+        }
+        s.draw_faults();
+        let patience = if s.rng.random_bool(0.5) { s.rng.random_range(20..900) } else { 3_000 };
+        s.call(0, &order(first), patience);
+        s.call_until_done(1, &order(!first));
+        s.run_for(15_000);
+        let is_drained = s.committed.drained_zones().contains("z");
+        assert_eq!(is_drained, !first, "seed {seed}");
+    }
+}
+
 /// Guards against a price for callers whose calls are not held up.
 #[test]
 fn a_timely_submission_is_accepted_whatever_else_happened() {
