Date calls that waited in the socket of a frozen instance before the freeze

What callers saw: an entry instance was frozen for 4 s. A caller submitted a job there, left after a second, and cancelled it at another instance (410). As the instance ran again it read the submission, took it for one that had just arrived, and the job was accepted and started.

Cause: a process cannot tell how long a request has waited in its socket, and took the time at which it read it for the time at which it arrived.

The random schedules now let calls wait in the sockets of frozen instances.

Change: after a gap of 0.2 s or more between two turns of the event loop, calls that are read within a second count as handed in when the process last ran. Their time limits still count from when they are read, so that no caller who waits is refused.

Ruled out: refusing what is read after a freeze, which refuses callers who have just called; detecting closed connections, as a client may close its sending side and still wait.

--- a/components/node/src/control.rs
+++ b/components/node/src/control.rs
@@ -15,6 +15,7 @@
 use workload::PolicyReader;
 
 use crate::advice_calls::{AdviceCall, spawn_advice_call};
+use crate::arrivals::Arrivals;
 use crate::control_event::ControlEvent;
 use crate::job_report::JobReport;
 use crate::leader_term::LeaderTerm;
@@ -47,6 +48,7 @@
     pub(crate) settings: NodeSettings,
     pub(crate) clock: Arc<SystemClock>,
     pub(crate) stall_detector: StallDetector,
+    pub(crate) arrivals: Arrivals,
     pub(crate) links: Arc<Links>,
     pub(crate) log: LogHandle,
     pub(crate) peers: Peers,
@@ -88,6 +90,7 @@
             let wait = self.next_tick_at.since(self.clock.now());
             let first = timeout(wait.duration(), rx.recv()).await;
             let turn_began = self.clock.now();
+            self.arrivals.record_turn(turn_began);
             if let Some(leader_term) = &mut self.leader_term {
                 leader_term.timings.begin_turn();
             }
@@ -158,7 +161,9 @@
         let now = self.clock.now();
         match event {
             InboundEvent::Call { call, max_wait, tx } => {
-                let token = self.relay.accept(now, call.clone(), max_wait);
+                self.arrivals.record_turn(now);
+                let arrived_after = self.arrivals.arrived_after(now);
+                let token = self.relay.accept(now, arrived_after, call.clone(), max_wait);
                 self.pending_calls.add(token, now, &call, tx);
             }
             InboundEvent::Announcement(announcement) => self.on_announcement(announcement, true),
--- a/components/node/src/entry.rs
+++ b/components/node/src/entry.rs
@@ -13,6 +13,7 @@
 use transport::{Links, Packet};
 
 use crate::advice_calls::{AdviceCall, spawn_advice_call};
+use crate::arrivals::Arrivals;
 use crate::held_renewals::HeldRenewals;
 use crate::job_report::JobReport;
 use crate::message::Message;
@@ -51,6 +52,7 @@
     settings: NodeSettings,
     clock: Arc<SystemClock>,
     stall_detector: StallDetector,
+    arrivals: Arrivals,
     links: Arc<Links>,
     peers: Peers,
     relay: Relay,
@@ -97,6 +99,7 @@
         held_renewals: HeldRenewals::default(),
         pending_calls: PendingCalls::new(metrics),
         stall_detector: StallDetector::new(clock.now(), clock.suspended()),
+        arrivals: Arrivals::new(clock.now()),
         clock,
         links,
         ports,
@@ -126,6 +129,7 @@
             let first = timeout(TICK_INTERVAL.duration(), rx.recv()).await;
             // All events of one iteration are handled with the same time.
             let now = self.clock.now();
+            self.arrivals.record_turn(now);
             if let Ok(Some(event)) = first {
                 self.on_event(now, event);
                 while let Ok(event) = rx.try_recv() {
@@ -148,7 +152,8 @@
             Event::Packet(Ok(packet)) => self.on_packet(now, packet),
             Event::Packet(Err(e)) => log_unreadable(&e),
             Event::Inbound(InboundEvent::Call { call, max_wait, tx }) => {
-                let token = self.relay.accept(now, call.clone(), max_wait);
+                let arrived_after = self.arrivals.arrived_after(now);
+                let token = self.relay.accept(now, arrived_after, call.clone(), max_wait);
                 self.pending_calls.add(token, now, &call, tx);
             }
             Event::Inbound(InboundEvent::Signal(signal)) => self.on_signal(now, signal),
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -6,6 +6,7 @@
 //! docs/design/platform.md gives an overview.
 
 mod advice_calls;
+mod arrivals;
 mod control;
 mod control_event;
 mod delegated_renewals;
@@ -34,6 +35,7 @@
 mod start_control;
 mod timing;
 
+pub use arrivals::Arrivals;
 pub use delegated_renewals::{DelegatedRenewals, Watch};
 pub use descriptors::{Descriptors, parse_open_file_limit};
 pub use entry::run_entry;
--- a/components/node/src/relay.rs
+++ b/components/node/src/relay.rs
@@ -50,6 +50,8 @@
 #[derive(Clone, Debug)]
 struct Pending {
     call: Call,
+    /// When the call arrived, or an earlier time.
+    arrived_after: Millis,
     received_at: Millis,
     /// How long the caller waits.
     max_wait: Millis,
@@ -96,11 +98,19 @@
         Relay { last_token: seed << 20, ..Relay::default() }
     }
 
-    /// Accepts a call whose caller waits for `max_wait`, and returns its token.
-    pub fn accept(&mut self, now: Millis, call: Call, max_wait: Millis) -> u64 {
+    /// Accepts a call whose caller waits for `max_wait`, and returns its token. It may have arrived as early as
+    /// `arrived_after`, if this process did not run meanwhile; see [`crate::Arrivals`].
+    pub fn accept(
+        &mut self,
+        now: Millis,
+        arrived_after: Millis,
+        call: Call,
+        max_wait: Millis,
+    ) -> u64 {
         self.last_token += 1;
         let pending = Pending {
             call,
+            arrived_after,
             received_at: now,
             max_wait,
             retry_after: RETRY_AFTER,
@@ -179,7 +189,7 @@
             self.calls.insert(token, *id);
             let call = pending.call.clone();
             let times = CallTimes {
-                received_at: leader.clock.at_least(pending.received_at),
+                received_at: leader.clock.at_least(pending.arrived_after),
                 deadline: leader.clock.at_least(pending.expires_at),
             };
             let (repeated, term) = (pending.maybe_accepted, leader.term);
--- a/components/node/src/start_control.rs
+++ b/components/node/src/start_control.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 use workload::PolicyReader;
 
+use crate::arrivals::Arrivals;
 use crate::control::{ControlInstance, log_disk_unusable};
 use crate::control_event::ControlEvent;
 use crate::leaving_workers::LeavingAcknowledgements;
@@ -62,6 +63,7 @@
         pending_calls: PendingCalls::new(metrics.clone()),
         metrics,
         stall_detector: StallDetector::new(clock.now(), clock.suspended()),
+        arrivals: Arrivals::new(clock.now()),
         clock,
         links,
         log,
--- a/components/node/tests/late_calls.rs
+++ b/components/node/tests/late_calls.rs
@@ -7,7 +7,7 @@
 use dispatch::{Action, Answer, Call, Dispatcher, Input, Limits, Moment, Setup, Verb};
 use errors::Result;
 use model::Size;
-use node::{Leader, LeaderClock, Message, Reachability, Relay, RelayAction};
+use node::{Arrivals, Leader, LeaderClock, Message, Reachability, Relay, RelayAction};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use workload::{
@@ -76,7 +76,12 @@
     cut: (u64, u64),
     /// It does not run from the first time until the second one.
     frozen: (u64, u64),
-    /// Its answers to callers, by the tokens of their calls.
+    arrivals: Arrivals,
+    /// The calls that wait in its sockets, each with the number of its caller.
+    unread: Vec<(u64, Call)>,
+    /// The callers that wait for an answer, by the tokens of their calls.
+    callers: Vec<(u64, u64)>,
+    /// Its answers, by the numbers of their callers.
     answers: Vec<(u64, Answer)>,
 }
 
@@ -103,6 +108,7 @@
     takes_over_at: u64,
     /// When the leader began its term.
     term_began_at: u64,
+    last_caller: u64,
 }
 
 impl Simulation {
@@ -117,6 +123,9 @@
             last_contact: 0,
             cut: (u64::MAX, 0),
             frozen: (u64::MAX, 0),
+            arrivals: Arrivals::new(Millis(0)),
+            unread: Vec::new(),
+            callers: Vec::new(),
             answers: Vec::new(),
         });
         let instances = instances.collect();
@@ -134,6 +143,7 @@
             origins: Vec::new(),
             takes_over_at: u64::MAX,
             term_began_at: 0,
+            last_caller: 0,
         };
         simulation.run_for(1_000);
         simulation
@@ -155,6 +165,8 @@
         if self.rng.random_bool(0.3) {
             self.takes_over_at = now + self.rng.random_range(0..5_000);
         }
+        let pause = self.rng.random_range(0..150);
+        self.run_for(pause);
     }
 
     fn moment(&self) -> Moment {
@@ -251,7 +263,9 @@
                     self.send(from, Transit::Call { from, leader, message });
                 }
                 RelayAction::Answer(token, answer) => {
-                    self.instances[from].answers.push((token, answer));
+                    let instance = &mut self.instances[from];
+                    let caller = instance.callers.iter().find(|(t, _)| *t == token).unwrap().1;
+                    instance.answers.push((caller, answer));
                 }
             }
         }
@@ -289,6 +303,12 @@
         for i in (0..3).filter(|i| !self.is_frozen(*i)).collect::<Vec<_>>() {
             let instance = &mut self.instances[i];
             let now = instance.clock.at(self.time);
+            instance.arrivals.record_turn(now);
+            let arrived_after = instance.arrivals.arrived_after(now);
+            for (caller, call) in std::mem::take(&mut instance.unread) {
+                let token = instance.relay.accept(now, arrived_after, call, MAX_WAIT);
+                instance.callers.push((token, caller));
+            }
             let in_contact = self.time < instance.last_contact + CONTACT_TIMEOUT;
             let reachability =
                 if in_contact { Reachability::Majority } else { Reachability::Minority };
@@ -312,14 +332,14 @@
 
     /// Makes a call and waits for its answer, or until its caller leaves.
     fn call(&mut self, at: usize, call: &Call, patience: u64) -> Option<Answer> {
-        let instance = &mut self.instances[at];
-        let now = instance.clock.at(self.time);
-        let token = instance.relay.accept(now, call.clone(), MAX_WAIT);
+        self.last_caller += 1;
+        let caller = self.last_caller;
+        self.instances[at].unread.push((caller, call.clone()));
         let until = self.time + patience;
         while self.time < until {
             self.step();
             let answers = &self.instances[at].answers;
-            if let Some((_, answer)) = answers.iter().find(|(t, _)| *t == token) {
+            if let Some((_, answer)) = answers.iter().find(|(c, _)| *c == caller) {
                 return Some(answer.clone());
             }
         }
--- a/components/node/tests/relay.rs
+++ b/components/node/tests/relay.rs
@@ -39,7 +39,7 @@
 fn an_answer_is_handed_on_once() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let token = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     assert_eq!(sent(&relay.tick(Millis(0), Some(&l1))), 1);
     let answer = relay.on_answer(Millis(9), token, Answer::Accepted);
     assert_eq!(answer, Some(RelayAction::Answer(token, Answer::Accepted)));
@@ -50,7 +50,7 @@
 #[test]
 fn without_any_leader_a_call_is_surely_not_done() {
     let mut relay = Relay::new(1);
-    relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     assert_eq!(relay.tick(Millis(1_000), None), vec![]);
     let answer = final_answer(relay.tick(MAX_WAIT, None));
     assert!(matches!(answer, Some(Answer::NotDone { .. })));
@@ -67,7 +67,7 @@
 ) {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    relay.accept(Millis(0), call, MAX_WAIT);
+    relay.accept(Millis(0), Millis(0), call, MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
     let answer = final_answer(relay.tick(MAX_WAIT, None));
     assert_eq!(matches!(answer, Some(Answer::Unsure { .. })), unsure);
@@ -77,7 +77,7 @@
 fn a_refusal_after_an_unanswered_try_does_not_hide_that_try() {
     let (old, new) = (leader("l1"), leader("l2"));
     let mut relay = Relay::new(1);
-    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let token = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&old));
     relay.leader_changed(Millis(100));
     assert_eq!(sent(&relay.tick(Millis(100), Some(&new))), 1);
@@ -91,7 +91,7 @@
 fn a_refusal_to_the_only_try_leaves_the_call_surely_not_done() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let token = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
     relay.on_answer(Millis(10), token, Answer::NotDone { retry_after: Millis(1) });
     let answer = final_answer(relay.tick(MAX_WAIT, None));
@@ -103,7 +103,7 @@
     // Sent again until it expired, each refused call came to the overloaded leader twelve times.
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let token = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
     let refusal = Answer::NotDone { retry_after: Millis(4_200) };
     let answer = relay.on_answer(Millis(10), token, refusal.clone());
@@ -115,7 +115,7 @@
 fn a_refusal_for_a_backlog_does_not_hide_an_earlier_unanswered_try() {
     let (old, new) = (leader("l1"), leader("l2"));
     let mut relay = Relay::new(1);
-    let token = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let token = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&old));
     relay.leader_changed(Millis(100));
     relay.tick(Millis(100), Some(&new));
@@ -147,7 +147,7 @@
 fn a_rejection_of_an_earlier_attempt_is_passed_over(#[case] rejection: Answer) {
     let (old, new) = (leader("l1"), leader("l2"));
     let mut relay = Relay::new(1);
-    let call = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let call = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     let (first, marked) = attempt(&relay.tick(Millis(0), Some(&old)));
     assert!(!marked);
     relay.leader_changed(Millis(100));
@@ -167,7 +167,7 @@
 fn a_rejection_of_the_last_attempt_reaches_the_caller_at_once(#[case] rejection: Answer) {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let call = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let call = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
     let (second, _) = attempt(&relay.tick(Millis(600), Some(&l1)));
     let answer = relay.on_answer(Millis(610), second, rejection.clone());
@@ -179,7 +179,7 @@
 fn a_refusal_of_the_last_attempt_for_a_backlog_leaves_the_earlier_one_open() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let call = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let call = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
     let (second, _) = attempt(&relay.tick(Millis(600), Some(&l1)));
     let refusal = Answer::NotDone { retry_after: Millis(4_200) };
@@ -193,7 +193,7 @@
 fn a_late_acceptance_of_an_earlier_attempt_is_final() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let call = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let call = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     let (first, _) = attempt(&relay.tick(Millis(0), Some(&l1)));
     relay.tick(Millis(600), Some(&l1));
     let answer = relay.on_answer(Millis(610), first, Answer::Accepted);
@@ -206,7 +206,7 @@
     let clock = LeaderClock::stated(Millis(50_000), Millis(100));
     let leader = Leader { id: "l1".into(), term: 7, clock };
     let mut relay = Relay::new(1);
-    relay.accept(Millis(100), submit(), MAX_WAIT);
+    relay.accept(Millis(100), Millis(100), submit(), MAX_WAIT);
     for now in [100, 700, 1_300] {
         let actions = relay.tick(Millis(now), Some(&leader));
         let [RelayAction::Send(_, Message::TimedCall { term, times, .. })] = &actions[..] else {
@@ -222,7 +222,7 @@
 fn a_call_that_is_not_answered_is_sent_again() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     let tries: usize = (0..18).map(|t| sent(&relay.tick(Millis(t * 100), Some(&l1)))).sum();
     assert_eq!(tries, 3);
 }
@@ -231,9 +231,9 @@
 fn an_instance_that_is_cut_off_refuses_at_once_what_surely_was_not_taken() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    let sent_call = relay.accept(Millis(0), submit(), MAX_WAIT);
+    let sent_call = relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
-    let unsent_call = relay.accept(Millis(10), submit(), MAX_WAIT);
+    let unsent_call = relay.accept(Millis(10), Millis(10), submit(), MAX_WAIT);
     relay.set_reachability(Millis(10), Reachability::Minority);
     let actions = relay.tick(Millis(10), None);
     let refusal = Answer::NotDone { retry_after: Millis(700) };
@@ -246,7 +246,7 @@
 fn an_instance_that_is_cut_off_says_soon_that_a_call_may_have_been_taken() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.tick(Millis(0), Some(&l1));
     for now in [500, 550, 600] {
         relay.set_reachability(Millis(now), Reachability::Minority);
@@ -263,13 +263,13 @@
 #[test]
 fn an_instance_that_hears_nobody_keeps_a_call_for_a_moment_and_then_sends_the_caller_on_at_once() {
     let mut relay = Relay::new(1);
-    relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.set_reachability(Millis(0), Reachability::Isolated);
     assert_eq!(relay.tick(Millis(250), None), vec![]);
     let answer = final_answer(relay.tick(Millis(300), None));
     assert_eq!(answer, Some(Answer::NotDone { retry_after: Millis::ZERO }));
     // A longer loss of all voters must not use up the attempts of callers within a second.
-    relay.accept(Millis(1_500), submit(), MAX_WAIT);
+    relay.accept(Millis(1_500), Millis(1_500), submit(), MAX_WAIT);
     relay.set_reachability(Millis(1_500), Reachability::Isolated);
     let answer = final_answer(relay.tick(Millis(1_800), None));
     assert_eq!(answer, Some(Answer::NotDone { retry_after: Millis(700) }));
@@ -279,7 +279,7 @@
 fn a_call_waits_on_once_enough_voters_are_back() {
     let l1 = leader("l1");
     let mut relay = Relay::new(1);
-    relay.accept(Millis(0), submit(), MAX_WAIT);
+    relay.accept(Millis(0), Millis(0), submit(), MAX_WAIT);
     relay.set_reachability(Millis(0), Reachability::Isolated);
     relay.set_reachability(Millis(200), Reachability::Majority);
     assert_eq!(sent(&relay.tick(Millis(200), Some(&l1))), 1);
--- a/components/node/tests/relay_schedules.rs
+++ b/components/node/tests/relay_schedules.rs
@@ -223,7 +223,7 @@
 
     /// Plays until the call is answered, and then delivers what is still in transit.
     fn play(&mut self, call: Call) -> Answer {
-        self.relay.accept(self.now, call, MAX_WAIT);
+        self.relay.accept(self.now, self.now, call, MAX_WAIT);
         while self.outcome.is_none() {
             self.step();
         }
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -459,6 +459,24 @@
 
 /// Makes a call like [`job_call`] with the given `Authorization` header.
 pub fn job_call_with(
+    authorization: &str,
+    front: SocketAddr,
+    call: (&str, &str, &str),
+) -> Option<(u32, Vec<u8>)> {
+    send_job_call(CALL_LIMIT, authorization, front, call)
+}
+
+/// Makes a call like [`job_call`] whose caller leaves after the given time.
+pub fn job_call_for(
+    patience: Duration,
+    front: SocketAddr,
+    call: (&str, &str, &str),
+) -> Option<(u32, Vec<u8>)> {
+    send_job_call(patience, &format!("Token {OWN_KEY}"), front, call)
+}
+
+fn send_job_call(
+    patience: Duration,
     authorization: &str,
     front: SocketAddr,
     (method, id, body): (&str, &str, &str),
@@ -470,7 +488,7 @@
         ("x-deadline-ms", "3000".to_string()),
         ("authorization", authorization.to_string()),
     ];
-    let answer = call(front, &line, &head, body.as_bytes(), CALL_LIMIT)?;
+    let answer = call(front, &line, &head, body.as_bytes(), patience)?;
     Some((answer.status(), answer.body))
 }
 
--- a/tests/platform/late_calls.rs
+++ b/tests/platform/late_calls.rs
@@ -6,10 +6,12 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::cell::{Cell, job_body, job_call};
+use crate::cell::{Cell, job_body, job_call, job_call_for};
 
 /// How long a cut lasts: longer than the time limit of a call.
 const CUT: Duration = Duration::from_millis(5_500);
+/// How long an instance is frozen.
+const FREEZE: Duration = Duration::from_secs(4);
 /// How long a test waits for the effect of a call that was held up.
 const EFFECT: Duration = Duration::from_secs(2);
 
@@ -56,6 +58,29 @@
     assert_eq!(job_call(fronts[1], "GET", id, "").map(|a| a.0), Some(410));
 }
 
+/// Guards against the start of a job whose submission waited in the socket of a frozen instance until after its cancel was
+/// acknowledged: the instance took it for one that had just arrived.
+#[test]
+fn a_submission_that_a_frozen_instance_reads_late_has_no_effect_after_its_cancel() {
+    let cell = start();
+    let id = "00000000000005c1";
+    let fronts = cell.fronts();
+    cell.nodes[3].signal("STOP");
+    let began = Instant::now();
+    // The caller leaves before the instance reads its request.
+    let submitted = job_call_for(FREEZE / 4, fronts[0], ("POST", id, &job_body(1)));
+    assert_eq!(submitted, None);
+    let (cancelled, _) = job_call(fronts[1], "DELETE", id, "").expect("an answer");
+    assert_eq!(cancelled, 410);
+    thread::sleep(FREEZE.saturating_sub(began.elapsed()));
+    cell.nodes[3].signal("CONT");
+    thread::sleep(EFFECT);
+    assert_eq!(runs_of(&cell, id), Vec::<String>::new(), "{}", cell.lines_about(id));
+    // A caller who is served by this instance later on pays nothing for it.
+    let (submitted, _) = job_call(fronts[0], "POST", id, &job_body(1)).expect("an answer");
+    assert_eq!(submitted, 200);
+}
+
 /// Guards against a zone that stays drained after its restoration was acknowledged, because a cut held up the drain.
 #[test]
 fn a_drain_held_up_by_a_cut_has_no_effect_after_the_zone_was_restored() {
