--- a/components/dispatch/src/withdrawn_jobs.rs
+++ b/components/dispatch/src/withdrawn_jobs.rs
@@ -92,10 +92,12 @@
     /// Drops the ids that were withdrawn so long ago that no submission from before is accepted any more.
     pub(crate) fn forget_withdrawn(&mut self, m: Moment) {
         let is_old = |at: Millis| m.now.since(at) >= LATE_CALL_RETENTION;
-        let Some(oldest) = self.replicated.withdrawals().oldest() else { return };
-        let last = self.replicated.withdrawals().last_number();
+        let withdrawals = self.replicated.withdrawals();
+        let (oldest, last) = (withdrawals.oldest(), withdrawals.last_number());
         let times = &mut self.withdrawal_times;
-        let up_to = (oldest..=last).take_while(|number| is_old(times.at(*number))).last();
+        let is_old_number = |number: &u64| is_old(times.at(*number));
+        let up_to = oldest.and_then(|oldest| (oldest..=last).take_while(is_old_number).last());
+        // The ids of jobs that were submitted again are no longer among the withdrawn ones.
         times.by_number.retain(|_, at| !is_old(*at));
         if let Some(up_to) = up_to {
             self.propose(Command::ForgetWithdrawn { up_to });
--- a/components/node/tests/arrivals.rs
+++ b/components/node/tests/arrivals.rs
@@ -41,3 +41,15 @@
     arrivals.record_turn(Millis(13_000));
     assert_eq!(arrivals.arrived_after(Millis(13_000)), Millis(12_000), "the first is long over");
 }
+
+/// Guards against calls that are refused as too old at an instance that is slow all the time.
+#[test]
+fn calls_at_a_process_that_stalls_again_and_again_have_arrived_lately() {
+    let mut arrivals = running_until(0);
+    for second in 1..=120 {
+        let began = Millis(second * 1_000);
+        (0..=14).for_each(|turn| arrivals.record_turn(began + Millis(turn * 50)));
+        let age = began.since(arrivals.arrived_after(began));
+        assert!(age <= Millis(3_000), "{age} at {began}");
+    }
+}
