--- a/components/node/tests/late_calls.rs
+++ b/components/node/tests/late_calls.rs
@@ -1,9 +1,12 @@
 //! Random cuts, freezes, changes of leader and drifting clocks around three instances and the leader's dispatcher. Whatever is
 //! held up and delivered late, a caller who was told that a later call was carried out has the last word.
 
+mod common;
+
 use std::sync::Arc;
 
 use clock::Millis;
+use common::{queue, service};
 use dispatch::{Action, Answer, Call, Dispatcher, Input, Limits, Moment, Setup, Verb};
 use errors::Result;
 use model::Size;
@@ -11,8 +14,8 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use workload::{
-    Command, Credential, Document, JobId, JobSpec, JobState, Policy, PolicyReader, Queue,
-    ReplicatedState, Service, StepSpec,
+    Command, Credential, Document, JobId, JobSpec, JobState, Policy, PolicyReader, ReplicatedState,
+    StepSpec,
 };
 
 const SEEDS: u64 = 3_000;
@@ -30,20 +33,7 @@
 
 impl PolicyReader for Reader {
     fn read(&self, _: &str) -> Result<Policy> {
-        let queue = Queue {
-            name: "q".into(),
-            host: "h".into(),
-            path_prefix: "/q/".into(),
-            service: "s".into(),
-            priority: 0,
-            max_attempts: 2,
-            stretch: 1.5,
-            target_latency: Millis(250),
-            advice: None,
-            public: false,
-        };
-        let service = Service { name: "s".into(), checks_capacity: false, max_connections: 8 };
-        let (queues, services) = (vec![queue], vec![service]);
+        let (queues, services) = (vec![queue()], vec![service()]);
         Ok(Policy { queues, services, max_body: 1_000, organisations: None })
     }
 }
--- a/components/node/tests/relay_schedules.rs
+++ b/components/node/tests/relay_schedules.rs
@@ -1,10 +1,13 @@
 //! Random answers, losses, changes of leader and of the configuration around a relay and the leader's dispatcher. A caller
 //! that was told that its call was not done must be told the truth, whichever attempt that answer was given to.
 
+mod common;
+
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::Arc;
 
 use clock::Millis;
+use common::{queue, service};
 use dispatch::{
     Action, Answer, Call, Dispatcher, Input, Limits, MIN_REFUSAL_RETRY, Moment, Setup, Verb,
 };
@@ -15,7 +18,7 @@
 use rand::{Rng, SeedableRng};
 use workload::{
     Command, Credential, Document, JobId, JobSpec, JobState, KeyDigest, Organisation,
-    Organisations, Policy, PolicyReader, Queue, ReplicatedState, Service, StepSpec,
+    Organisations, Policy, PolicyReader, ReplicatedState, StepSpec,
 };
 
 const SEEDS: u64 = 2_000;
@@ -28,19 +31,6 @@
 
 impl PolicyReader for Reader {
     fn read(&self, text: &str) -> Result<Policy> {
-        let queue = Queue {
-            name: "q".into(),
-            host: "h".into(),
-            path_prefix: "/q/".into(),
-            service: "s".into(),
-            priority: 0,
-            max_attempts: 2,
-            stretch: 1.5,
-            target_latency: Millis(250),
-            advice: None,
-            public: false,
-        };
-        let service = Service { name: "s".into(), checks_capacity: false, max_connections: 8 };
         let mut organisations = Organisations::default();
         for name in ["a", "b"] {
             let cpu = if text.contains("low") { 500 } else { 0 };
@@ -52,8 +42,8 @@
             organisations.add_key(KeyDigest::of("key"), &holder);
         }
         Ok(Policy {
-            queues: if text.contains("no-route") { vec![] } else { vec![queue] },
-            services: vec![service],
+            queues: if text.contains("no-route") { vec![] } else { vec![queue()] },
+            services: vec![service()],
             max_body: if text.contains("small") { 10 } else { 1_000 },
             organisations: Some(organisations),
         })
