Greet a new leader out of turn only if another instance named it

Found by reading.

Red before, tests/leader_clock.rs of node:

a_leader_that_introduces_itself_is_not_greeted_out_of_turn: FAILED

Now only an instance that hears of a leader from another one does so. Green after, with the other tests of peers, relay and late calls. What the burst cost was not measured.

--- a/components/node/src/peers.rs
+++ b/components/node/src/peers.rs
@@ -192,10 +192,14 @@
         for id in controls {
             self.add_peer(id, now);
         }
-        match leader {
-            Some(leader) => self.update_leader(leader, term, now),
-            None => false,
+        let Some(leader) = leader else { return false };
+        let is_introduced = leader != *from;
+        let changed = self.update_leader(leader, term, now);
+        if changed && is_introduced {
+            // The clock of a leader that another instance names is known only from its answer.
+            self.next_hello_at = now;
         }
+        changed
     }
 
     /// Processes a welcome at an entry instance, which needs contact only to the seeds and to the
@@ -223,8 +227,6 @@
         let changed = self.leader != next;
         if changed {
             self.leader_clock = None;
-            // The answer of the leader tells its clock.
-            self.next_hello_at = now;
         }
         self.leader = next;
         self.leader_confirmed_at = now;
--- a/components/node/tests/leader_clock.rs
+++ b/components/node/tests/leader_clock.rs
@@ -89,3 +89,14 @@
     let leader = peers.leader_with_clock(Millis(130)).unwrap();
     assert_eq!((leader.term, leader.clock.at_least(Millis(120))), (4, Millis(20)));
 }
+
+/// Guards against a new leader that every instance greets at once, though its welcome has told them all.
+#[test]
+fn a_leader_that_introduces_itself_is_not_greeted_out_of_turn() {
+    let mut peers = with_leader();
+    peers.due_hellos(Millis(100));
+    peers.on_welcome(&"c2".into(), Some("c2".into()), 4, &[], Millis(110));
+    peers.record_leader_time(&"c2".into(), 4, Millis(20), Millis(110));
+    assert!(peers.leader_with_clock(Millis(110)).is_some());
+    assert!(peers.due_hellos(Millis(110)).is_empty());
+}
