Log the age of a call that came too late

E944 told as late_by_ms how long after its time limit a call came, or how long ago it was handed in, depending on the cause. It is now the latter for all causes, as age_ms, and unknown for calls of earlier versions. The figure's description no longer names one of the causes only, and the test names the event rather than its number.

--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -62,7 +62,7 @@
     pub long_running_max_wait: Millis,
     /// The number of calls that were refused for the forecast wait of their jobs in this term.
     pub refused: u64,
-    /// The number of calls that came after their callers' time limits in this term.
+    /// The number of calls in this term that came too late to be carried out.
     pub late_calls: u64,
     /// The part of the capacity, in thousandths, that admission assumes to become completed work.
     pub efficiency_per_mille: u64,
--- a/components/dispatch/src/late_calls.rs
+++ b/components/dispatch/src/late_calls.rs
@@ -1,4 +1,4 @@
-//! Rejects calls that reach the leader after their callers' time limits.
+//! Rejects calls that reach the leader after their callers' time limits, and logs all calls that come too late.
 //!
 //! A partition may hold a call for seconds and deliver it when it ends. By then its caller has been told that the outcome is
 //! unknown and may have cancelled the job, or restored the zone, through another instance. docs/design/platform.md, "Calls that
@@ -33,8 +33,7 @@
         times: CallTimes,
     ) {
         if m.now > times.deadline {
-            let late_by = m.now.since(times.deadline);
-            self.log_late_call(m, &call.subject(), "time_limit", late_by);
+            self.log_late_call(m, &call.subject(), "time_limit", Some(times.received_at));
             // Nothing was proposed, so this attempt has certainly not been carried out.
             self.reply_now(token, Answer::NotDone { retry_after: CALLER_RETRY_AFTER });
             return;
@@ -45,8 +44,14 @@
         }
     }
 
-    /// Counts a late call and logs it, unless one was logged just now. `late_by` is how long it was held up too long.
-    pub(crate) fn log_late_call(&mut self, m: Moment, subject: &str, cause: &str, late_by: Millis) {
+    /// Counts a late call and logs it with its age, unless one was logged just now.
+    pub(crate) fn log_late_call(
+        &mut self,
+        m: Moment,
+        subject: &str,
+        cause: &str,
+        received_at: Option<Millis>,
+    ) {
         self.late_calls.total += 1;
         if m.now < self.late_calls.next_line_at {
             self.late_calls.not_logged += 1;
@@ -54,9 +59,9 @@
         }
         self.late_calls.next_line_at = m.now + LATE_CALL_LOG_INTERVAL;
         let not_logged = std::mem::take(&mut self.late_calls.not_logged);
-        let (late_by, term) = (late_by.0, self.term);
-        let details =
-            format!("why={cause} late_by_ms={late_by} not_logged={not_logged} term={term}");
+        let age = received_at.map_or("unknown".into(), |at| m.now.since(at).0.to_string());
+        let term = self.term;
+        let details = format!("why={cause} age_ms={age} not_logged={not_logged} term={term}");
         self.log_event(&kinds::CALL_LATE, subject, details);
     }
 }
--- a/components/dispatch/src/withdrawn_jobs.rs
+++ b/components/dispatch/src/withdrawn_jobs.rs
@@ -83,8 +83,7 @@
             }
             _ => return None,
         };
-        let age = received_at.map_or(Millis::ZERO, |at| m.now.since(at));
-        self.log_late_call(m, &id.to_string(), cause, age);
+        self.log_late_call(m, &id.to_string(), cause, received_at);
         // The caller is answered at once: another attempt of the same call would fare no better.
         Some(Answer::NotDone { retry_after: MIN_REFUSAL_RETRY })
     }
--- a/components/dispatch/src/zone_orders.rs
+++ b/components/dispatch/src/zone_orders.rs
@@ -51,10 +51,9 @@
         received_at: Option<Millis>,
     ) -> Answer {
         if self.replicated.drained_zones().contains(&zone) != drained {
-            if let Some(received_at) = received_at
-                && !self.zone_orders.is_latest(m.now, &zone, received_at)
-            {
-                self.log_late_call(m, &zone, "later_order", m.now.since(received_at));
+            // A call that an instance of an earlier version relays does not tell when it was handed in.
+            if received_at.is_some_and(|at| !self.zone_orders.is_latest(m.now, &zone, at)) {
+                self.log_late_call(m, &zone, "later_order", received_at);
                 return Answer::NotDone { retry_after: MIN_REFUSAL_RETRY };
             }
             let kind = if drained { &kinds::ZONE_DRAINED } else { &kinds::ZONE_RESTORED };
--- a/components/dispatch/tests/late_calls.rs
+++ b/components/dispatch/tests/late_calls.rs
@@ -5,6 +5,7 @@
 use clock::Millis;
 use common::{Harness, job, spec, step};
 use dispatch::{Action, Answer, Call, CallTimes, Input, Verb};
+use events::kinds;
 use rstest::rstest;
 use workload::Credential;
 
@@ -29,7 +30,7 @@
 }
 
 fn late_lines(b: &Harness) -> usize {
-    let is_late = |a: &&Action| matches!(a, Action::LogEvent { kind, .. } if kind.number == 944);
+    let is_late = |a: &&Action| matches!(a, Action::LogEvent { kind, .. } if kind.number == kinds::CALL_LATE.number);
     b.actions.iter().filter(is_late).count()
 }
 
