--- a/components/workload/src/replicated_state.rs
+++ b/components/workload/src/replicated_state.rs
@@ -1,10 +1,11 @@
 //! The replicated state machine.
 
+mod encoding;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use clock::Millis;
-use errors::{Error, Result};
 use model::{Name, Size};
 use serde::{Deserialize, Serialize};
 
@@ -63,113 +64,6 @@
 pub const USUAL_SPEED: u32 = 1_000;
 
 impl ReplicatedState {
-    /// Decodes the state from a snapshot; an empty slice yields the empty state.
-    ///
-    /// # Errors
-    /// Returns [`Error::Decode`] if the bytes are not a valid snapshot.
-    pub fn decode(bytes: &[u8]) -> Result<ReplicatedState> {
-        if bytes.is_empty() {
-            return Ok(ReplicatedState::default());
-        }
-        let mut replicated = ReplicatedState::decode_parts(bytes)?;
-        replicated.open.iter().for_each(|e| replicated.ownership.add_open_step(e.key.job));
-        Ok(replicated)
-    }
-
-    /// Decodes the encoded fields. Fields after the first may be missing, in the order in which they were added.
-    fn decode_parts(bytes: &[u8]) -> Result<ReplicatedState> {
-        let fault = |e: postcard::Error| Error::Decode {
-            what: "the replicated state",
-            reason: e.to_string(),
-        };
-        let (mut replicated, rest) =
-            postcard::take_from_bytes::<ReplicatedState>(bytes).map_err(fault)?;
-        if rest.is_empty() {
-            return Ok(replicated);
-        }
-        let (crashes, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
-        replicated.crashes = crashes;
-        if rest.is_empty() {
-            return Ok(replicated);
-        }
-        let (ownership, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
-        replicated.ownership = ownership;
-        if rest.is_empty() {
-            return Ok(replicated);
-        }
-        let (uncertain_losses, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
-        replicated.uncertain_losses = uncertain_losses;
-        if rest.is_empty() {
-            return Ok(replicated);
-        }
-        let (drained_zones, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
-        replicated.drained_zones = drained_zones;
-        if !rest.is_empty() {
-            let (recorded_usage, rest) =
-                postcard::take_from_bytes::<Option<RecordedUsage>>(rest).map_err(fault)?;
-            if let Some(recorded_usage) = recorded_usage {
-                replicated.ownership.record_usage(recorded_usage);
-            }
-            if rest.is_empty() {
-                return Ok(replicated);
-            }
-            let (machine_speeds, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
-            replicated.machine_speeds = machine_speeds;
-            if !rest.is_empty() {
-                let (loss_records, rest) = postcard::take_from_bytes(rest).map_err(fault)?;
-                replicated.loss_records = loss_records;
-                if !rest.is_empty() {
-                    replicated.withdrawals = postcard::from_bytes(rest).map_err(fault)?;
-                }
-            }
-        }
-        Ok(replicated)
-    }
-
-    /// Encodes the state for a snapshot.
-    ///
-    /// # Errors
-    /// Returns [`Error::Decode`] if the state cannot be encoded.
-    pub fn encode(&self) -> Result<Vec<u8>> {
-        let fault = |e: postcard::Error| Error::Decode {
-            what: "the replicated state",
-            reason: e.to_string(),
-        };
-        let bytes = postcard::to_allocvec(self).map_err(fault)?;
-        let bytes = postcard::to_extend(&self.crashes, bytes).map_err(fault)?;
-        let bytes = postcard::to_extend(&self.ownership, bytes).map_err(fault)?;
-        let recorded_usage = self.ownership.recorded_usage();
-        let has_withdrawals = !self.withdrawals.is_unused();
-        let has_losses = has_withdrawals || !self.loss_records.is_empty();
-        let has_speeds = has_losses || !self.machine_speeds.is_empty();
-        let has_usage = recorded_usage.is_some();
-        let has_drained = !self.drained_zones.is_empty();
-        if self.uncertain_losses.is_empty() && !has_drained && !has_usage && !has_speeds {
-            return Ok(bytes);
-        }
-        let bytes = postcard::to_extend(&self.uncertain_losses, bytes).map_err(fault)?;
-        if !has_drained && !has_usage && !has_speeds {
-            return Ok(bytes);
-        }
-        let bytes = postcard::to_extend(&self.drained_zones, bytes).map_err(fault)?;
-        if !has_usage && !has_speeds {
-            return Ok(bytes);
-        }
-        let bytes = postcard::to_extend(&recorded_usage, bytes).map_err(fault)?;
-        if !has_speeds {
-            return Ok(bytes);
-        }
-        let bytes = postcard::to_extend(&self.machine_speeds, bytes).map_err(fault)?;
-        if !has_losses {
-            return Ok(bytes);
-        }
-        let bytes = postcard::to_extend(&self.loss_records, bytes).map_err(fault)?;
-        match has_withdrawals {
-            true => postcard::to_extend(&self.withdrawals, bytes).map_err(fault),
-            false => Ok(bytes),
-        }
-    }
-
     /// Returns the configuration in force.
     pub fn document(&self) -> &Document {
         &self.document
