Tests of clients that send unfinished, many or large requests

Clients that the cell does not control ended a process: it ran out of memory. Nothing in the suite played such a crowd. It checks that no process ends, that resident and unread memory and the descriptors stay within the settings, and that an ordinary call is answered beside the crowd and after it. Crowds and bounds are fixed here, before the product changes.

--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -15,10 +15,10 @@
 pub const MAX_WAIT: Duration = Duration::from_secs(60);
 /// The time limit of a caller for one answer.
 const CALL_LIMIT: Duration = Duration::from_secs(4);
-const CONTROL_PORT: u16 = 8166;
+pub const CONTROL_PORT: u16 = 8166;
 const FRONT_PORT: u16 = 8161;
-const READY_PORT: u16 = 8167;
-const METRICS_PORT: u16 = 9108;
+pub const READY_PORT: u16 = 8167;
+pub const METRICS_PORT: u16 = 9108;
 /// The port at which instances reach each other.
 const LINKS_PORT: u16 = 7720;
 /// The port at which an instance listens for the others if their links pass through a proxy.
@@ -71,6 +71,11 @@
         Node { ip, control, child: None, folder, settings, max_open_files: None, links_proxy: None }
     }
 
+    /// Sets the memory, in megabytes, and the file descriptors that the settings grant the process.
+    pub fn set_machine_limits(&mut self, memory_mb: u64, max_fds: usize) {
+        self.settings["limits"] = json!({"memory_mb": memory_mb, "max_fds": max_fds});
+    }
+
     /// Makes the links of other instances to this one pass through a proxy.
     pub fn put_links_behind_proxy(&mut self) {
         let proxied = self.addr(PROXIED_LINKS_PORT);
@@ -176,6 +181,11 @@
         }
     }
 
+    /// Returns the id of the process, if it was started.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // The process may have ended already.
@@ -197,7 +207,7 @@
         self.settings["bootstrap"] = json!(false);
     }
 
-    fn addr(&self, port: u16) -> SocketAddr {
+    pub fn addr(&self, port: u16) -> SocketAddr {
         SocketAddr::from((self.ip, port))
     }
 }
@@ -339,6 +349,23 @@
         taken
     }
 
+    /// Sends the next configuration like [`Cell::publish`], filled up to a size with a field that has no meaning. Its sender
+    /// waits for longer than that of a small one.
+    pub fn publish_padded(&mut self, size: usize) -> bool {
+        let mut config = Cell::config(self.version + 1);
+        config["pad"] = json!("");
+        config["pad"] = json!("x".repeat(size - config.to_string().len()));
+        let head = [("host", "c".to_string()), ("content-type", "application/json".to_string())];
+        let (line, body) = ("POST /Config.Replace HTTP/1.1", config.to_string());
+        let post = |n: &Node| call(n.addr(CONTROL_PORT), line, &head, body.as_bytes(), CALL_LIMIT);
+        let controls = self.nodes.iter().filter(|n| n.control);
+        let taken = controls.filter_map(post).any(|a| a.status() == 200);
+        if taken {
+            self.version += 1;
+        }
+        taken
+    }
+
     /// Sends an operator's order to drain an availability zone, or to end that, and returns whether it was acknowledged.
     pub fn drain_zone(&self, zone: &str, drained: bool) -> bool {
         self.control_call(&drain_line(zone, drained), "").is_some_and(|(status, _)| status == 200)
