Tests of jobs with small bodies that take much memory

A body of a hundred bytes may ask for 100,000 tasks or for 20,000 times; once accepted, every control instance keeps them.

The usage of the processes is sampled once more when a test ends, as a test could end before the first sample. The cell of the platform's tests is shared with the new test program, so parts of it are unused in each: allowed there, as in tests/common.

--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -5,7 +5,6 @@
 //! crowds are a quarter of those of the users' trial. The tests run one at a time.
 
 #[path = "../platform/cell.rs"]
-#[allow(dead_code, reason = "other tests use the rest")]
 mod cell;
 mod crowd;
 mod usage;
@@ -36,6 +35,8 @@
 /// The maximum size of a body, and that of a configuration.
 const MAX_BODY: usize = 262_144;
 const MAX_CONFIG: usize = 8 << 20;
+/// How many jobs that take much memory are submitted, one after the other.
+const LARGE_JOBS: usize = 24;
 /// By how many descriptors a process may differ from one moment to the next without any client.
 const OWN_DESCRIPTORS: usize = 8;
 /// How often an ordinary caller tries.
@@ -241,6 +242,35 @@
     small.check_processes();
 }
 
+/// Guards against jobs with small bodies that take much memory once they are accepted. None of their tasks fits a worker.
+#[rstest]
+#[case::of_many_tasks(r#"{"spec":"","steps":[{"count":100000,"cpu":1000000}]}"#)]
+#[case::of_many_times(
+    r#"{"spec":"","steps":[{"count":1,"cpu":1000000}],"repeat_count":20000,
+        "start_at_ms":9000000000000,"interval_ms":60000}"#
+)]
+fn accepted_jobs_take_no_more_than_there_is(#[case] job: &str) {
+    let _alone = alone();
+    let mut small = SmallCell::start(MEMORY_MB);
+    let fronts = small.cell.fronts();
+    let mut statuses = Vec::new();
+    for n in 0..LARGE_JOBS {
+        let id = format!("{:016x}", 0xe000 + n);
+        statuses.extend(job_call(fronts[n % fronts.len()], "POST", &id, job).map(|a| a.0));
+    }
+    eprintln!("statuses {statuses:?}");
+    let first = statuses.first().copied();
+    small.check(first == Some(200), format!("the first job got {first:?}"));
+    small.check_ordinary_job("after the large jobs");
+    for (n, status) in statuses.iter().enumerate().filter(|(_, s)| [200, 503].contains(*s)) {
+        let id = format!("{:016x}", 0xe000 + n);
+        let state = small.cell.state(&id);
+        let fault = format!("job {n} got {status} and is {state:?}");
+        small.check(state.is_some() == (*status == 200), fault);
+    }
+    small.check_processes();
+}
+
 /// Guards against answers that are kept for clients that do not read them.
 #[test]
 fn answers_that_are_not_read_take_no_more_than_there_is() {
--- a/tests/clients/usage.rs
+++ b/tests/clients/usage.rs
@@ -57,6 +57,7 @@
 
 /// Records the largest usage of each process of a cell until it is dropped.
 pub struct UsageMonitor {
+    processes: Vec<(Ipv4Addr, u32)>,
     peaks: Arc<Mutex<Vec<Usage>>>,
     stop: Arc<AtomicBool>,
     thread: Option<JoinHandle<()>>,
@@ -68,30 +69,36 @@
             cell.nodes.iter().filter_map(|n| Some((n.ip, n.pid()?))).collect();
         let peaks = Arc::new(Mutex::new(vec![Usage::default(); processes.len()]));
         let stop = Arc::new(AtomicBool::default());
-        let of_thread = (peaks.clone(), stop.clone());
+        let of_thread = (processes.clone(), peaks.clone(), stop.clone());
         let run = move || {
-            let (peaks, stop) = of_thread;
+            let (processes, peaks, stop) = of_thread;
             while !stop.load(Ordering::Relaxed) {
-                let unread = unread();
-                for (i, (ip, pid)) in processes.iter().enumerate() {
-                    let memory = resident(*pid) + unread.get(ip).copied().unwrap_or(0);
-                    let descriptors = descriptors(*pid);
-                    let mut peaks = peaks.lock().expect("no thread panicked");
-                    peaks[i].memory = peaks[i].memory.max(memory);
-                    peaks[i].descriptors = peaks[i].descriptors.max(descriptors);
-                }
+                sample(&processes, &peaks);
                 thread::sleep(INTERVAL);
             }
         };
-        UsageMonitor { peaks, stop, thread: Some(thread::spawn(run)) }
+        UsageMonitor { processes, peaks, stop, thread: Some(thread::spawn(run)) }
     }
 
-    /// Returns the largest usage of each process so far, in the order of the cell's instances.
+    /// Returns the largest usage of each process until now, in the order of the cell's instances.
     pub fn peaks(&self) -> Vec<Usage> {
+        sample(&self.processes, &self.peaks);
         self.peaks.lock().expect("no thread panicked").clone()
     }
 }
 
+/// Raises the peaks to what the processes use now.
+fn sample(processes: &[(Ipv4Addr, u32)], peaks: &Mutex<Vec<Usage>>) {
+    let unread = unread();
+    for (i, (ip, pid)) in processes.iter().enumerate() {
+        let memory = resident(*pid) + unread.get(ip).copied().unwrap_or(0);
+        let descriptors = descriptors(*pid);
+        let mut peaks = peaks.lock().expect("no thread panicked");
+        peaks[i].memory = peaks[i].memory.max(memory);
+        peaks[i].descriptors = peaks[i].descriptors.max(descriptors);
+    }
+}
+
 impl Drop for UsageMonitor {
     fn drop(&mut self) {
         self.stop.store(true, Ordering::Relaxed);
--- a/tests/platform/cell.rs
+++ b/tests/platform/cell.rs
@@ -1,5 +1,6 @@
 //! A whole cell of real processes on loopback, configured as the users' platform configures them, with simulated workers,
 //! callers and operators.
+#![allow(dead_code, reason = "each test program uses a part")]
 
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
