Give the bodies of requests a budget that follows from the machine's memory

What callers saw: clients with large or unfinished bodies made an entry instance take more memory than its machine has, and no ordinary caller was answered beside them. The same crowd on the control address, where a body may have 8 MiB and announcements too, took the memory of every control instance and so the whole cell.

Cause: the library collected every body, of any method and on any path, before a handler ran, and nothing counted bodies beyond the maximum of a single one. Parsing multiplies a body: a step of three bytes takes hundreds. Nothing read the memory of the machine from the settings. What waits in receive queues counts as memory, too, and the kernel lets it grow to megabytes for each connection.

Change: - `node::Memory` divides the memory of the settings, or else of the machine, by use. - `node::ConnectionTable` decides, purely: a request reserves what it holds beyond 8 KiB; the one that has been incomplete for the longest time gives up its memory for others; one that is whole is answered. So an ordinary job never waits behind large bodies. - A body is received within that budget, in a buffer that grows with what arrives; before it is parsed, what parsing takes at most is reserved. Bodies of GET and DELETE are read and dropped. A body of which nothing arrives for 16 s ends with 408. - A request without memory is refused with 503 and Retry-After before it is carried out, and never will be. Announcements have a maximum of 262,144 bytes. - Receive buffers have 32 KiB, read buffers 4 KiB, heads 20 KiB. - Each kind of refusal is counted, and logged once a second at most (E945).

Why it works: what is held is reserved before it is allocated, and the sum is bounded.

Places are not bounded yet: a crowd that trickles bodies of queries holds every connection of the listener.

--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -107,6 +107,7 @@
         CALL_UNSURE = 942 Warn "call_unsure" "A caller was told that its call may have been done.";
         REJECTION_REPLACED = 943 Info "rejection_replaced" "A repeated call is answered by what its earlier attempt did, though this attempt was rejected.";
         CALL_LATE = 944 Warn "call_late" "A call was held up on its way, as by a cut, and was not carried out: its caller's time limit has passed, or the job was cancelled or the zone given a later order meanwhile; told once a second at most, with how many were not logged.";
+        CLIENT_TURNED_AWAY = 945 Warn "client_turned_away" "A client was turned away to keep the process within its memory and its connections: the cause, what the client waited for and held, and what all clients of the listener hold; told once a second at most for each cause, with how many were not logged.";
         RUN_PLACED = 951 Info "run_placed" "A task was given to a worker.";
         RUN_ENDED = 952 Info "run_ended" "A run has ended on its worker.";
         RUN_NOT_STARTED = 953 Warn "run_not_started" "A run that was given out surely never began.";
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod advice_calls;
 mod arrivals;
+mod connection_table;
 mod control;
 mod control_event;
 mod delegated_renewals;
@@ -22,6 +23,7 @@
 mod leaving_workers;
 mod log_store;
 mod log_thread;
+mod memory;
 mod message;
 mod node_handle;
 mod peers;
@@ -36,11 +38,16 @@
 mod timing;
 
 pub use arrivals::Arrivals;
+pub use connection_table::{
+    ConnectionId, ConnectionLimits, ConnectionTable, Eviction, FREE_REQUEST_MEMORY, Phase,
+    Reservation,
+};
 pub use delegated_renewals::{DelegatedRenewals, Watch};
 pub use descriptors::{Descriptors, parse_open_file_limit};
 pub use entry::run_entry;
 pub use job_report::JobReport;
 pub use leader_clock::LeaderClock;
+pub use memory::{Memory, parse_total_memory};
 pub use message::Message;
 pub use node_handle::{NodeHandle, Signal};
 pub use peers::{Leader, Peers, PeersConfig, Reachability};
--- a/components/node/src/node_handle.rs
+++ b/components/node/src/node_handle.rs
@@ -20,6 +20,8 @@
 
 /// The counter of faulty announcements, by fault.
 const FAULTY_ANNOUNCEMENTS_METRIC: &str = "heathvale_announcements_faulty_total";
+/// The counter of the clients that were turned away, by cause.
+const TURNED_AWAY_METRIC: &str = "heathvale_clients_turned_away_total";
 /// How many characters of an invalid worker id are logged.
 const MAX_SUBJECT_LENGTH: usize = 64;
 
@@ -103,6 +105,16 @@
         }
     }
 
+    /// Counts a client that a listener turned away.
+    pub fn count_turned_away(&self, cause: &'static str) {
+        self.metrics.add(TURNED_AWAY_METRIC, cause, 1);
+    }
+
+    /// Sets a gauge of a listener.
+    pub fn set_gauge(&self, name: &'static str, value: u64) {
+        self.metrics.set(name, value);
+    }
+
     /// Submits an announcement that a worker is leaving. Returns whether the leader acknowledged it within
     /// `max_wait`: only then it is certain that nothing more will be started on the worker.
     pub async fn announce_leaving(
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -206,6 +206,9 @@
 #[case::bodies_on_unknown_paths(superfluous_body("POST", "/nowhere/"))]
 #[case::heads_without_end(endless_head(60_000))]
 #[case::connections_without_a_request(Script::new(|_| String::new(), Vec::new()))]
+#[case::bodies_of_queries_that_end_byte_by_byte(
+    Script { held_back: 100, trickles: true, ..superfluous_body("GET", "/q/") }
+)]
 fn an_entry_instance_serves_beside(#[case] script: Script) {
     let _alone = alone();
     let mut small = SmallCell::start(MEMORY_MB);
