Bound the connections to the metrics and readiness addresses

What operators saw: while a crowd holds connections to the metrics address, the metrics are not answered, and the process comes close to the end of its descriptors.

Cause: only the listeners for callers and for workers had a maximum. The library keeps one maximum for a process, which a listener takes if it happens to be set when its thread starts: the metrics listener starts first and had none.

Ruled out: the maximum of the library alone, which leaves the connections to whoever came first.

--- a/components/node/src/descriptors.rs
+++ b/components/node/src/descriptors.rs
@@ -16,8 +16,11 @@
 /// their announcements to the same control instance.
 const LISTENERS_SIXTEENTHS: usize = 5;
 /// The share of links to other instances, in sixteenths; each takes two descriptors. The remaining sixteenth
-/// is for the log, its snapshots, the listeners and files that libraries open.
+/// is for connections to the other listeners, the log, its snapshots and files that libraries open.
 const PEERS_SIXTEENTHS: usize = 3;
+/// The divisor of all descriptors that gives those of the connections to each of the listeners for metrics and for the
+/// balancer.
+const SIDE_LISTENER_DIVISOR: usize = 64;
 
 /// The number of descriptors for each use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +29,8 @@
     pub calls: usize,
     /// Connections that workers, operators and callers open to this process.
     pub listeners: usize,
+    /// Connections to each of the listeners for metrics and for the balancer's readiness check.
+    pub side_listeners: usize,
     /// Links to other instances.
     pub peers: usize,
 }
@@ -37,6 +42,7 @@
         Descriptors {
             calls: share(CALLS_SIXTEENTHS),
             listeners: share(LISTENERS_SIXTEENTHS),
+            side_listeners: limit / SIDE_LISTENER_DIVISOR,
             peers: share(PEERS_SIXTEENTHS),
         }
     }
--- a/components/node/tests/descriptors.rs
+++ b/components/node/tests/descriptors.rs
@@ -22,5 +22,6 @@
 fn the_shares_leave_some_for_the_log(#[case] limit: usize) {
     let d = Descriptors::divide(limit);
     assert!(d.calls + d.listeners + d.peers + limit / 16 <= limit, "{d:?}");
-    assert!(d.calls > 0 && d.listeners > 0 && d.peers > 0, "{d:?}");
+    assert!(2 * d.side_listeners <= limit / 32, "{d:?}");
+    assert!(d.calls > 0 && d.listeners > 0 && d.side_listeners > 0 && d.peers > 0, "{d:?}");
 }
