Refuse jobs for which the control instances have no memory

What callers saw: a few dozen jobs with bodies of some hundred bytes made every control instance take more memory than its machine has. With the machine's limit each of them would end, and again after its start, as the jobs are in the log.

Cause: an accepted job is kept by every control instance until some time after its end, with a state for each task of each of its times. A body of 55 bytes may ask for 100,000 tasks. Admission looked at the work that waits, not at what the jobs take.

Change: the replicated state sums an estimate of what its jobs take. The last quarter of that is for jobs up to 64 KiB, some hundred tasks, so that ordinary callers are still served when large jobs have taken the rest. A copy of a refused submission that is still in transit is refused as well, so the refusal stays true; a job that is known is accepted again. E991 tells what decided, gauges what is taken and how many were refused.

--- a/components/dispatch/src/call_handling.rs
+++ b/components/dispatch/src/call_handling.rs
@@ -13,6 +13,7 @@
 use crate::input::{Moment, Token};
 use crate::limits::{CALLER_RETRY_AFTER, KEY_REFUSED_LOG_INTERVAL};
 use crate::organisations::{Caller, step_beyond_limit};
+use crate::refusals::RefusalCause;
 
 impl Dispatcher {
     /// Handles the first attempt of a call, or one after attempts that were certainly not carried
@@ -187,7 +188,7 @@
             {
                 return answer;
             }
-            if let Some(answer) = self.refuse_for_wait(m, queue, organisation.as_ref(), &spec, id) {
+            if let Some(answer) = self.refuse_for_load(m, queue, organisation.as_ref(), &spec, id) {
                 return answer;
             }
             if let Some(name) = &organisation {
@@ -212,8 +213,8 @@
         Answer::Accepted
     }
 
-    /// Returns a refusal if the job would end too late to be worth anything to its caller.
-    fn refuse_for_wait(
+    /// Returns a refusal if there is no memory for the job, or if it would end too late to be worth anything to its caller.
+    fn refuse_for_load(
         &mut self,
         m: Moment,
         queue: &Queue,
@@ -224,13 +225,16 @@
         if let Some(answer) = self.refuse_copy(m, id) {
             return Some(answer);
         }
+        if let Some(answer) = self.refuse_for_memory(m, &queue.name, organisation, spec, id) {
+            return Some(answer);
+        }
         match self.admit(m, queue, organisation, spec, id) {
             Admission::Accept => {
                 self.forget_refusal(id);
                 None
             }
             Admission::Refuse { retry_after, forecast } => {
-                let cause = (retry_after, forecast);
+                let cause = (retry_after, RefusalCause::Wait(forecast));
                 self.record_refusal(m, id, &queue.name, organisation.cloned(), cause);
                 Some(Answer::NotDone { retry_after })
             }
--- a/components/dispatch/src/figures.rs
+++ b/components/dispatch/src/figures.rs
@@ -60,8 +60,12 @@
     pub long_running_waiting: u64,
     /// The longest wait among the long-running tasks that wait.
     pub long_running_max_wait: Millis,
-    /// The number of calls that were refused for the forecast wait of their jobs in this term.
+    /// The number of submissions that were refused in this term, for the forecast wait or for want of memory.
     pub refused: u64,
+    /// The number of these that were refused for want of memory.
+    pub refused_for_memory: u64,
+    /// An estimate of the memory that the jobs take in the replicated state, in bytes.
+    pub job_memory: u64,
     /// The number of calls in this term that came too late to be carried out.
     pub late_calls: u64,
     /// The part of the capacity, in thousandths, that admission assumes to become completed work.
@@ -258,6 +262,8 @@
             long_running_waiting: waits.len() as u64,
             long_running_max_wait: longest,
             refused: self.refusals.total,
+            refused_for_memory: self.refusals.for_memory,
+            job_memory: self.replicated.job_memory(),
             late_calls: self.late_calls.total,
             efficiency_per_mille: self.admission.efficiency_per_mille(),
             slow_machines: self.worker_speeds.slow_machines(),
--- a/components/dispatch/src/lib.rs
+++ b/components/dispatch/src/lib.rs
@@ -25,6 +25,7 @@
 mod incarnations;
 mod input;
 mod job_explanation;
+mod job_memory;
 mod late_calls;
 mod limits;
 mod long_running_waits;
@@ -71,8 +72,9 @@
 pub use figures::{Backlog, Figures, OrganisationFigures, QueueFigures, ServiceFigures};
 pub use input::{Input, Moment, Token};
 pub use job_explanation::{JobExplanation, TaskWait, WaitingStep};
+pub use job_memory::MemoryShortage;
 pub use limits::{Limits, MIN_REFUSAL_RETRY, Mechanisms};
-pub use refusals::RefusedJob;
+pub use refusals::{RefusalCause, RefusedJob};
 pub use worker_messages::{
     CallError, Refusal, RenewOrder, Report, RunStatus, StartOrder, StopOrder, WorkerAnnouncement,
 };
--- a/components/dispatch/src/limits.rs
+++ b/components/dispatch/src/limits.rs
@@ -13,6 +13,8 @@
     pub max_lease: Millis,
     /// How long a finished job is kept.
     pub job_retention: Millis,
+    /// How much memory the accepted jobs may take in the replicated state, in bytes.
+    pub job_memory: u64,
     /// How long a worker may take to stop a run.
     pub stop_time: Millis,
     /// How long a leaving worker is certain to stay if it does not announce a time.
@@ -80,6 +82,7 @@
             lease: Millis(5_000),
             max_lease: Millis(10_000),
             job_retention: Millis(150_000),
+            job_memory: u64::MAX,
             stop_time: Millis(200),
             leaving_notice: Millis(2_000),
             mechanisms: Mechanisms::default(),
@@ -453,6 +456,11 @@
 /// The longest time after which the caller of a refused job is told to retry. Callers make four
 /// attempts, and the forecast for a longer time is uncertain.
 pub(crate) const MAX_REFUSAL_RETRY: Millis = Millis(10_000);
+/// The size up to which a job may take the last of the memory for jobs, in bytes. A job of some hundred tasks takes less.
+pub(crate) const SMALL_JOB_FOOTPRINT: u64 = 64 << 10;
+/// The divisor of the memory for jobs that gives what is kept for small ones: jobs of a few kilobytes are still accepted when
+/// large ones have taken the rest.
+pub(crate) const SMALL_JOB_MEMORY_DIVISOR: u64 = 4;
 /// The time over which retries are spread, so that the callers of jobs that were refused together
 /// do not return together.
 pub(crate) const REFUSAL_RETRY_SPREAD: Millis = Millis(2_000);
--- a/components/dispatch/src/refusals.rs
+++ b/components/dispatch/src/refusals.rs
@@ -15,6 +15,7 @@
 use crate::call::Answer;
 use crate::dispatcher::Dispatcher;
 use crate::input::Moment;
+use crate::job_memory::MemoryShortage;
 use crate::limits::{
     MAX_KEPT_REFUSALS, MAX_REFUSAL_LINES_PER_SECOND, MIN_REFUSAL_RETRY, REFUSAL_LINE_WINDOW,
 };
@@ -34,8 +35,17 @@
     pub organisation: Option<Name>,
     /// After how long its caller was told to retry.
     pub retry_after: Millis,
-    /// The forecast by which it was refused.
-    pub forecast: WaitForecast,
+    /// The reason.
+    pub cause: RefusalCause,
+}
+
+/// Why a job was refused.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RefusalCause {
+    /// It would end too late, by this forecast.
+    Wait(WaitForecast),
+    /// There is no memory for it.
+    Memory(MemoryShortage),
 }
 
 /// The refusals of this leader.
@@ -48,6 +58,8 @@
     pub(crate) by_queue: BTreeMap<Name, u64>,
     pub(crate) by_organisation: BTreeMap<Name, u64>,
     pub(crate) total: u64,
+    /// How many of them were for want of memory.
+    pub(crate) for_memory: u64,
     /// When the log lines of the last second were written.
     recent_lines: VecDeque<Millis>,
     /// The number of refusals without a log line since the last one with a line.
@@ -91,7 +103,7 @@
         self.refusals.by_job.get(&id)
     }
 
-    /// Returns how many calls were refused for the forecast wait in this term, by queue.
+    /// Returns how many submissions were refused in this term, by queue.
     pub fn refused_by_queue(&self) -> &BTreeMap<Name, u64> {
         &self.refusals.by_queue
     }
@@ -118,28 +130,19 @@
         id: JobId,
         queue: &Name,
         organisation: Option<Name>,
-        (retry_after, forecast): (Millis, WaitForecast),
+        (retry_after, cause): (Millis, RefusalCause),
     ) {
-        let of = organisation.as_deref().unwrap_or("-");
-        let f = &forecast;
-        let details = format!(
-            "queue={queue} organisation={of} retry_after_ms={} starts_in_ms={} ends_in_ms={} \
-             objective_ms={} ahead_core_ms={} ahead_mb_ms={} own_core_ms={} share={:.3} \
-             capacity_milli={} efficiency={:.2} term={}",
-            retry_after.0,
-            f.starts_in.0,
-            f.ends_in.0,
-            f.objective.0,
-            f.ahead.cpu_milli_ms / 1_000,
-            f.ahead.memory_mb_ms,
-            f.own_ahead.cpu_milli_ms / 1_000,
-            f.share,
-            f.capacity.cpu_milli,
-            f.efficiency,
-            self.term,
-        );
+        let kind = match cause {
+            RefusalCause::Wait(_) => &kinds::JOB_REFUSED,
+            RefusalCause::Memory(_) => &kinds::JOB_REFUSED_FOR_MEMORY,
+        };
+        self.refusals.for_memory += u64::from(matches!(cause, RefusalCause::Memory(_)));
         if let Some(not_logged) = self.refusals.next_line(m.now) {
-            self.log_event(&kinds::JOB_REFUSED, id, format!("{details} not_logged={not_logged}"));
+            let of = organisation.as_deref().unwrap_or("-");
+            let about = format!("queue={queue} organisation={of} retry_after_ms={}", retry_after.0);
+            let (why, term) = (describe(&cause), self.term);
+            let details = format!("{about} {why} term={term} not_logged={not_logged}");
+            self.log_event(kind, id, details);
         }
         let refused = RefusedJob {
             at: m.now,
@@ -148,8 +151,30 @@
             queue: queue.clone(),
             organisation,
             retry_after,
-            forecast,
+            cause,
         };
         self.refusals.record(id, refused);
     }
 }
+
+/// Returns what a refusal was decided by, for the log.
+fn describe(cause: &RefusalCause) -> String {
+    match cause {
+        RefusalCause::Wait(f) => format!(
+            "starts_in_ms={} ends_in_ms={} objective_ms={} ahead_core_ms={} ahead_mb_ms={} \
+             own_core_ms={} share={:.3} capacity_milli={} efficiency={:.2}",
+            f.starts_in.0,
+            f.ends_in.0,
+            f.objective.0,
+            f.ahead.cpu_milli_ms / 1_000,
+            f.ahead.memory_mb_ms,
+            f.own_ahead.cpu_milli_ms / 1_000,
+            f.share,
+            f.capacity.cpu_milli,
+            f.efficiency,
+        ),
+        RefusalCause::Memory(s) => {
+            format!("footprint={} taken={} limit={}", s.footprint, s.taken, s.limit)
+        }
+    }
+}
--- a/components/dispatch/tests/admission.rs
+++ b/components/dispatch/tests/admission.rs
@@ -16,7 +16,7 @@
 use common::mix::JobMix;
 use common::organisations::{configuration, key_of};
 use common::{Harness, job, mix, row, spec, step, worker};
-use dispatch::{Action, Admission, Answer, Verb};
+use dispatch::{Action, Admission, Answer, RefusalCause, Verb};
 use events::kinds;
 use model::{Name, Size};
 use rstest::rstest;
@@ -197,8 +197,9 @@
     assert_eq!(h.dispatcher.replicated().job(job(1)), None);
     let why = h.dispatcher.refusal(job(1)).expect("the refusal is kept").clone();
     assert_eq!((why.retry_after, &*why.queue, why.times), (wait, "bulk", 1));
-    assert_eq!(why.forecast.objective, Millis(1_450));
-    assert!(why.forecast.ends_in > Millis(3 * 1_450));
+    let RefusalCause::Wait(forecast) = &why.cause else { panic!("{:?}", why.cause) };
+    assert_eq!(forecast.objective, Millis(1_450));
+    assert!(forecast.ends_in > Millis(3 * 1_450));
     for id in FIRST_OF_FLOOD..FIRST_OF_FLOOD + FLOOD {
         h.call_path(&format!("/bulk/{}", JobId(id)), Verb::Cancel);
     }
--- a/components/events/src/catalogue.rs
+++ b/components/events/src/catalogue.rs
@@ -137,6 +137,7 @@
         ORGANISATION_ABOVE_SHARE = 980 Info "organisation_above_share" "While steps wait, an organisation uses far more than its share by weight and is served after the others, or no longer does; told at most every five seconds for each.";
         LINES_DROPPED = 981 Warn "lines_dropped" "Log lines were dropped because there were too many.";
         JOB_REFUSED = 990 Info "job_refused" "A job was refused because it would end too late to be worth anything: the forecast, what it was made from, and how many refusals before it were not logged.";
+        JOB_REFUSED_FOR_MEMORY = 991 Warn "job_refused_for_memory" "A job was refused because the accepted jobs take up the memory for jobs: what it would take, what the others take, the limit for a job of its size, all in bytes, and how many refusals before it were not logged.";
     }
 }
 
--- a/components/node/src/job_report.rs
+++ b/components/node/src/job_report.rs
@@ -1,6 +1,6 @@
 //! Reports about a job for operators: what the leader knows, or who leads.
 
-use dispatch::{Dispatcher, JobExplanation, Moment};
+use dispatch::{Dispatcher, JobExplanation, Moment, RefusalCause};
 use model::InstanceId;
 use workload::JobId;
 
@@ -30,6 +30,10 @@
 /// Returns why a job was refused, if it was recently.
 fn refusal(dispatcher: &Dispatcher, id: JobId) -> Option<String> {
     let refused = dispatcher.refusal(id)?;
-    let (times, retry_after, forecast) = (refused.times, refused.retry_after.0, &refused.forecast);
-    Some(format!("times={times} retry_after_ms={retry_after} {forecast:?}"))
+    let (times, retry_after) = (refused.times, refused.retry_after.0);
+    let cause = match &refused.cause {
+        RefusalCause::Wait(forecast) => format!("{forecast:?}"),
+        RefusalCause::Memory(shortage) => format!("{shortage:?}"),
+    };
+    Some(format!("times={times} retry_after_ms={retry_after} {cause}"))
 }
--- a/components/node/src/leadership.rs
+++ b/components/node/src/leadership.rs
@@ -91,6 +91,8 @@
         let figures = leader_term.dispatcher.figures();
         self.metrics.set("heathvale_term", leader_term.term);
         self.metrics.set("heathvale_jobs", figures.jobs);
+        self.metrics.set("heathvale_job_bytes", figures.job_memory);
+        self.metrics.set("heathvale_jobs_refused_for_memory", figures.refused_for_memory);
         self.metrics.set("heathvale_open_steps", figures.open_steps);
         self.metrics.set("heathvale_runs", figures.runs);
         self.metrics.set("heathvale_orders_unsettled", figures.orders_unsettled);
--- a/components/workload/src/replicated_state.rs
+++ b/components/workload/src/replicated_state.rs
@@ -58,6 +58,9 @@
     /// Encoded after `loss_records`, for the same reason, and only once an id was withdrawn.
     #[serde(skip)]
     withdrawals: Withdrawals,
+    /// The sum of the footprints of all jobs, in bytes. It follows from `jobs`.
+    #[serde(skip)]
+    job_memory: u64,
 }
 
 /// The usual speed of a machine in [`Command::SpeedsLearned`].
@@ -74,6 +77,11 @@
         &self.jobs
     }
 
+    /// Returns an estimate of the memory that all jobs take, in bytes.
+    pub fn job_memory(&self) -> u64 {
+        self.job_memory
+    }
+
     /// Returns a job.
     pub fn job(&self, id: JobId) -> Option<&Job> {
         self.jobs.get(&id)
@@ -282,13 +290,20 @@
         self.accepted = job.order;
         let at = job.accepted_at;
         self.withdrawals.remove(id);
+        self.job_memory += job.spec.footprint();
         self.jobs.insert(id, job);
         self.update_open_steps(id, at);
     }
 
     fn forget(&mut self, before: Millis) {
         let keep = |j: &Job| j.ended_at.is_none_or(|t| t >= before) || j.placed() > 0;
-        self.jobs.retain(|_, j| keep(j));
+        let mut forgotten = 0;
+        self.jobs.retain(|_, j| {
+            let kept = keep(j);
+            forgotten += if kept { 0 } else { j.spec.footprint() };
+            kept
+        });
+        self.job_memory -= forgotten;
         self.crashes.retain(|id| self.jobs.contains_key(&id));
         self.uncertain_losses.retain(|id| self.jobs.contains_key(&id));
         self.loss_records.retain(|id| self.jobs.contains_key(&id));
--- a/components/workload/src/replicated_state/encoding.rs
+++ b/components/workload/src/replicated_state/encoding.rs
@@ -29,6 +29,7 @@
         state.machine_speeds = decode_next(&mut rest)?.unwrap_or_default();
         state.loss_records = decode_next(&mut rest)?.unwrap_or_default();
         state.withdrawals = decode_next(&mut rest)?.unwrap_or_default();
+        state.job_memory = state.jobs.values().map(|j| j.spec.footprint()).sum();
         state.open.iter().for_each(|e| state.ownership.add_open_step(e.key.job));
         Ok(state)
     }
--- a/components/workload/src/spec.rs
+++ b/components/workload/src/spec.rs
@@ -5,12 +5,22 @@
 use model::{Name, Size};
 use serde::{Deserialize, Serialize};
 
+use crate::{Job, StepState, TaskState};
+
 /// The maximum length of the `spec` text in bytes, as documented for callers.
 pub const MAX_SPEC: usize = 4_000;
 /// The maximum number of tasks of one job over all its rounds. It bounds the memory that one call can
 /// take up in the cell; the largest jobs seen so far have a few hundred tasks.
 pub const MAX_TASKS: u64 = 100_000;
 
+/// What a name takes beside its text, in bytes.
+const NAME_OVERHEAD: usize = 16;
+/// What a job takes beside its fields, in bytes: entries of maps and of the allocator.
+const JOB_OVERHEAD: u64 = 256;
+/// What a step of a round takes beside its fields, in bytes. It has entries in the index of open steps and in those of the
+/// dispatcher.
+const STEP_OVERHEAD: u64 = 160;
+
 /// A job as its caller specified it.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct JobSpec {
@@ -99,6 +109,26 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
+    /// Returns an estimate of the memory that the job takes in the replicated state once it is accepted, in bytes.
+    pub fn footprint(&self) -> u64 {
+        let name = |name: &Name| (name.len() + NAME_OVERHEAD) as u64;
+        let optional = |n: &Option<Name>| n.as_ref().map_or(0, name);
+        let spec = |s: &StepSpec| {
+            let names = optional(&s.constraint) + optional(&s.rack) + name(&s.image);
+            (size_of::<StepSpec>() + size_of_val(s.depends_on.as_slice())) as u64 + names
+        };
+        let progress = |s: &StepSpec| {
+            let tasks = u64::from(s.count).saturating_mul(size_of::<TaskState>() as u64);
+            tasks.saturating_add(size_of::<StepState>() as u64 + STEP_OVERHEAD)
+        };
+        let sum = |sizes: &dyn Fn(&StepSpec) -> u64| {
+            self.steps.iter().map(sizes).fold(0, u64::saturating_add)
+        };
+        let rounds = sum(&progress).saturating_mul(u64::from(self.round_count()));
+        let job = size_of::<Job>() as u64 + name(&self.spec) + JOB_OVERHEAD;
+        job.saturating_add(sum(&spec)).saturating_add(rounds)
+    }
+
     /// Returns whether any step runs until the job is cancelled.
     pub fn is_long_running(&self) -> bool {
         self.steps.iter().any(|s| s.long_running)
--- a/components/workload/tests/replicated_state.rs
+++ b/components/workload/tests/replicated_state.rs
@@ -56,6 +56,33 @@
     assert_eq!(replicated.open().len(), open);
 }
 
+/// The memory of the jobs is no part of a snapshot and must be the same on all instances, also after a restart.
+#[test]
+fn the_memory_of_the_jobs_follows_from_them_also_after_a_restart() {
+    let mut replicated = apply_all(&[submit(1, vec![step(1)]), submit(2, vec![step(1_000)])]);
+    let footprint = |r: &ReplicatedState, id| r.job(JobId(id)).map_or(0, |j| j.spec.footprint());
+    let (small, large) = (footprint(&replicated, 1), footprint(&replicated, 2));
+    assert!(small > 0 && large > 1_000 * size_of::<workload::TaskState>() as u64);
+    assert_eq!(replicated.job_memory(), small + large);
+    replicated.apply(&Command::Cancel { id: JobId(2), at: Millis(30) });
+    replicated.apply(&Command::Forget { before: Millis(31) });
+    assert_eq!(replicated.job_memory(), small);
+    let encoded = replicated.encode().expect("a snapshot");
+    let restored = ReplicatedState::decode(&encoded).expect("a valid snapshot");
+    assert_eq!(restored.job_memory(), small);
+}
+
+/// The body of a job with many times is as small as that of a job with one.
+#[rstest]
+#[case::many_tasks(JobSpec { steps: vec![step(50_000)], ..JobSpec::default() })]
+#[case::many_times(JobSpec { steps: vec![step(1)], rounds: 50_000, ..JobSpec::default() })]
+#[case::more_than_can_be_counted(JobSpec { steps: vec![step(u32::MAX); 9], rounds: u32::MAX, ..JobSpec::default() })]
+fn every_task_of_every_time_counts(#[case] spec: JobSpec) {
+    let tasks: u64 = spec.steps.iter().map(|s| u64::from(s.count)).sum();
+    let all = tasks.saturating_mul(u64::from(spec.round_count()));
+    assert!(spec.footprint() >= all.saturating_mul(size_of::<workload::TaskState>() as u64));
+}
+
 #[test]
 fn an_end_counts_once_however_often_it_is_reported() {
     let failed = ended("w", 1, 0, 1, EndKind::Failed);
