Count a client that is turned away once

A request on a connection that had already been chosen to close was counted and logged again as `no_memory`, so operators would have taken a crowd for complete requests without memory. Seen in the log of a test run:

E945 client_turned_away front cause=place waited_for=first_request ... E945 client_turned_away front cause=no_memory waited_for=body waited_ms=0 bytes=3937 ...

The table now tells a closing connection from a lack of memory. The request is refused as before; only the second count and line are gone.

--- a/components/node/src/connection_table.rs
+++ b/components/node/src/connection_table.rs
@@ -72,6 +72,8 @@
     Granted(Vec<Eviction>),
     /// There is no memory: what others hold belongs to requests that are being answered.
     Refused,
+    /// The connection is closing.
+    Closing,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -162,10 +164,10 @@
     /// Reserves memory for a request: `memory` bytes in all.
     pub fn reserve(&mut self, now: Millis, id: ConnectionId, memory: usize) -> Reservation {
         let Some(connection) = self.connections.get(&id).copied() else {
-            return Reservation::Refused;
+            return Reservation::Closing;
         };
         if connection.phase == Phase::Close {
-            return Reservation::Refused;
+            return Reservation::Closing;
         }
         let wanted = Connection { memory, ..connection }.budgeted();
         let kept = self.taken - connection.budgeted();
--- a/components/node/tests/connection_table.rs
+++ b/components/node/tests/connection_table.rs
@@ -29,7 +29,7 @@
 fn evicted(reservation: Reservation) -> Vec<ConnectionId> {
     match reservation {
         Reservation::Granted(evictions) => evictions.iter().map(|e| e.id).collect(),
-        Reservation::Refused => panic!("the memory is refused"),
+        refused => panic!("{refused:?}"),
     }
 }
 
@@ -82,7 +82,7 @@
     assert_eq!(evicted(table.reserve(at(2), first, LARGE)), NONE);
     assert_eq!(evicted(table.reserve(at(3), second, LARGE)), vec![first]);
     assert_eq!(table.memory_taken(), LARGE - FREE_REQUEST_MEMORY);
-    assert_eq!(table.reserve(at(4), first, 1), Reservation::Refused, "it is closing");
+    assert_eq!(table.reserve(at(4), first, 1), Reservation::Closing);
 }
 
 #[test]
@@ -181,6 +181,7 @@
                                 seen.insert(id, (Seen::Receiving, memory));
                             }
                             Reservation::Refused => prop_assert!(memory > FREE_REQUEST_MEMORY),
+                            Reservation::Closing => prop_assert!(false, "{id} is open"),
                         }
                     }
                 }
