Tests of a lost leader, a stop and readers of a large configuration beside a crowd

Two related paths.

The other tests also check that clients and jobs which are turned away are counted and logged.

--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -93,6 +93,15 @@
         self.check(announced, format!("an announcement {when} is not answered in {TRIES} tries"));
     }
 
+    /// Checks that the first entry instance counts and logs that it turned clients away.
+    fn check_turned_away(&mut self) {
+        let counted = self.cell.metrics(3).contains("heathvale_clients_turned_away_total{");
+        self.check(counted, "the clients that were turned away are not counted");
+        let lines = self.cell.lines_about("E945 client_turned_away front");
+        eprintln!("{}", lines.lines().take(2).collect::<Vec<_>>().join("\n"));
+        self.check(!lines.is_empty(), "the clients that were turned away are not logged");
+    }
+
     /// Checks that every process lives and has kept to the limits of its machine.
     fn check_processes(mut self) {
         self.cell.revive();
@@ -220,6 +229,9 @@
     let refusals = [400, 404, 408, 410, 413, 429, 431, 503];
     let statuses = crowd.statuses();
     small.check(statuses.iter().all(|s| refusals.contains(s)), format!("{statuses:?}"));
+    if statuses.contains(&503) {
+        small.check_turned_away();
+    }
     drop(crowd);
     small.check_ordinary_job("after the crowd");
     small.check_processes();
@@ -265,6 +277,11 @@
     let first = statuses.first().copied();
     small.check(first == Some(200), format!("the first job got {first:?}"));
     small.check_ordinary_job("after the large jobs");
+    if statuses.contains(&503) {
+        let lines = |c: &Cell| c.lines_about("E991 job_refused_for_memory");
+        small.cell.wait("the refusals are logged", |c| !lines(c).is_empty());
+        eprintln!("{}", lines(&small.cell).lines().next().unwrap_or_default());
+    }
     for (n, status) in statuses.iter().enumerate().filter(|(_, s)| [200, 503].contains(*s)) {
         let id = format!("{:016x}", 0xe000 + n);
         let state = small.cell.state(&id);
@@ -355,6 +372,53 @@
     small.check_processes();
 }
 
+/// Guards against copies of a large configuration that are kept for clients that do not read them.
+#[test]
+fn readers_of_a_large_configuration_take_no_more_than_there_is() {
+    let _alone = alone();
+    let mut small = SmallCell::start(CONTROL_MEMORY_MB);
+    let published = (0..TRIES).any(|_| small.cell.publish_padded(MAX_CONFIG));
+    small.check(published, "a configuration of the largest size is not accepted");
+    let controls: Vec<_> = small.cell.nodes[..3].iter().map(|n| n.addr(CONTROL_PORT)).collect();
+    let read = |_| "GET /Config.Read HTTP/1.1\r\nhost: c\r\n\r\n".to_owned();
+    let script = Script { reads: false, ..Script::new(read, Vec::new()) };
+    let crowd = Crowd::start(&controls, CONTROL_CROWD, script);
+    crowd.settle();
+    small.check_control_calls("beside the crowd");
+    drop(crowd);
+    small.check_control_calls("after the crowd");
+    small.check_processes();
+}
+
+/// Guards against a crowd that keeps an entry instance from serving again after a loss of the leader, or from stopping.
+#[test]
+fn a_crowd_hinders_neither_a_new_leader_nor_a_stop() {
+    let _alone = alone();
+    let mut small = SmallCell::start(MEMORY_MB);
+    let crowd = Crowd::start(&small.cell.fronts()[..1], CROWD, nearly_whole(1));
+    crowd.settle();
+    for i in [0, 1] {
+        small.cell.nodes[i].kill();
+    }
+    crowd.settle();
+    for i in [0, 1] {
+        small.cell.nodes[i].start();
+    }
+    let front = small.cell.fronts()[0];
+    small.cell.wait("the entry instance serves again", |_| {
+        job_call(front, "POST", "00000000000000f1", &job_body(1)).is_some_and(|a| a.0 == 200)
+    });
+    small.cell.nodes[3].signal("TERM");
+    let code = small.cell.nodes[3].wait_end();
+    small.check(code == Some(0), format!("the entry instance stopped with {code:?}"));
+    small.cell.nodes[3].start();
+    small.cell.wait("the entry instance serves again", |_| {
+        job_call(front, "POST", "00000000000000f2", &job_body(1)).is_some_and(|a| a.0 == 200)
+    });
+    drop(crowd);
+    small.check_processes();
+}
+
 /// Guards against a crowd on one listener that takes the descriptors of the whole process.
 #[rstest]
 #[case::the_control_address(0, CONTROL_PORT)]
