--- a/components/dispatch/src/job_memory.rs
+++ b/components/dispatch/src/job_memory.rs
@@ -3,7 +3,6 @@
 //! Load pattern: clients submit jobs with small bodies and many tasks or times, or many large bodies. An accepted job is kept
 //! by every control instance until some time after its end, so nothing but a refusal bounds what they take.
 
-use clock::Millis;
 use model::Name;
 use workload::{JobId, JobSpec};
 
@@ -46,7 +45,7 @@
     ) -> Option<Answer> {
         let taken = self.replicated.job_memory();
         let shortage = memory_shortage(taken, spec.footprint(), self.limits.job_memory)?;
-        let retry_after: Millis = MAX_REFUSAL_RETRY;
+        let retry_after = MAX_REFUSAL_RETRY;
         let cause = (retry_after, RefusalCause::Memory(shortage));
         self.record_refusal(m, id, queue, organisation.cloned(), cause);
         Some(Answer::NotDone { retry_after })
--- a/components/node/src/memory.rs
+++ b/components/node/src/memory.rs
@@ -14,7 +14,8 @@
 /// The share of accepted jobs. The leader has them twice, once in the log's replica and once in the dispatcher. The remaining
 /// four sixteenths are for the process itself, its log and its workers.
 const JOBS_SIXTEENTHS: usize = 3;
-/// What a connection takes at most, in bytes: its buffers, a queue of the smallest chunks, and a small body.
+/// What is set aside for a connection, in bytes. One that sends the smallest chunks takes more, out of what is left to the
+/// process; docs/design/clients.md has the figures.
 const CONNECTION_MEMORY: usize = 32 << 10;
 
 /// The memory for each use, in bytes.
